--- /dev/null
+++ b/declare/codec.go
@@ -0,0 +1,71 @@
+// This file defines how objects are written to JSON: an envelope that names
+// the kind beside the object, so that a sealed interface survives the trip.
+
+package declare
+
+import (
+	"encoding/json"
+
+	"github.com/juju/errors"
+)
+
+// Envelope carries one Object through JSON.
+type Envelope struct {
+	Object Object
+}
+
+type envelopeJSON struct {
+	Kind Kind            `json:"kind"`
+	Spec json.RawMessage `json:"spec"`
+}
+
+// MarshalJSON writes {"kind": …, "spec": …}.
+func (e Envelope) MarshalJSON() ([]byte, error) {
+	spec, err := json.Marshal(e.Object)
+	if err != nil {
+		return nil, errors.Annotatef(err, "encode %s", e.Object.Ref())
+	}
+	return json.Marshal(envelopeJSON{Kind: e.Object.Ref().Kind, Spec: spec})
+}
+
+// UnmarshalJSON reads what MarshalJSON wrote. An unknown kind is an error.
+func (e *Envelope) UnmarshalJSON(data []byte) error {
+	var raw envelopeJSON
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return errors.Annotate(err, "envelope")
+	}
+	object, err := decodeSpec(raw.Kind, func(into any) error { return json.Unmarshal(raw.Spec, into) })
+	if err != nil {
+		return errors.Trace(err)
+	}
+	e.Object = object
+	return nil
+}
+
+// decodeSpec makes an object of the kind and has decode fill it in.
+func decodeSpec(kind Kind, decode func(into any) error) (Object, error) {
+	switch kind {
+	case KindRegion:
+		return decodeAs[Region](decode)
+	case KindDataCentre:
+		return decodeAs[DataCentre](decode)
+	case KindHost:
+		return decodeAs[Host](decode)
+	case KindService:
+		return decodeAs[Service](decode)
+	case KindEngine:
+		return decodeAs[Engine](decode)
+	case KindSelector:
+		return decodeAs[Selector](decode)
+	default:
+		return nil, errors.NotValidf("kind %q", kind)
+	}
+}
+
+func decodeAs[T Object](decode func(into any) error) (Object, error) {
+	var object T
+	if err := decode(&object); err != nil {
+		return nil, err
+	}
+	return object, nil
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,261 @@
+// Package fleet keeps what one entry host knows of the engines of its region,
+// and hands out their slots.
+//
+// A Fleet owns one pool for each service. A pool joins the pure decisions of
+// the packages route, admit and health with the running counts they need:
+// Acquire gives a Ticket for an engine, waiting in the pool's queue if it
+// must, and every Ticket is given back by Done exactly once. The decisions
+// are made under the pool's lock and take microseconds; nothing waits for the
+// network while holding it.
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/linenscale/linenscale/declare"
+	"github.com/linenscale/linenscale/permit"
+	"github.com/linenscale/linenscale/request"
+	"github.com/linenscale/linenscale/route"
+)
+
+// Clock gives the time; tests set their own.
+type Clock func() time.Time
+
+// Fleet is safe for concurrent use. New makes one.
+type Fleet struct {
+	region string
+	clock  Clock
+	policy route.Policy
+	random *rand.Rand
+
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// queueLimit bounds the requests that wait in one pool.
+const queueLimit = 512
+
+// New makes an empty fleet for the engines of a region. seed makes its random
+// choices repeatable.
+func New(region string, clock Clock, policy route.Policy, seed uint64) *Fleet {
+	return &Fleet{
+		region: region,
+		clock:  clock,
+		policy: policy,
+		random: rand.New(rand.NewPCG(seed, seed^0x5bd1e995)),
+		pools:  make(map[string]*pool),
+	}
+}
+
+// Apply takes over the engines of a configuration. An engine that is declared
+// still keeps its counts; one that isn't gets nothing new.
+func (f *Fleet) Apply(config declare.Config) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	wanted := map[string][]declare.Engine{}
+	for _, e := range declare.Each[declare.Engine](config) {
+		if config.RegionOf(e.DataCentre) == f.region {
+			wanted[e.Service] = append(wanted[e.Service], e)
+		}
+	}
+	for _, s := range declare.Each[declare.Service](config) {
+		p, ok := f.pools[s.Name]
+		if !ok {
+			p = newPool(s.Name)
+			f.pools[s.Name] = p
+		}
+		p.apply(f.region, wanted[s.Name])
+		p.judge(f.clock())
+	}
+	for name, p := range f.pools {
+		if _, ok := config.Service(name); !ok {
+			p.apply(f.region, nil)
+		}
+	}
+}
+
+// Ask is what Acquire needs beside the request.
+type Ask struct {
+	Request   request.Request
+	Permitted func(place permit.Place, labels declare.Labels) bool
+	Prefill   time.Duration // to read the prompt into a cold cache
+	Need      time.Duration // least time from a slot to the answer's first byte
+	Tried     []string      // engines of earlier attempts
+}
+
+// Ticket is the right to send one request to one engine.
+type Ticket struct {
+	Engine  string
+	Address string
+	Choice  route.Choice
+	Waited  time.Duration
+
+	pool  *pool
+	fleet *Fleet
+	index int
+	began time.Time
+	chain []uint64
+}
+
+// Acquire gives a ticket for the best engine, waiting in the queue if none has
+// a slot. The error is a *request.NotRun.
+func (f *Fleet) Acquire(ctx context.Context, ask Ask) (*Ticket, error) {
+	f.mu.Lock()
+	p, ok := f.pools[ask.Request.Service]
+	if !ok {
+		f.mu.Unlock()
+		return nil, &request.NotRun{Reason: request.ReasonNoEngine, Message: "no engine of the service is known here"}
+	}
+	now := f.clock()
+	w := p.newWaiter(ask)
+	if p.queue.Ahead(ask.Request.Class.Priority()) == 0 {
+		if t := f.grant(p, w, now); t != nil {
+			f.mu.Unlock()
+			return t, nil
+		}
+	}
+	err := p.enqueue(w, now)
+	f.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	return f.await(ctx, p, w, now)
+}
+
+// await blocks until the waiter is served, late, or its caller has gone.
+func (f *Fleet) await(ctx context.Context, p *pool, w *waiter, began time.Time) (*Ticket, error) {
+	select {
+	case got := <-w.Tag.ready:
+		if got.ticket != nil {
+			got.ticket.Waited = f.clock().Sub(began)
+		}
+		return got.ticket, got.err
+	case <-ctx.Done():
+	}
+	f.mu.Lock()
+	removed := p.queue.Remove(w)
+	f.mu.Unlock()
+	if !removed {
+		if got := <-w.Tag.ready; got.ticket != nil {
+			got.ticket.Done(Result{Outcome: Unsent})
+		}
+	}
+	return nil, &request.NotRun{Reason: request.ReasonCancelled, Message: "the caller went away, or its deadline passed, while the request waited"}
+}
+
+// grant gives the waiter a slot if an engine has one. The lock is held.
+func (f *Fleet) grant(p *pool, w *waiter, now time.Time) *Ticket {
+	p.view.Now = now
+	choice := route.Choose(f.policy, &p.view, &w.Tag.ask, f.random.Uint64())
+	if choice.Index < 0 {
+		return nil
+	}
+	e := &p.view.Engines[choice.Index]
+	e.InFlight++
+	p.view.Cached.Add(w.Tag.ask.PrefixChain, choice.Index)
+	p.started(now)
+	return &Ticket{
+		Engine: e.Name, Address: e.Address, Choice: choice,
+		pool: p, fleet: f, index: choice.Index, began: now, chain: w.Tag.ask.PrefixChain,
+	}
+}
+
+// dispatch serves the queue while there are slots. The lock is held.
+func (f *Fleet) dispatch(p *pool, now time.Time) {
+	for p.queue.Len() > 0 && p.anyFree(now) {
+		w := p.queue.Pop(now, p.refuseLate)
+		if w == nil {
+			return
+		}
+		if t := f.grant(p, w, now); t != nil {
+			w.Tag.ready <- grantResult{ticket: t}
+			continue
+		}
+		p.blocked = append(p.blocked, w)
+	}
+	p.requeueBlocked(now)
+}
+
+// Tick re-judges every pool, drops what is late and serves what can be
+// served. The owner calls it several times a second.
+func (f *Fleet) Tick() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	for _, p := range f.pools {
+		p.judge(now)
+		f.dispatch(p, now)
+	}
+}
+
+// Address is one engine to probe.
+type Address struct {
+	Service, Engine, Address string
+}
+
+// Addresses lists the engines that are declared now.
+func (f *Fleet) Addresses() []Address {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []Address
+	for name, p := range f.pools {
+		for i := range p.view.Engines {
+			if e := &p.view.Engines[i]; e.Name != "" {
+				all = append(all, Address{name, e.Name, e.Address})
+			}
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Engine < all[j].Engine })
+	return all
+}
+
+// Digests gives the state of each service's engines in this region.
+func (f *Fleet) Digests() []ServiceDigest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	out := make([]ServiceDigest, 0, len(f.pools))
+	for name, p := range f.pools {
+		out = append(out, ServiceDigest{Service: name, Digest: p.digest(f.region, now), Queued: p.queue.Len()})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Service < out[j].Service })
+	return out
+}
+
+// ServiceDigest is the digest of one service.
+type ServiceDigest struct {
+	Service string       `json:"service"`
+	Digest  route.Digest `json:"digest"`
+	Queued  int          `json:"queued"`
+}
+
+// Explain gives each engine's score, or why it is refused, for a request.
+func (f *Fleet) Explain(ask Ask) []route.Explained {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.pools[ask.Request.Service]
+	if !ok {
+		return nil
+	}
+	p.view.Now = f.clock()
+	return route.Explain(&p.view, &p.newWaiter(ask).Tag.ask)
+}
+
+// InFlight counts this host's requests on an engine, for a drain.
+func (f *Fleet) InFlight(engine string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, p := range f.pools {
+		for i := range p.view.Engines {
+			if p.view.Engines[i].Name == engine {
+				n += p.view.Engines[i].InFlight
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/fleet/observe.go
@@ -0,0 +1,146 @@
+// This file defines what the fleet learns from: the end of each ticket, load
+// reports, cache events, probes and the platform's list.
+
+package fleet
+
+import (
+	"time"
+
+	"github.com/linenscale/linenscale/health"
+	"github.com/linenscale/linenscale/route"
+)
+
+// Outcome says how a ticket ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Answered  Outcome = iota
+	Failed            // connection error, broken or wrong answer
+	Shed              // the engine refused for load
+	Abandoned         // the caller went away
+	Unsent            // nothing was sent
+)
+
+// Result is given back with a ticket.
+type Result struct {
+	Outcome Outcome
+	First   time.Duration // until the first byte of the answer
+}
+
+// serviceSmoothing is the weight of the newest service time.
+const serviceSmoothing = 0.1
+
+// Done gives the slot back. It must be called exactly once for each ticket.
+func (t *Ticket) Done(result Result) {
+	f := t.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	e := &t.pool.view.Engines[t.index]
+	e.InFlight--
+	h := t.pool.health[t.index]
+	switch result.Outcome {
+	case Answered:
+		h.Observe(health.Succeeded, result.First)
+		e.ServiceTime = smooth(e.ServiceTime, now.Sub(t.began))
+	case Failed:
+		h.Observe(health.Failed, 0)
+		t.pool.judge(now)
+	case Shed:
+		h.Observe(health.Shed, 0)
+		// The engine is fuller than its last report: believe it is full
+		// until the next one.
+		e.Reported = max(e.Reported, e.Slots+e.Slots/4)
+		e.OwnAtReport = e.InFlight
+		e.ReportedAt = now
+	case Abandoned:
+		h.Observe(health.Abandoned, 0)
+	case Unsent:
+	}
+	f.dispatch(t.pool, now)
+}
+
+func smooth(old, newest time.Duration) time.Duration {
+	if old == 0 {
+		return newest
+	}
+	return old + time.Duration(serviceSmoothing*float64(newest-old))
+}
+
+// Retry spends a retry of the service's budget, or tells that there is none.
+func (t *Ticket) Retry() bool { return t.pool.budget.Take() }
+
+// Report is one load report of an engine.
+type Report struct {
+	Running int       `json:"running"`
+	Waiting int       `json:"waiting"`
+	At      time.Time `json:"at"` // when the engine measured it
+}
+
+// SetReport notes a load report. One older than the last is dropped.
+func (f *Fleet) SetReport(service, engine string, report Report) {
+	f.each(service, engine, func(p *pool, i int) {
+		e := &p.view.Engines[i]
+		if report.At.Before(e.ReportedAt) {
+			return
+		}
+		e.Reported = report.Running + report.Waiting
+		e.OwnAtReport = e.InFlight
+		e.ReportedAt = report.At
+	})
+}
+
+// Probe notes the result of a probe.
+func (f *Fleet) Probe(service, engine string, ok bool) {
+	f.each(service, engine, func(p *pool, i int) {
+		p.health[i].Probe(ok)
+		p.judge(f.clock())
+	})
+}
+
+// Evicted notes that an engine has dropped a cached prefix.
+func (f *Fleet) Evicted(service, engine string, prefix uint64) {
+	f.each(service, engine, func(p *pool, i int) { p.view.Cached.Remove(prefix, i) })
+}
+
+// SetLeaving notes which engine addresses the platform says are leaving.
+func (f *Fleet) SetLeaving(leaving func(address string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.pools {
+		for i := range p.view.Engines {
+			p.health[i].SetLeaving(leaving(p.view.Engines[i].Address))
+		}
+		p.judge(f.clock())
+	}
+}
+
+// Health gives an engine's health; false if it isn't known here.
+func (f *Fleet) Health(engine string) (route.Health, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.pools {
+		for i := range p.view.Engines {
+			if p.view.Engines[i].Name == engine {
+				return p.view.Engines[i].Health, true
+			}
+		}
+	}
+	return 0, false
+}
+
+func (f *Fleet) each(service, engine string, do func(p *pool, i int)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.pools[service]
+	if !ok {
+		return
+	}
+	for i := range p.view.Engines {
+		if p.view.Engines[i].Name == engine {
+			do(p, i)
+		}
+	}
+	f.dispatch(p, f.clock())
+}
--- /dev/null
+++ b/gateway/body.go
@@ -0,0 +1,174 @@
+// This file defines how the body of a model request is read and understood.
+
+package gateway
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/linenscale/linenscale/declare"
+	"github.com/linenscale/linenscale/relay"
+	"github.com/linenscale/linenscale/request"
+)
+
+// modelBody is what the gateway needs of an OpenAI request; the rest is passed
+// on as it came.
+type modelBody struct {
+	Model    string          `json:"model"`
+	Stream   bool            `json:"stream"`
+	Messages json.RawMessage `json:"messages"`
+	Prompt   json.RawMessage `json:"prompt"`
+}
+
+// Paths of the OpenAI interface that are served.
+const (
+	pathChat        = "/v1/chat/completions"
+	pathCompletions = "/v1/completions"
+	pathModels      = "/v1/models"
+)
+
+// prefixBlock is the number of bytes of a prompt in one block of its prefix
+// chain, and maxBlocks bounds the chain.
+const (
+	prefixBlock = 1024
+	maxBlocks   = 32
+)
+
+// prefillPerByte is the time that an engine takes to read one byte of a cold
+// prompt, for the estimates of routing.
+const prefillPerByte = 2 * time.Microsecond
+
+func (s *Server) readModelBody(x *exchange) ([]byte, modelBody, error) {
+	var parsed modelBody
+	if x.r.ContentLength > s.Limits.BodyBytes {
+		return nil, parsed, &request.NotRun{Reason: request.ReasonTooLarge, Message: "the body is longer than this host takes"}
+	}
+	x.r.Body = &bodyEnd{ReadCloser: x.r.Body}
+	data, err := io.ReadAll(io.LimitReader(x.r.Body, s.Limits.BodyBytes+1))
+	if err != nil {
+		return nil, parsed, request.BadRequestf("the body ended early: %v", err)
+	}
+	if int64(len(data)) > s.Limits.BodyBytes {
+		return nil, parsed, &request.NotRun{Reason: request.ReasonTooLarge, Message: "the body is longer than this host takes"}
+	}
+	if err := json.Unmarshal(data, &parsed); err != nil {
+		return nil, parsed, request.BadRequestf("the body is not the JSON of this interface: %v", err)
+	}
+	return data, parsed, nil
+}
+
+func checkModel(service declare.Service, rest string, body modelBody) error {
+	if body.Model == "" {
+		return request.BadRequestf("model is missing")
+	}
+	if len(service.Models) > 0 && !slices.Contains(service.Models, body.Model) {
+		return request.BadRequestf("service %q has no model %q", service.Name, body.Model)
+	}
+	if rest == pathChat && len(body.Messages) == 0 {
+		return request.BadRequestf("messages is missing")
+	}
+	if rest == pathCompletions && len(body.Prompt) == 0 {
+		return request.BadRequestf("prompt is missing")
+	}
+	return nil
+}
+
+// PrefixChain hashes the growing prefixes of a prompt, block by block. A
+// prompt shorter than one block has no chain.
+func PrefixChain(prompt []byte) []uint64 {
+	n := min(len(prompt)/prefixBlock, maxBlocks)
+	if n == 0 {
+		return nil
+	}
+	chain := make([]uint64, n)
+	hash := xxhash.New()
+	for i := range chain {
+		_, _ = hash.Write(prompt[i*prefixBlock : (i+1)*prefixBlock])
+		chain[i] = hash.Sum64()
+	}
+	return chain
+}
+
+func promptOf(body modelBody) []byte {
+	if len(body.Messages) > 0 {
+		return body.Messages
+	}
+	return body.Prompt
+}
+
+// modelList is the answer to GET /v1/models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *Server) serveModels(x *exchange) {
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, model := range x.service.Models {
+		list.Data = append(list.Data, modelItem{ID: model, Object: "model", OwnedBy: x.service.Name})
+	}
+	x.w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(x.w).Encode(list)
+}
+
+// serveModel serves the OpenAI interface of a model service.
+func (s *Server) serveModel(x *exchange) {
+	rest, method := x.req.Rest, x.r.Method
+	if rest == pathModels && method == http.MethodGet {
+		s.serveModels(x)
+		return
+	}
+	if method != http.MethodPost || (rest != pathChat && rest != pathCompletions) {
+		s.refuse(x.w, x.r, x.req, &request.NotRun{Reason: request.ReasonUnknown, Message: "a model service doesn't serve " + method + " " + rest})
+		return
+	}
+	data, body, err := s.readModelBody(x)
+	if err == nil {
+		err = checkModel(x.service, rest, body)
+	}
+	if err != nil {
+		s.refuse(x.w, x.r, x.req, asRefusal(err))
+		return
+	}
+	x.req = x.req.WithModel(body.Model).WithPrefix(PrefixChain(promptOf(body))).WithRepeatable(true)
+	p := &payload{whole: data, length: int64(len(data)), stream: body.Stream}
+	p.prefill = time.Duration(len(data)) * prefillPerByte
+	if err := s.attempts(x, p); err != nil {
+		s.refuse(x.w, x.r, x.req, asRefusal(err))
+	}
+}
+
+// isStream tells whether an answer is an event stream.
+func isStream(resp *http.Response) bool {
+	kind := resp.Header.Get("Content-Type")
+	return len(kind) >= len(eventStream) && kind[:len(eventStream)] == eventStream
+}
+
+const eventStream = "text/event-stream"
+
+var _ io.Reader = (*bodyEnd)(nil)
+
+// answerHeaders copies the headers of an answer for the caller.
+func answerHeaders(to http.Header, resp *http.Response) {
+	for name, values := range forward(resp.Header) {
+		switch name {
+		case relay.HeaderStream, request.HeaderOutcome:
+			continue
+		case relay.HeaderAttempt:
+			continue
+		}
+		to[name] = values
+	}
+}
--- /dev/null
+++ b/gateway/entries.go
@@ -0,0 +1,86 @@
+// This file defines GET /v1/entries, which tells callers which hosts to use.
+
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/linenscale/linenscale/declare"
+	"github.com/linenscale/linenscale/permit"
+	"github.com/linenscale/linenscale/request"
+)
+
+// entriesLife is how long callers may use a list.
+const entriesLife = 5 * time.Second
+
+// Entry is one host that a caller may use.
+type Entry struct {
+	Host       string `json:"host"`
+	URL        string `json:"url"`
+	Region     string `json:"region"`
+	DataCentre string `json:"data_centre"`
+}
+
+// Entries is the answer to GET /v1/entries. Hosts come in the order in which
+// to try them.
+type Entries struct {
+	Entries []Entry `json:"entries"`
+	// TTL is how long the list may be used, in milliseconds.
+	TTL int64 `json:"ttl_ms"`
+	// Revision is that of the configuration the list was made under.
+	Revision uint64 `json:"revision"`
+}
+
+// serveEntries answers GET /v1/entries?service=…&home=…. Hosts that stand
+// equally near come in a random order, which spreads callers without any
+// count that hosts would share.
+func (s *Server) serveEntries(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	guard, config, err := s.Authority.Serving()
+	if err != nil {
+		s.refuse(w, r, request.Request{}, asRefusal(err))
+		return
+	}
+	query := r.URL.Query()
+	asked := request.Request{Service: query.Get("service"), Home: query.Get("home"), Class: request.ClassStandard}
+	if _, ok := config.Service(asked.Service); asked.Service != "" && !ok {
+		s.refuse(w, r, asked, &request.NotRun{Reason: request.ReasonUnknown, Message: "service " + quote(asked.Service) + " is not declared"})
+		return
+	}
+	if asked.Home == "" {
+		asked.Home = s.place.Region
+	}
+	answer := Entries{TTL: entriesLife.Milliseconds(), Revision: config.Revision()}
+	for _, host := range shuffleNear(s.Peers.Entries(), s.Random) {
+		place := permit.Place{Region: config.RegionOf(host.DataCentre), DataCentre: host.DataCentre}
+		if ok, _ := guard.Region(asked, place); asked.Service != "" && !ok {
+			continue
+		}
+		answer.Entries = append(answer.Entries, Entry{host.Name, "http://" + host.Callers, place.Region, place.DataCentre})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "max-age=5")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+// shuffleNear shuffles hosts within each run of the same data centre. The
+// input is ordered from near to far.
+func shuffleNear(hosts []declare.Host, random func() uint64) []declare.Host {
+	out := append([]declare.Host(nil), hosts...)
+	for from := 0; from < len(out); {
+		to := from + 1
+		for to < len(out) && out[to].DataCentre == out[from].DataCentre {
+			to++
+		}
+		run := out[from:to]
+		for i := len(run) - 1; i > 0; i-- {
+			j := int(random() % uint64(i+1))
+			run[i], run[j] = run[j], run[i]
+		}
+		from = to
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/plain.go
@@ -0,0 +1,232 @@
+// This file defines how calls to plain services are served, and how those that
+// may not be repeated run at most once.
+
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/linenscale/linenscale/once"
+	"github.com/linenscale/linenscale/request"
+)
+
+// maxKeyed is the longest body of a call with a key that is held in memory, so
+// that all of it tells two calls apart. A longer one is told apart by its
+// length and its Content-Digest header (RFC 9530).
+const maxKeyed = 1 << 20
+
+// servePlain serves one call to a plain service.
+func (s *Server) servePlain(x *exchange) {
+	x.req = x.req.WithRepeatable(safe(x.r.Method))
+	p := &payload{length: x.r.ContentLength}
+	if mayHaveBody(x.r) {
+		p.flow = &bodyEnd{ReadCloser: x.r.Body}
+		x.r.Body = p.flow
+	}
+	var err error
+	if x.req.Key != "" && !x.req.Repeatable {
+		err = s.keyed(x, p)
+	} else {
+		err = s.attempts(x, p)
+	}
+	if err != nil {
+		s.refuse(x.w, x.r, x.req, asRefusal(err))
+	}
+}
+
+// safe tells whether a method may be repeated (RFC 9110, 9.2.1).
+func safe(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	default:
+		return false
+	}
+}
+
+// keyed runs a call with an idempotency key: only once its intent is recorded
+// at the key's home, and then exactly one attempt that may reach an engine.
+func (s *Server) keyed(x *exchange, p *payload) error {
+	digest, err := s.digest(x, p)
+	if err != nil {
+		return err
+	}
+	verdict, err := s.Keys.Begin(x.r.Context(), x.req, digest)
+	if err != nil {
+		return err
+	}
+	s.Log.Info("key looked up", zap.String("request", x.req.ID), zap.String("service", x.req.Service), zap.String("verdict", verdictName(verdict)))
+	switch v := verdict.(type) {
+	case once.Run:
+		return s.runKeyed(x, p)
+	case once.Recorded:
+		s.replay(x, v.Answer)
+		return nil
+	case once.InProgress:
+		return &request.NotRun{Reason: request.ReasonInProgress, Message: "an earlier call with this key is in progress; this one was not run", RetryAfter: time.Second}
+	case once.Conflict:
+		return &request.NotRun{Reason: request.ReasonConflict, Message: "the key was used for another request"}
+	case once.Full:
+		return &request.NotRun{Reason: request.ReasonOverload, Message: "the home of the key keeps as many keys as it can", RetryAfter: time.Minute}
+	default:
+		return &request.OutcomeUnknown{Message: "an earlier call with this key may or may not have run; this one was not run"}
+	}
+}
+
+func verdictName(v once.Verdict) string {
+	switch v.(type) {
+	case once.Run:
+		return "run"
+	case once.Recorded:
+		return "recorded"
+	case once.InProgress:
+		return "in_progress"
+	case once.Conflict:
+		return "conflict"
+	case once.Full:
+		return "full"
+	default:
+		return "unknown"
+	}
+}
+
+// finishTime bounds the recording of an answer after the call has ended.
+const finishTime = 5 * time.Second
+
+// runKeyed makes the call and records what became of it. The record is made
+// even where the caller has gone, and before an abort.
+func (s *Server) runKeyed(x *exchange, p *payload) (err error) {
+	p.record = &recorder{}
+	x.r = x.r.WithContext(context.WithoutCancel(x.r.Context()))
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.req.Deadline)
+	defer cancel()
+	// The call goes on when its caller goes: the answer is for the repeat.
+	x.r = x.r.WithContext(ctx)
+	ended := false
+	defer func() {
+		// A panic is the abort of an answer that broke: its outcome is lost.
+		s.record(x, p, ended, err)
+	}()
+	err = s.attempts(x, p)
+	ended = true
+	return err
+}
+
+func (s *Server) record(x *exchange, p *payload, ended bool, err error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.r.Context()), finishTime)
+	defer cancel()
+	var refusal *request.NotRun
+	var end error
+	switch {
+	case p.record.whole:
+		end = s.Keys.Finish(ctx, x.req, p.record.answer())
+	case ended && errors.As(err, &refusal):
+		end = s.Keys.Release(ctx, x.req)
+	default:
+		end = s.Keys.Lose(ctx, x.req)
+	}
+	if end != nil {
+		s.Log.Warn("key not finished", zap.String("request", x.req.ID), zap.Error(end))
+	}
+}
+
+// replay answers with the recorded answer of the earlier call.
+func (s *Server) replay(x *exchange, a once.Answer) {
+	for name, values := range a.Header {
+		x.w.Header()[name] = values
+	}
+	x.w.Header().Set("Idempotency-Replayed", "true")
+	if !a.Whole {
+		x.w.Header().Del("Content-Length")
+		x.w.Header().Set("Linenscale-Body", "not-kept")
+	}
+	x.w.WriteHeader(a.Status)
+	_, _ = x.w.Write(a.Body)
+	s.Metrics.Request(x.req.Service, "replayed")
+}
+
+// digest tells two requests with one key apart.
+func (s *Server) digest(x *exchange, p *payload) (uint64, error) {
+	hash := xxhash.New()
+	for _, part := range []string{x.r.Method, x.r.URL.RequestURI(), x.r.Header.Get("Content-Type")} {
+		_, _ = hash.WriteString(part)
+		_, _ = hash.WriteString("\x00")
+	}
+	if p.flow == nil {
+		return hash.Sum64(), nil
+	}
+	if p.length > maxKeyed || p.length < 0 {
+		_, _ = hash.WriteString(x.r.Header.Get("Content-Length") + "\x00" + x.r.Header.Get("Content-Digest"))
+		return hash.Sum64(), nil
+	}
+	data, err := io.ReadAll(io.LimitReader(p.flow, maxKeyed))
+	if err != nil || int64(len(data)) != p.length {
+		return 0, request.BadRequestf("the body ended early: %d of %d bytes", len(data), p.length)
+	}
+	_, _ = hash.Write(data)
+	// One more read sees the end, so that the connection can be kept.
+	_, _ = p.flow.Read(make([]byte, 1))
+	p.whole, p.flow = data, nil
+	return hash.Sum64(), nil
+}
+
+// recorder keeps an answer as it passes.
+type recorder struct {
+	status int
+	header http.Header
+	body   bytes.Buffer
+	over   bool // the body is too long to keep
+	whole  bool // the engine's answer has come to its end
+}
+
+func (r *recorder) start(resp *http.Response) {
+	r.status = resp.StatusCode
+	r.header = forward(resp.Header)
+	r.header.Del("Set-Cookie")
+}
+
+func (r *recorder) see(data []byte) {
+	if r.over || r.body.Len()+len(data) > once.MaxBody {
+		r.over = true
+		r.body.Reset()
+		return
+	}
+	r.body.Write(data)
+}
+
+// finish notes the end of the answer. Where only the caller has gone, the rest
+// of the answer is read for the record.
+func (r *recorder) finish(resp *http.Response, err error) {
+	if isCallerError(err) {
+		_, err = io.Copy(writerFunc(r.see), resp.Body)
+	}
+	r.whole = err == nil
+}
+
+// writerFunc makes a function an io.Writer.
+type writerFunc func([]byte)
+
+// Write implements io.Writer.
+func (f writerFunc) Write(data []byte) (int, error) {
+	f(data)
+	return len(data), nil
+}
+
+func (r *recorder) answer() once.Answer {
+	return once.Answer{Status: r.status, Header: r.header, Body: r.body.Bytes(), Whole: !r.over}
+}
+
+// withIP replaces the IP number of an address.
+func withIP(ip, address string) string {
+	return net.JoinHostPort(ip, address[strings.LastIndexByte(address, ':')+1:])
+}
--- /dev/null
+++ b/gateway/receive.go
@@ -0,0 +1,157 @@
+// This file defines the first filters: receive, identify and permit.
+
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/julienschmidt/httprouter"
+	"go.uber.org/zap"
+
+	"github.com/linenscale/linenscale/declare"
+	"github.com/linenscale/linenscale/permit"
+	"github.com/linenscale/linenscale/relay"
+	"github.com/linenscale/linenscale/request"
+)
+
+// exchange is one request on its way through the filters.
+type exchange struct {
+	w       http.ResponseWriter
+	r       *http.Request
+	req     request.Request
+	guard   permit.Guard
+	config  declare.Config
+	service declare.Service
+	began   time.Time
+	fixed   bool // handed over: the region is this one
+}
+
+func (s *Server) serveCaller(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	now := time.Now()
+	req, err := request.Identify(params.ByName("service"), params.ByName("rest"), r.Method, r.Header, now, s.Limits.RequestTime)
+	if err != nil {
+		s.refuse(w, r, request.Request{Service: params.ByName("service")}, asRefusal(err))
+		return
+	}
+	s.serve(&exchange{w: w, r: r, req: req, began: now})
+}
+
+func (s *Server) servePeer(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	now := time.Now()
+	w.Header().Set(relay.HeaderAttempt, r.Header.Get(relay.HeaderAttempt))
+	visited, remaining, err := request.TakeHandover(r.Header)
+	if err != nil {
+		s.refuse(w, r, request.Request{Service: params.ByName("service")}, asRefusal(err))
+		return
+	}
+	req, err := request.Identify(params.ByName("service"), params.ByName("rest"), r.Method, r.Header, now, remaining)
+	if err != nil {
+		s.refuse(w, r, request.Request{Service: params.ByName("service")}, asRefusal(err))
+		return
+	}
+	for _, host := range visited {
+		req = req.WithVisit(host)
+	}
+	s.serve(&exchange{w: w, r: r, req: req, began: now, fixed: true})
+}
+
+// serve runs the filters. Every way out writes one final answer or aborts the
+// connection.
+func (s *Server) serve(x *exchange) {
+	defer s.Metrics.Begin(x.req.Service)()
+	if s.inFlight.Add(1) > int64(s.Limits.InFlight) {
+		s.inFlight.Add(-1)
+		s.refuse(x.w, x.r, x.req, &request.NotRun{Reason: request.ReasonOverload, Message: "this host has too many requests in flight", RetryAfter: time.Second})
+		return
+	}
+	defer s.inFlight.Add(-1)
+	if err := s.permit(x); err != nil {
+		s.refuse(x.w, x.r, x.req, asRefusal(err))
+		return
+	}
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.req.Deadline)
+	defer cancel()
+	_ = http.NewResponseController(x.w).SetReadDeadline(x.req.Deadline)
+	x.r = x.r.WithContext(ctx)
+	if x.service.Type == declare.ServiceModel {
+		s.serveModel(x)
+		return
+	}
+	s.servePlain(x)
+}
+
+// permit decides, without touching the body, whether this host may have it.
+func (s *Server) permit(x *exchange) error {
+	if s.stopping.Load() {
+		return &request.NotRun{Reason: request.ReasonStopping, Message: "this host is stopping", RetryAfter: time.Second}
+	}
+	guard, config, err := s.Authority.Serving()
+	if err != nil {
+		return err
+	}
+	x.guard, x.config = guard, config
+	service, ok := config.Service(x.req.Service)
+	if !ok {
+		return &request.NotRun{Reason: request.ReasonUnknown, Message: "service " + quote(x.req.Service) + " is not declared"}
+	}
+	x.service = service
+	if _, ok := config.Get(declare.Ref{Kind: declare.KindRegion, Name: x.req.Home}); !ok {
+		return request.BadRequestf("header %s names %q, which is not a region", request.HeaderHome, x.req.Home)
+	}
+	if service.Deadline > 0 {
+		x.req = x.req.WithDeadline(x.began.Add(service.Deadline))
+	}
+	if ok, why := guard.Region(x.req, s.place); !ok {
+		return &request.NotRun{Reason: request.ReasonNotPermitted, Message: why, Location: s.permittedElsewhere(x)}
+	}
+	return nil
+}
+
+// permittedElsewhere gives a URL on an entry host that may take the request,
+// or "" where none is known or the request has been handed over already.
+func (s *Server) permittedElsewhere(x *exchange) string {
+	if x.fixed {
+		return ""
+	}
+	for _, host := range s.Peers.Entries() {
+		place := permit.Place{Region: x.config.RegionOf(host.DataCentre), DataCentre: host.DataCentre}
+		if ok, _ := x.guard.Region(x.req, place); ok && place != s.place {
+			return "http://" + host.Callers + x.r.URL.RequestURI()
+		}
+	}
+	return ""
+}
+
+// asRefusal turns any error into the final answer for the caller. What isn't
+// a refusal yet is one whose outcome is unknown.
+func asRefusal(err error) request.Refusal {
+	var refusal request.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return &request.OutcomeUnknown{Message: err.Error()}
+}
+
+func quote(s string) string { return `"` + strings.ReplaceAll(s, `"`, `'`) + `"` }
+
+// logRefusal writes the line of a decision that ends a request.
+func (s *Server) logRefusal(req request.Request, refusal request.Refusal) {
+	fields := []zap.Field{
+		zap.String("request", req.ID),
+		zap.String("service", req.Service),
+		zap.String("home", req.Home),
+		zap.Strings("path", req.Path),
+	}
+	switch r := refusal.(type) {
+	case *request.NotRun:
+		s.Log.Info("not run", append(fields, zap.String("reason", string(r.Reason)), zap.String("why", r.Message), zap.String("location", r.Location))...)
+		s.Metrics.Request(req.Service, string(r.Reason))
+	case *request.OutcomeUnknown:
+		s.Log.Warn("outcome unknown", append(fields, zap.String("why", r.Message))...)
+		s.Metrics.Request(req.Service, "outcome_unknown")
+	}
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,226 @@
+// Package relay sends one attempt to an engine, or to another entry host, and
+// brings its answer back whole or visibly failed.
+//
+// Three rules make an answer safe to pass on. It must be the answer to this
+// attempt: model engines echo the attempt's identity, and connections to back
+// ends that don't are never used twice. It must be complete: framing says so
+// for ordinary answers, the final [DONE] event for streams. And it must not be
+// replayed by the HTTP library: a request that may not be repeated goes out on
+// a connection of its own, which net/http never retries.
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// HeaderAttempt carries the identity of an attempt to an engine and back.
+const HeaderAttempt = "Linenscale-Attempt"
+
+// HeaderNotRun is set to "true" by an engine that refuses a request before it
+// has run any of it.
+const HeaderNotRun = "Engine-Not-Run"
+
+// HeaderStream names a stream that can be resumed.
+const HeaderStream = "Engine-Stream-Id"
+
+// Failure says how an attempt ended without an answer that can be passed on.
+type Failure struct {
+	// NotRun is true where no byte of the request can have been taken by the
+	// engine, or the engine itself says that it ran nothing.
+	NotRun bool
+	// Shed is true where the engine refused for load: that is not ill health.
+	Shed       bool
+	RetryAfter time.Duration
+	cause      error
+}
+
+// Error implements error.
+func (f *Failure) Error() string { return f.cause.Error() }
+
+// Unwrap gives the cause.
+func (f *Failure) Unwrap() error { return f.cause }
+
+// Call is one attempt.
+type Call struct {
+	Method  string
+	URL     string
+	Header  http.Header
+	Body    io.Reader // nil for none
+	Length  int64     // of Body; -1 if unknown
+	Attempt string
+	// Echoes is true for an engine that echoes the attempt's identity.
+	Echoes bool
+	// Fresh asks for a connection of its own, for a call that may not be
+	// repeated.
+	Fresh bool
+}
+
+// Client sends calls. New makes one.
+type Client struct {
+	kept  *http.Transport
+	fresh *http.Transport
+}
+
+// Dialer opens connections; *net.Dialer is one.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// bufferSize is that of each connection's read and write buffers, in bytes.
+// Open streams are many, so it is small.
+const bufferSize = 2 << 10
+
+// New makes a client whose connections are opened by dialer.
+// answerTime bounds the wait for the first byte of an answer.
+func New(dialer Dialer, answerTime time.Duration) *Client {
+	kept := &http.Transport{
+		DialContext:           dialer.DialContext,
+		MaxIdleConnsPerHost:   idlePerHost,
+		IdleConnTimeout:       idleTime,
+		ResponseHeaderTimeout: answerTime,
+		ExpectContinueTimeout: answerTime,
+		ReadBufferSize:        bufferSize,
+		WriteBufferSize:       bufferSize,
+		DisableCompression:    true,
+	}
+	fresh := kept.Clone()
+	fresh.DisableKeepAlives = true
+	return &Client{kept: kept, fresh: fresh}
+}
+
+const (
+	idlePerHost = 64
+	idleTime    = 90 * time.Second
+)
+
+// Close drops the idle connections.
+func (c *Client) Close() {
+	c.kept.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// Send makes the attempt and gives the answer, headers read and body open.
+// The error is always a *Failure. Ending ctx cancels the engine's work.
+func (c *Client) Send(ctx context.Context, call Call) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	body := call.Body
+	if body != nil {
+		body = opaque{body}
+	}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.Method, call.URL, body)
+	if err != nil {
+		return nil, &Failure{NotRun: true, cause: errors.Annotate(err, "request")}
+	}
+	req.Header = call.Header
+	req.Header.Set(HeaderAttempt, call.Attempt)
+	if body != nil {
+		req.ContentLength = call.Length
+	}
+	transport := c.fresh
+	if call.Echoes && !call.Fresh {
+		transport = c.kept
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return nil, &Failure{NotRun: !connected.Load(), cause: errors.Annotatef(err, "send to %s", req.URL.Host)}
+	}
+	if err := checkAnswer(call, resp); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// opaque hides the concrete reader, so that net/http can't rewind the body.
+type opaque struct{ io.Reader }
+
+func checkAnswer(call Call, resp *http.Response) error {
+	if resp.Header.Get(HeaderNotRun) == "true" {
+		return &Failure{
+			NotRun:     true,
+			Shed:       resp.StatusCode == http.StatusTooManyRequests,
+			RetryAfter: retryAfter(resp),
+			cause:      errors.Errorf("engine refused with status %d", resp.StatusCode),
+		}
+	}
+	if call.Echoes && resp.Header.Get(HeaderAttempt) != call.Attempt {
+		return &Failure{cause: errors.Errorf("the answer is for attempt %q", resp.Header.Get(HeaderAttempt))}
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.ProtoMajor == 1 {
+		return &Failure{cause: errors.New("the answer's length is not known, so that a cut can't be seen")}
+	}
+	return nil
+}
+
+func retryAfter(resp *http.Response) time.Duration {
+	wait, err := time.ParseDuration(resp.Header.Get("Retry-After") + "s")
+	if err != nil || wait < 0 {
+		return 0
+	}
+	return wait
+}
+
+var chunks = sync.Pool{New: func() any { return new([chunkSize]byte) }}
+
+// chunkSize bounds what is read at once of a body that is passed on.
+const chunkSize = 4 << 10
+
+// Copy passes a body on as it comes, flushing whatever has been read. slow
+// bounds each wait for the caller. It gives the number of bytes passed on; an
+// error of the caller's side is a *CallerError.
+func Copy(w http.ResponseWriter, from io.Reader, slow time.Duration, seen func([]byte)) (int64, error) {
+	controller := http.NewResponseController(w)
+	chunk := chunks.Get().(*[chunkSize]byte)
+	defer chunks.Put(chunk)
+	var total int64
+	for {
+		n, err := from.Read(chunk[:])
+		if n > 0 {
+			if seen != nil {
+				seen(chunk[:n])
+			}
+			if err := pass(w, controller, chunk[:n], slow); err != nil {
+				return total, err
+			}
+			total += int64(n)
+		}
+		if err == io.EOF {
+			return total, nil
+		}
+		if err != nil {
+			return total, errors.Annotate(err, "answer")
+		}
+	}
+}
+
+// CallerError says that the caller went away or took bytes too slowly.
+type CallerError struct{ cause error }
+
+// Error implements error.
+func (e *CallerError) Error() string { return "caller: " + e.cause.Error() }
+
+// Unwrap gives the cause.
+func (e *CallerError) Unwrap() error { return e.cause }
+
+func pass(w http.ResponseWriter, controller *http.ResponseController, data []byte, slow time.Duration) error {
+	// A deadline set before each write would cost a timer each time, so the
+	// error of an unsupported writer is all that is looked at here.
+	_ = controller.SetWriteDeadline(time.Now().Add(slow))
+	if _, err := w.Write(data); err != nil {
+		return &CallerError{err}
+	}
+	if err := controller.Flush(); err != nil {
+		return &CallerError{err}
+	}
+	return nil
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,197 @@
+// Package settings reads and checks the YAML settings of linenscaled.
+//
+// One file describes a whole association: every host with its addresses and
+// data centre. A process is told on its command line which of the hosts it
+// is. The file is checked as a whole, and every fault is named by its path and
+// line, so that one run shows all there is to mend.
+package settings
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Settings is the content of a settings file. Durations are written as Go
+// writes them: "3s", "150ms".
+type Settings struct {
+	// Association is the name of the organisation, for logs and pages.
+	Association string `yaml:"association"`
+	// Declarations is a folder, relative to the settings file, whose
+	// declarations form the first configuration of a new control log.
+	Declarations string `yaml:"declarations"`
+	// DataRoot is the folder, relative to the working directory, under which
+	// a host with a disk keeps its data in a folder of its own name.
+	DataRoot string `yaml:"data_root"`
+	// Platform is the base URL of the platform's host list; empty for none.
+	Platform string `yaml:"platform"`
+	Hosts    []Host `yaml:"hosts"`
+	Limits   Limits `yaml:"limits"`
+	Control  Timing `yaml:"control"`
+
+	dir string
+}
+
+// Host is one entry host. All addresses are an IP number and a port.
+type Host struct {
+	Name       string `yaml:"name"`
+	Region     string `yaml:"region"`
+	DataCentre string `yaml:"data_centre"`
+	Callers    string `yaml:"callers"`   // callers' HTTP requests
+	Handover   string `yaml:"handover"`  // HTTP requests from other entry hosts
+	Control    string `yaml:"control"`   // net/rpc between linenscaled processes
+	Operators  string `yaml:"operators"` // operators' HTTP and metrics
+	// WideArea is the IP number by which hosts of other regions reach this
+	// one; empty where it is the same as within the region.
+	WideArea string `yaml:"wide_area"`
+	// Disk is true for a host whose data folder outlives a restart.
+	Disk bool `yaml:"disk"`
+	// Voter is true for a host that votes in the control log when it is
+	// first formed. A voter needs a disk.
+	Voter bool `yaml:"voter"`
+}
+
+// Limits bounds what one process takes on. Sizes are in bytes.
+type Limits struct {
+	HeaderBytes    int           `yaml:"header_bytes"`
+	BodyBytes      int64         `yaml:"body_bytes"` // of a model request; plain uploads are streamed
+	InFlight       int           `yaml:"in_flight"`
+	HeaderTime     time.Duration `yaml:"header_time"`      // to read a request's headers
+	RequestTime    time.Duration `yaml:"request_time"`     // longest deadline of any request
+	SlowCallerTime time.Duration `yaml:"slow_caller_time"` // longest wait for a caller to take bytes
+	StopTime       time.Duration `yaml:"stop_time"`        // for requests in flight after SIGTERM
+}
+
+// Timing bounds the control log and its leases.
+type Timing struct {
+	Heartbeat time.Duration `yaml:"heartbeat"` // between messages of the control log's leader
+	Election  time.Duration `yaml:"election"`  // least time without a leader before an election
+	Lease     time.Duration `yaml:"lease"`     // how long a host serves without a renewal
+	Decide    time.Duration `yaml:"decide"`    // longest wait for acknowledgements of a change
+}
+
+// Defaults of the settings, each in force where the file is silent.
+var (
+	DefaultLimits = Limits{
+		HeaderBytes:    32 << 10,
+		BodyBytes:      16 << 20,
+		InFlight:       4096,
+		HeaderTime:     5 * time.Second,
+		RequestTime:    10 * time.Minute,
+		SlowCallerTime: 30 * time.Second,
+		StopTime:       20 * time.Second,
+	}
+	DefaultTiming = Timing{
+		Heartbeat: 250 * time.Millisecond,
+		Election:  1500 * time.Millisecond,
+		Lease:     3 * time.Second,
+		Decide:    5 * time.Second,
+	}
+)
+
+// Read reads and checks a settings file. The error is a *FaultsError where
+// the file could be read but something in it is wrong.
+func Read(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Annotate(err, "settings")
+	}
+	s, err := Parse(path, data)
+	if err != nil {
+		return Settings{}, err
+	}
+	s.dir = filepath.Dir(path)
+	return s, nil
+}
+
+// DeclarationsDir gives the folder of declarations, resolved from the place of
+// the settings file.
+func (s Settings) DeclarationsDir() string { return filepath.Join(s.dir, s.Declarations) }
+
+// DataDir gives the data folder of a host, or "" for a host without a disk.
+func (s Settings) DataDir(host Host) string {
+	if !host.Disk {
+		return ""
+	}
+	return filepath.Join(s.DataRoot, host.Name)
+}
+
+// Host gives the host of that name.
+func (s Settings) Host(name string) (Host, error) {
+	for _, h := range s.Hosts {
+		if h.Name == name {
+			return h, nil
+		}
+	}
+	return Host{}, errors.NotFoundf("host %q in the settings", name)
+}
+
+// Voters gives the hosts that form a new control log.
+func (s Settings) Voters() []Host {
+	var voters []Host
+	for _, h := range s.Hosts {
+		if h.Voter {
+			voters = append(voters, h)
+		}
+	}
+	return voters
+}
+
+// withDefaults fills in what the file leaves out.
+func (s Settings) withDefaults() Settings {
+	l := &s.Limits
+	setDefault(&l.HeaderBytes, DefaultLimits.HeaderBytes)
+	setDefault(&l.BodyBytes, DefaultLimits.BodyBytes)
+	setDefault(&l.InFlight, DefaultLimits.InFlight)
+	setDefault(&l.HeaderTime, DefaultLimits.HeaderTime)
+	setDefault(&l.RequestTime, DefaultLimits.RequestTime)
+	setDefault(&l.SlowCallerTime, DefaultLimits.SlowCallerTime)
+	setDefault(&l.StopTime, DefaultLimits.StopTime)
+	t := &s.Control
+	setDefault(&t.Heartbeat, DefaultTiming.Heartbeat)
+	setDefault(&t.Election, DefaultTiming.Election)
+	setDefault(&t.Lease, DefaultTiming.Lease)
+	setDefault(&t.Decide, DefaultTiming.Decide)
+	setDefault(&s.DataRoot, "data")
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Fault is one thing wrong in a settings file.
+type Fault struct {
+	File    string
+	Line    int // counts from 1
+	Path    string
+	Message string
+}
+
+// String gives "file:line: path: message".
+func (f Fault) String() string {
+	return fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Path, f.Message)
+}
+
+// FaultsError lists everything that is wrong with a settings file.
+type FaultsError struct {
+	Faults []Fault
+}
+
+// Error gives one fault a line.
+func (e *FaultsError) Error() string {
+	text := ""
+	for i, f := range e.Faults {
+		if i > 0 {
+			text += "\n"
+		}
+		text += f.String()
+	}
+	return text
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,416 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/linenscale/linenscale/gateway"
+	"github.com/linenscale/linenscale/relay"
+)
+
+// Fault is something that an engine does wrong on command.
+type Fault string
+
+// The faults.
+const (
+	FaultNone     Fault = ""
+	FaultCut      Fault = "cut"      // break the connection in mid-answer; the stream can be resumed
+	FaultDie      Fault = "die"      // break it, and forget the stream
+	FaultEnd      Fault = "end"      // end a stream cleanly before its last event
+	FaultStall    Fault = "stall"    // stop sending in mid-answer
+	FaultRefuse   Fault = "refuse"   // refuse as not run
+	FaultError    Fault = "error"    // fail after having taken the request
+	FaultLate     Fault = "late"     // answer long after the request
+	FaultTwice    Fault = "twice"    // send the answer twice
+	FaultCrossed  Fault = "crossed"  // answer with another attempt's identity
+	FaultGarbage  Fault = "garbage"  // send something that is not JSON
+	FaultShortLen Fault = "shortlen" // announce more bytes than are sent
+)
+
+// EngineOptions shapes a stand-in engine. Zero fields take the defaults.
+type EngineOptions struct {
+	Name        string
+	Slots       int           // requests in the batch; default 8
+	Queue       int           // requests that may wait; default 16
+	FirstToken  time.Duration // for a prompt that is cached; default 2ms
+	TokenTime   time.Duration // between tokens of a stream; default 1ms
+	Tokens      int           // of an answer where the request doesn't say; default 8
+	PrefillByte time.Duration // for each byte of prompt that isn't cached
+	CacheBlocks int           // prompt blocks that the cache holds; default 4096
+	ReportLag   time.Duration // age of the load that is reported
+	EventGap    float64       // share of cache events that are lost
+	Seed        uint64
+}
+
+// Engine is a stand-in model engine. NewEngine makes one; it is an
+// http.Handler.
+type Engine struct {
+	opts   EngineOptions
+	router *httprouter.Router
+	slots  chan struct{}
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	waiting int
+	running int
+	fault   Fault
+	faults  int // how many more requests the fault hits; negative for all
+	loads   []loadSample
+	cache   *blockCache
+	events  []uint64 // blocks evicted since the last poll
+	streams map[string]*stream
+	stats   EngineStats
+	orders  orders
+}
+
+// EngineStats counts what an engine has done.
+type EngineStats struct {
+	Started   int `json:"started"`
+	Finished  int `json:"finished"`
+	Cancelled int `json:"cancelled"`
+	Refused   int `json:"refused"`
+	HitBlocks int `json:"hit_blocks"`
+	Blocks    int `json:"blocks"`
+}
+
+type loadSample struct {
+	at               time.Time
+	running, waiting int
+}
+
+// NewEngine makes an engine.
+func NewEngine(opts EngineOptions) *Engine {
+	opts = opts.withDefaults()
+	e := &Engine{
+		opts:    opts,
+		slots:   make(chan struct{}, opts.Slots),
+		random:  rand.New(rand.NewPCG(opts.Seed, 1)),
+		cache:   newBlockCache(opts.CacheBlocks),
+		streams: make(map[string]*stream),
+	}
+	r := httprouter.New()
+	r.POST("/v1/chat/completions", e.complete)
+	r.POST("/v1/completions", e.complete)
+	r.GET("/engine/streams/:id", e.resume)
+	r.GET("/engine/load", e.load)
+	r.GET("/engine/events", e.cacheEvents)
+	r.GET("/engine/stats", e.statistics)
+	r.POST("/engine/fault", e.setFault)
+	r.POST("/engine/order", e.order)
+	e.router = r
+	return e
+}
+
+func (o EngineOptions) withDefaults() EngineOptions {
+	if o.Slots == 0 {
+		o.Slots = 8
+	}
+	if o.Queue == 0 {
+		o.Queue = 16
+	}
+	if o.FirstToken == 0 {
+		o.FirstToken = 2 * time.Millisecond
+	}
+	if o.TokenTime == 0 {
+		o.TokenTime = time.Millisecond
+	}
+	if o.Tokens == 0 {
+		o.Tokens = 8
+	}
+	if o.CacheBlocks == 0 {
+		o.CacheBlocks = 4096
+	}
+	return o
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.router.ServeHTTP(w, r) }
+
+// Stats gives what the engine has done so far.
+func (e *Engine) Stats() EngineStats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stats
+}
+
+// SetFault makes the next n requests fail; all of them where n is negative.
+func (e *Engine) SetFault(fault Fault, n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fault, e.faults = fault, n
+}
+
+func (e *Engine) takeFault() Fault {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults == 0 {
+		return FaultNone
+	}
+	if e.faults > 0 {
+		e.faults--
+	}
+	return e.fault
+}
+
+type completionRequest struct {
+	Model     string          `json:"model"`
+	Stream    bool            `json:"stream"`
+	MaxTokens int             `json:"max_tokens"`
+	Messages  json.RawMessage `json:"messages"`
+	Prompt    json.RawMessage `json:"prompt"`
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	w.Header().Set(relay.HeaderAttempt, r.Header.Get(relay.HeaderAttempt))
+	fault := e.takeFault()
+	if fault == FaultRefuse || !e.enter() {
+		e.refuse(w)
+		return
+	}
+	var req completionRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		e.leave()
+		http.Error(w, `{"error":{"message":"bad request"}}`, http.StatusBadRequest)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	select {
+	case e.slots <- struct{}{}:
+	case <-r.Context().Done():
+		e.leave()
+		return
+	}
+	e.started()
+	defer e.ended(r.Context())
+	if !sleep(r.Context(), e.prefill(req)) {
+		return
+	}
+	e.answer(w, r, req, fault)
+}
+
+// enter takes a place in the queue.
+func (e *Engine) enter() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.waiting >= e.opts.Queue {
+		e.stats.Refused++
+		return false
+	}
+	e.waiting++
+	e.sample()
+	return true
+}
+
+func (e *Engine) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.waiting--
+	e.sample()
+}
+
+func (e *Engine) started() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.waiting--
+	e.running++
+	e.stats.Started++
+	e.sample()
+}
+
+func (e *Engine) ended(ctx context.Context) {
+	<-e.slots
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+	if ctx.Err() != nil {
+		e.stats.Cancelled++
+	} else {
+		e.stats.Finished++
+	}
+	e.sample()
+}
+
+// prefill gives the time to the first token and updates the cache.
+func (e *Engine) prefill(req completionRequest) time.Duration {
+	prompt := req.Messages
+	if len(prompt) == 0 {
+		prompt = req.Prompt
+	}
+	chain := gateway.PrefixChain(prompt)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	hit, evicted := e.cache.use(chain)
+	e.stats.HitBlocks += hit
+	e.stats.Blocks += len(chain)
+	for _, block := range evicted {
+		if e.random.Float64() >= e.opts.EventGap {
+			e.events = append(e.events, block)
+		}
+	}
+	coldBytes := len(prompt)
+	if len(chain) > 0 {
+		coldBytes = len(prompt) * (len(chain) - hit) / len(chain)
+	}
+	return e.opts.FirstToken + time.Duration(coldBytes)*e.opts.PrefillByte
+}
+
+func (e *Engine) refuse(w http.ResponseWriter) {
+	w.Header().Set(relay.HeaderNotRun, "true")
+	w.Header().Set("Retry-After", "1")
+	w.WriteHeader(http.StatusTooManyRequests)
+}
+
+// answer writes the answer, or breaks in the way of the fault.
+func (e *Engine) answer(w http.ResponseWriter, r *http.Request, req completionRequest, fault Fault) {
+	switch fault {
+	case FaultError:
+		http.Error(w, `{"error":{"message":"engine fault"}}`, http.StatusInternalServerError)
+		return
+	case FaultCrossed:
+		w.Header().Set(relay.HeaderAttempt, "another-attempt")
+	case FaultLate:
+		if !sleep(r.Context(), lateTime) {
+			return
+		}
+	}
+	tokens := req.MaxTokens
+	if tokens <= 0 {
+		tokens = e.opts.Tokens
+	}
+	if req.Stream {
+		e.answerStream(w, r, req, tokens, fault)
+		return
+	}
+	e.answerWhole(w, r, req, tokens, fault)
+}
+
+// lateTime is how late FaultLate answers.
+const lateTime = 3 * time.Second
+
+func (e *Engine) answerWhole(w http.ResponseWriter, r *http.Request, req completionRequest, tokens int, fault Fault) {
+	if !sleep(r.Context(), time.Duration(tokens)*e.opts.TokenTime) {
+		return
+	}
+	body, _ := json.Marshal(wholeAnswer(e.opts.Name, req.Model, tokens))
+	w.Header().Set("Content-Type", "application/json")
+	switch fault {
+	case FaultGarbage:
+		body = append([]byte("\x00not json"), body...)
+	case FaultTwice:
+		body = append(body, body...)
+	case FaultCut, FaultDie, FaultEnd, FaultShortLen:
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = w.Write(body[:len(body)/2])
+		panic(http.ErrAbortHandler)
+	case FaultStall:
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	e.mu.Lock()
+	sample := loadSample{at: time.Now(), running: e.running, waiting: e.waiting}
+	if e.opts.ReportLag > 0 {
+		sample = e.lagging(sample.at.Add(-e.opts.ReportLag))
+	}
+	e.mu.Unlock()
+	writeJSON(w, map[string]any{"running": sample.running, "waiting": sample.waiting, "at": sample.at})
+}
+
+// sample remembers the load, for reports that lag. The lock is held.
+func (e *Engine) sample() {
+	if e.opts.ReportLag == 0 {
+		return
+	}
+	now := time.Now()
+	e.loads = append(e.loads, loadSample{now, e.running, e.waiting})
+	for len(e.loads) > 1 && now.Sub(e.loads[1].at) > e.opts.ReportLag {
+		e.loads = e.loads[1:]
+	}
+}
+
+func (e *Engine) lagging(at time.Time) loadSample {
+	found := loadSample{at: at}
+	for _, sample := range e.loads {
+		if sample.at.After(at) {
+			break
+		}
+		found.running, found.waiting = sample.running, sample.waiting
+	}
+	return found
+}
+
+func (e *Engine) cacheEvents(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	e.mu.Lock()
+	events := e.events
+	e.events = nil
+	e.mu.Unlock()
+	writeJSON(w, map[string]any{"evicted": events})
+}
+
+func (e *Engine) statistics(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	writeJSON(w, e.Stats())
+}
+
+func (e *Engine) setFault(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	n, err := strconv.Atoi(r.URL.Query().Get("n"))
+	if err != nil {
+		http.Error(w, "n must be a number", http.StatusBadRequest)
+		return
+	}
+	e.SetFault(Fault(r.URL.Query().Get("fault")), n)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func wholeAnswer(engine, model string, tokens int) any {
+	return map[string]any{
+		"id": "chatcmpl-" + engine, "object": "chat.completion", "created": time.Now().Unix(), "model": model,
+		"choices": []any{map[string]any{
+			"index": 0, "finish_reason": "stop",
+			"message": map[string]any{"role": "assistant", "content": answerText(engine, tokens)},
+		}},
+		"usage": map[string]any{"prompt_tokens": 1, "completion_tokens": tokens, "total_tokens": tokens + 1},
+	}
+}
+
+// answerText is the text of an answer: its tokens count up, so that a reader
+// sees whether one is missing or twice.
+func answerText(engine string, tokens int) string {
+	text := engine + ":"
+	for i := range tokens {
+		text += fmt.Sprintf(" t%d", i)
+	}
+	return text
+}
--- /dev/null
+++ b/standin/plain.go
@@ -0,0 +1,144 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Plain is a stand-in plain service. It counts the calls that it has run, by
+// the value of the call's Order header or else by its path, and answers with
+// the count. It is an http.Handler; NewPlain makes one.
+type Plain struct {
+	name string
+
+	mu     sync.Mutex
+	ran    map[string]int
+	bytes  int64
+	fault  Fault
+	faults int
+	wait   time.Duration
+}
+
+// HeaderOrder names what a call does, for counting.
+const HeaderOrder = "Order"
+
+// NewPlain makes a service that takes wait for each call.
+func NewPlain(name string, wait time.Duration) *Plain {
+	return &Plain{name: name, ran: make(map[string]int), wait: wait}
+}
+
+// Ran gives how often the call has run.
+func (p *Plain) Ran(order string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ran[order]
+}
+
+// Bytes gives the number of body bytes taken in.
+func (p *Plain) Bytes() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.bytes
+}
+
+// SetFault makes the next n calls fail; all of them where n is negative.
+func (p *Plain) SetFault(fault Fault, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault, p.faults = fault, n
+}
+
+func (p *Plain) take(order string) (int, Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ran[order]++
+	fault := FaultNone
+	if p.faults != 0 {
+		fault = p.fault
+		p.faults--
+	}
+	return p.ran[order], fault
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Plain) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if p.serveControl(w, r) {
+		return
+	}
+	hash := xxhash.New()
+	n, err := io.Copy(hash, r.Body)
+	p.mu.Lock()
+	p.bytes += n
+	p.mu.Unlock()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	order := r.Header.Get(HeaderOrder)
+	if order == "" {
+		order = r.URL.Path
+	}
+	count, fault := p.take(order)
+	if !sleep(r.Context(), p.wait) {
+		return
+	}
+	answer := p.name + " ran " + order + " " + strconv.Itoa(count) + " times, " + strconv.FormatInt(n, 10) + " bytes, hash " + strconv.FormatUint(hash.Sum64(), 16) + "\n"
+	p.answer(w, r, answer, fault)
+}
+
+// serveControl answers what a test or the demo asks of the stand-in itself.
+func (p *Plain) serveControl(w http.ResponseWriter, r *http.Request) bool {
+	switch r.URL.Path {
+	case "/engine/load":
+		writeJSON(w, map[string]any{"running": 0, "waiting": 0, "at": time.Now()})
+	case "/engine/ran":
+		writeJSON(w, map[string]int{"ran": p.Ran(r.URL.Query().Get("order"))})
+	case "/engine/fault":
+		n, _ := strconv.Atoi(r.URL.Query().Get("n"))
+		p.SetFault(Fault(r.URL.Query().Get("fault")), n)
+	default:
+		return false
+	}
+	return true
+}
+
+func (p *Plain) answer(w http.ResponseWriter, r *http.Request, answer string, fault Fault) {
+	switch fault {
+	case FaultStall:
+		<-r.Context().Done()
+		return
+	case FaultDie:
+		panic(http.ErrAbortHandler)
+	case FaultCut:
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+		_, _ = io.WriteString(w, answer[:len(answer)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case FaultTwice:
+		p.answerTwice(w, answer)
+		return
+	case FaultLate:
+		if !sleep(r.Context(), lateTime) {
+			return
+		}
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	_, _ = io.WriteString(w, answer)
+}
+
+// answerTwice writes two whole HTTP answers to one request.
+func (p *Plain) answerTwice(w http.ResponseWriter, answer string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	one := "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(answer)) + "\r\n\r\n" + answer
+	_, _ = io.WriteString(conn, one+one)
+	time.Sleep(50 * time.Millisecond)
+}
--- /dev/null
+++ b/standin/stream.go
@@ -0,0 +1,147 @@
+// This file defines the stand-in engine's event streams, which can be resumed
+// from a byte offset for a while after they broke.
+
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/linenscale/linenscale/relay"
+)
+
+// stream is the whole text of one event stream. The stand-in makes it at once
+// and sends it event by event.
+type stream struct {
+	events  [][]byte
+	attempt string
+	made    time.Time
+}
+
+// streamLife is how long a broken stream can be resumed.
+const streamLife = 30 * time.Second
+
+func newStream(engine, model, attempt string, tokens int) *stream {
+	s := &stream{attempt: attempt, made: time.Now()}
+	for i := range tokens {
+		content := fmt.Sprintf(" t%d", i)
+		if i == 0 {
+			content = engine + ":" + content
+		}
+		chunk := map[string]any{
+			"id": "chatcmpl-" + engine, "object": "chat.completion.chunk", "created": s.made.Unix(), "model": model,
+			"choices": []any{map[string]any{"index": 0, "delta": map[string]any{"content": content}, "finish_reason": nil}},
+		}
+		data, _ := json.Marshal(chunk)
+		s.events = append(s.events, []byte("data: "+string(data)+"\n\n"))
+	}
+	s.events = append(s.events, []byte("data: [DONE]\n\n"))
+	return s
+}
+
+func (e *Engine) keep(s *stream) string {
+	id := uuid.NewString()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.streams[id] = s
+	for old, other := range e.streams {
+		if time.Since(other.made) > streamLife {
+			delete(e.streams, old)
+		}
+	}
+	return id
+}
+
+func (e *Engine) forget(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.streams, id)
+}
+
+func (e *Engine) answerStream(w http.ResponseWriter, r *http.Request, req completionRequest, tokens int, fault Fault) {
+	s := newStream(e.opts.Name, req.Model, r.Header.Get(relay.HeaderAttempt), tokens)
+	id := e.keep(s)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(relay.HeaderStream, id)
+	half := len(s.events) / 2
+	for i, event := range s.events {
+		if i > 0 && !sleep(r.Context(), e.opts.TokenTime) {
+			return
+		}
+		if i == half && e.breaks(w, r, id, fault, event) {
+			return
+		}
+		if fault == FaultGarbage && i == half {
+			event = []byte("\x00garbage")
+		}
+		if _, err := w.Write(event); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+	}
+	e.forget(id)
+	if fault == FaultTwice {
+		for _, event := range s.events {
+			_, _ = w.Write(event)
+		}
+	}
+}
+
+// breaks carries out a fault in the middle of a stream; true if it ends there.
+func (e *Engine) breaks(w http.ResponseWriter, r *http.Request, id string, fault Fault, event []byte) bool {
+	switch fault {
+	case FaultCut, FaultDie, FaultShortLen:
+		if fault != FaultCut {
+			e.forget(id)
+		}
+		_, _ = w.Write(event[:len(event)/2]) // in the middle of an event
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case FaultEnd:
+		e.forget(id)
+		return true
+	case FaultStall:
+		e.forget(id)
+		<-r.Context().Done()
+		return true
+	default:
+		return false
+	}
+}
+
+// resume sends the rest of a stream from a byte offset.
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	e.mu.Lock()
+	s, ok := e.streams[params.ByName("id")]
+	e.mu.Unlock()
+	if err != nil || !ok || s.attempt != r.Header.Get(relay.HeaderAttempt) {
+		w.Header().Set(relay.HeaderNotRun, "true")
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	w.Header().Set(relay.HeaderAttempt, s.attempt)
+	w.Header().Set(relay.HeaderStream, params.ByName("id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	for _, event := range s.events {
+		if offset >= len(event) {
+			offset -= len(event)
+			continue
+		}
+		if _, err := w.Write(event[offset:]); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		offset = 0
+		if !sleep(r.Context(), e.opts.TokenTime) {
+			return
+		}
+	}
+	e.forget(params.ByName("id"))
+}
--- /dev/null
+++ b/telemetry/metrics.go
@@ -0,0 +1,95 @@
+package telemetry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Metrics are the instruments of one process. New makes them.
+type Metrics struct {
+	handler  http.Handler
+	provider *sdk.MeterProvider
+
+	requests metric.Int64Counter
+	attempts metric.Int64Counter
+	duration metric.Float64Histogram
+	queued   metric.Float64Histogram
+	inFlight metric.Int64UpDownCounter
+	changes  metric.Int64Counter
+	revision metric.Int64Gauge
+}
+
+// NewMetrics makes the instruments and a scrape handler of their own registry.
+func NewMetrics() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry))
+	if err != nil {
+		return nil, errors.Annotate(err, "metrics exporter")
+	}
+	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
+	meter := provider.Meter("linenscale")
+	m := &Metrics{provider: provider, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
+	var errs [7]error
+	m.requests, errs[0] = meter.Int64Counter("linenscale_requests", metric.WithDescription("requests that have ended, by service and outcome"))
+	m.attempts, errs[1] = meter.Int64Counter("linenscale_attempts", metric.WithDescription("attempts sent to engines and entry hosts, by service and outcome"))
+	m.duration, errs[2] = meter.Float64Histogram("linenscale_first_byte_seconds", metric.WithDescription("time to the first byte of an answer"), metric.WithUnit("s"))
+	m.queued, errs[3] = meter.Float64Histogram("linenscale_queue_seconds", metric.WithDescription("time spent waiting for a slot"), metric.WithUnit("s"))
+	m.inFlight, errs[4] = meter.Int64UpDownCounter("linenscale_in_flight", metric.WithDescription("requests that have not ended"))
+	m.changes, errs[5] = meter.Int64Counter("linenscale_changes", metric.WithDescription("changes decided, by outcome"))
+	m.revision, errs[6] = meter.Int64Gauge("linenscale_revision", metric.WithDescription("revision of the configuration in force on this host"))
+	for _, err := range errs {
+		if err != nil {
+			return nil, errors.Annotate(err, "metrics")
+		}
+	}
+	return m, nil
+}
+
+// Handler serves the scrape.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Close flushes and ends the instruments.
+func (m *Metrics) Close(ctx context.Context) error { return m.provider.Shutdown(ctx) }
+
+// Begin counts a request in and gives the function that counts it out.
+func (m *Metrics) Begin(service string) func() {
+	attrs := metric.WithAttributes(attribute.String("service", service))
+	m.inFlight.Add(context.Background(), 1, attrs)
+	return func() { m.inFlight.Add(context.Background(), -1, attrs) }
+}
+
+// Request counts a request that has ended.
+func (m *Metrics) Request(service, outcome string) {
+	m.requests.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("outcome", outcome)))
+}
+
+// Attempt counts an attempt that has ended.
+func (m *Metrics) Attempt(service, outcome string) {
+	m.attempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("outcome", outcome)))
+}
+
+// First notes the time to the first byte and the part of it spent queueing.
+func (m *Metrics) First(service string, total, queued time.Duration) {
+	attrs := metric.WithAttributes(attribute.String("service", service))
+	m.duration.Record(context.Background(), total.Seconds(), attrs)
+	m.queued.Record(context.Background(), queued.Seconds(), attrs)
+}
+
+// Change counts a decided change.
+func (m *Metrics) Change(outcome string) {
+	m.changes.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
+// Revision notes the revision in force on this host.
+func (m *Metrics) Revision(revision uint64) {
+	m.revision.Record(context.Background(), int64(revision))
+}
