Replicate declarations and keys; changes in force under leases

Cause: the configuration was read from files by each process and could not change; calls with keys had no home.

--- /dev/null
+++ b/agent/keys.go
@@ -0,0 +1,68 @@
+// This file defines how the homes of keys are found.
+
+package agent
+
+import (
+	"time"
+
+	"github.com/linenscale/linenscale/declare"
+	"github.com/linenscale/linenscale/keyhome"
+	"github.com/linenscale/linenscale/raft"
+	"github.com/linenscale/linenscale/voters"
+)
+
+var _ keyhome.Finder = (*Agent)(nil)
+
+// KeyPlaces implements keyhome.Finder: the host that says it leads, then the
+// others of the region.
+func (a *Agent) KeyPlaces(region string) []keyhome.Place {
+	view, _ := a.View()
+	var leading, others []keyhome.Place
+	for _, h := range declare.Each[declare.Host](view.Config) {
+		if view.Config.RegionOf(h.DataCentre) != region || h.State == declare.HostGone {
+			continue
+		}
+		place, ok := a.KeyPlace(h.Name)
+		switch {
+		case !ok:
+		case a.leadsKeys(h.Name):
+			leading = append(leading, place)
+		default:
+			others = append(others, place)
+		}
+	}
+	return append(leading, others...)
+}
+
+// KeyPlace implements keyhome.Finder.
+func (a *Agent) KeyPlace(host string) (keyhome.Place, bool) {
+	address, bound, ok := a.address(host)
+	return keyhome.Place{Host: host, Address: address, Bound: bound}, ok
+}
+
+func (a *Agent) leadsKeys(host string) bool {
+	if host == a.Host.Name {
+		_, leads := a.KeyReplica()
+		return leads
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	m, ok := a.members[host]
+	return ok && m.status.KeyLeader && time.Since(m.at) < memberLife
+}
+
+// KeySpares lists the replicas of the log of keys on this region's hosts.
+func (a *Agent) KeySpares() []voters.Spare {
+	var out []voters.Spare
+	if id, _ := a.KeyReplica(); id != raft.None {
+		out = append(out, voters.Spare{ID: id, Region: a.Host.Region})
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, m := range a.members {
+		if m.status.Region == a.Host.Region && m.status.KeyReplica != raft.None && time.Since(m.at) < memberLife {
+			out = append(out, voters.Spare{ID: m.status.KeyReplica, Region: m.status.Region})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/cmd/linenscale/main.go
@@ -0,0 +1,84 @@
+// Command linenscale is the operators' tool.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/juju/errors"
+
+	"github.com/linenscale/linenscale/operator"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1 // the request could not be made, or its outcome isn't known
+	exitUsage    = 2
+	exitRejected = 3 // the change was not accepted
+)
+
+// errRejected says that a change was decided and not accepted.
+var errRejected = errors.New("not accepted")
+
+// tool holds what all subcommands share.
+type tool struct {
+	client *operator.Client
+	output string // table, json or yaml
+	author string
+}
+
+// subcommand is one thing that the tool does.
+type subcommand struct {
+	command *flaggy.Subcommand
+	run     func(ctx context.Context, t *tool) error
+}
+
+func main() {
+	hosts := os.Getenv("LINENSCALE_HOSTS")
+	t := &tool{output: "table", author: os.Getenv("USER")}
+	timeout := 20 * time.Second
+	flaggy.SetName("linenscale")
+	flaggy.SetDescription("operates a linenscale system through any of its entry hosts")
+	flaggy.String(&hosts, "H", "hosts", "operators' addresses of entry hosts, comma separated; default $LINENSCALE_HOSTS")
+	flaggy.String(&t.output, "o", "output", "table, json or yaml")
+	flaggy.String(&t.author, "u", "author", "who makes a change; default $USER")
+	flaggy.Duration(&timeout, "t", "timeout", "longest wait for one answer")
+	commands := []subcommand{
+		applyCommand(), diffCommand(), deleteCommand(), labelCommand(), getCommand(), statusCommand(),
+		hostsCommand(), historyCommand(), waitCommand(), explainCommand(),
+	}
+	for _, c := range commands {
+		flaggy.AttachSubcommand(c.command, 1)
+	}
+	flaggy.Parse()
+	if hosts == "" {
+		flaggy.ShowHelpAndExit("name the entry hosts by -H or $LINENSCALE_HOSTS")
+	}
+	t.client = operator.NewClient(strings.Split(hosts, ","), timeout)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	for _, c := range commands {
+		if c.command.Used {
+			exit(c.run(ctx, t))
+		}
+	}
+	flaggy.ShowHelpAndExit("name a subcommand")
+}
+
+func exit(err error) {
+	switch {
+	case err == nil:
+		os.Exit(0)
+	case errors.Is(err, errRejected):
+		os.Exit(exitRejected)
+	default:
+		fmt.Fprintln(os.Stderr, "linenscale: "+err.Error())
+		os.Exit(exitFailed)
+	}
+}
--- a/declare/codec.go
+++ b/declare/codec.go
@@ -69,3 +69,15 @@
 	}
 	return object, nil
 }
+
+// GobEncode implements gob.GobEncoder, by way of JSON.
+func (e Envelope) GobEncode() ([]byte, error) { return e.MarshalJSON() }
+
+// GobDecode implements gob.GobDecoder.
+func (e *Envelope) GobDecode(data []byte) error { return e.UnmarshalJSON(data) }
+
+// GobEncode implements gob.GobEncoder, by way of JSON.
+func (c Config) GobEncode() ([]byte, error) { return c.MarshalJSON() }
+
+// GobDecode implements gob.GobDecoder.
+func (c *Config) GobDecode(data []byte) error { return c.UnmarshalJSON(data) }
--- a/declare/object.go
+++ b/declare/object.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"sort"
 	"time"
 
@@ -279,3 +280,13 @@
 	}
 	return l
 }
+
+// Reach gives the address by which hosts of other regions reach one of the
+// host's own addresses.
+func (h Host) Reach(address string) string {
+	_, port, err := net.SplitHostPort(address)
+	if h.WideArea == "" || err != nil {
+		return address
+	}
+	return net.JoinHostPort(h.WideArea, port)
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -52,12 +52,16 @@
 }
 
 // Apply takes over the engines of a configuration. An engine that is declared
-// still keeps its counts; one that isn't gets nothing new.
-func (f *Fleet) Apply(config declare.Config) {
+// still keeps its counts; one that isn't gets nothing new, nor does one that an
+// undecided change holds: held may be nil.
+func (f *Fleet) Apply(config declare.Config, held func(engine string) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	wanted := map[string][]declare.Engine{}
 	for _, e := range declare.Each[declare.Engine](config) {
+		if held != nil && held(e.Name) {
+			e = e.WithState(declare.EngineStopping)
+		}
 		if config.RegionOf(e.DataCentre) == f.region {
 			wanted[e.Service] = append(wanted[e.Service], e)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,14 +58,15 @@
 
 // Keys is the home of calls that may run at most once.
 type Keys interface {
-	// Begin records the intent to run a call, or tells what became of it.
-	Begin(ctx context.Context, r request.Request, digest uint64) (once.Verdict, error)
+	// Begin records the intent to make a call, or tells what became of an
+	// earlier one. After an error the call must not be made.
+	Begin(ctx context.Context, call once.Call) (once.Verdict, error)
 	// Finish records a call's answer.
-	Finish(ctx context.Context, r request.Request, answer once.Answer) error
+	Finish(ctx context.Context, call once.Call, answer once.Answer) error
 	// Release forgets an intent of which nothing was sent.
-	Release(ctx context.Context, r request.Request) error
+	Release(ctx context.Context, call once.Call) error
 	// Lose records that a call's outcome will never be known.
-	Lose(ctx context.Context, r request.Request) error
+	Lose(ctx context.Context, call once.Call) error
 }
 
 // Deps are what a Server needs.
@@ -195,3 +196,6 @@
 
 // InFlight counts the requests that have not ended.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// Stopping tells whether the server takes no more requests.
+func (s *Server) Stopping() bool { return s.stopping.Load() }
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -35,7 +35,7 @@
 	began := time.Now()
 	resp, err := s.Away.Send(x.r.Context(), relay.Call{
 		Method:  x.r.Method,
-		URL:     "http://" + s.handoverAddress(host) + x.r.URL.RequestURI(),
+		URL:     "http://" + host.Reach(host.Handover) + x.r.URL.RequestURI(),
 		Header:  header,
 		Body:    p.reader(),
 		Length:  p.length,
@@ -119,17 +119,3 @@
 	}
 	return hosts[s.Random()%uint64(len(hosts))], true
 }
-
-// handoverAddress gives the address by which this host reaches another.
-func (s *Server) handoverAddress(host declare.Host) string {
-	return WideAddress(host, host.Handover)
-}
-
-// WideAddress replaces the IP number of an address by the one by which hosts
-// of other regions reach the host.
-func WideAddress(host declare.Host, address string) string {
-	if host.WideArea == "" {
-		return address
-	}
-	return withIP(host.WideArea, address)
-}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -7,12 +7,11 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
@@ -61,14 +60,18 @@
 	if err != nil {
 		return err
 	}
-	verdict, err := s.Keys.Begin(x.r.Context(), x.req, digest)
+	call := once.Call{
+		Key:  once.Key{Service: x.req.Service, Account: x.req.Account, Key: x.req.Key},
+		Home: x.req.Home, Digest: digest, Attempt: uuid.NewString(), Until: x.req.Deadline,
+	}
+	verdict, err := s.Keys.Begin(x.r.Context(), call)
 	if err != nil {
 		return err
 	}
 	s.Log.Info("key looked up", zap.String("request", x.req.ID), zap.String("service", x.req.Service), zap.String("verdict", verdictName(verdict)))
 	switch v := verdict.(type) {
 	case once.Run:
-		return s.runKeyed(x, p)
+		return s.runKeyed(x, p, call)
 	case once.Recorded:
 		s.replay(x, v.Answer)
 		return nil
@@ -105,7 +108,7 @@
 
 // runKeyed makes the call and records what became of it. The record is made
 // even where the caller has gone, and before an abort.
-func (s *Server) runKeyed(x *exchange, p *payload) (err error) {
+func (s *Server) runKeyed(x *exchange, p *payload, call once.Call) (err error) {
 	p.record = &recorder{}
 	x.r = x.r.WithContext(context.WithoutCancel(x.r.Context()))
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.req.Deadline)
@@ -115,31 +118,41 @@
 	ended := false
 	defer func() {
 		// A panic is the abort of an answer that broke: its outcome is lost.
-		s.record(x, p, ended, err)
+		s.record(x, p, call, ended, err)
 	}()
 	err = s.attempts(x, p)
 	ended = true
 	return err
 }
 
-func (s *Server) record(x *exchange, p *payload, ended bool, err error) {
+func (s *Server) record(x *exchange, p *payload, call once.Call, ended bool, err error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.r.Context()), finishTime)
 	defer cancel()
 	var refusal *request.NotRun
 	var end error
 	switch {
 	case p.record.whole:
-		end = s.Keys.Finish(ctx, x.req, p.record.answer())
+		end = s.Keys.Finish(ctx, call, s.keptAnswer(x, p))
 	case ended && errors.As(err, &refusal):
-		end = s.Keys.Release(ctx, x.req)
+		end = s.Keys.Release(ctx, call)
 	default:
-		end = s.Keys.Lose(ctx, x.req)
+		end = s.Keys.Lose(ctx, call)
 	}
 	if end != nil {
 		s.Log.Warn("key not finished", zap.String("request", x.req.ID), zap.Error(end))
 	}
 }
 
+// keptAnswer gives what the key's home may keep of an answer: its body only
+// where the selectors allow the request in that region.
+func (s *Server) keptAnswer(x *exchange, p *payload) once.Answer {
+	answer := p.record.answer()
+	if !s.regionPermitted(x, x.req.Home) {
+		answer.Body, answer.Whole = nil, false
+	}
+	return answer
+}
+
 // replay answers with the recorded answer of the earlier call.
 func (s *Server) replay(x *exchange, a once.Answer) {
 	for name, values := range a.Header {
@@ -225,8 +238,3 @@
 func (r *recorder) answer() once.Answer {
 	return once.Answer{Status: r.status, Header: r.header, Body: r.body.Bytes(), Whole: !r.over}
 }
-
-// withIP replaces the IP number of an address.
-func withIP(ip, address string) string {
-	return net.JoinHostPort(ip, address[strings.LastIndexByte(address, ':')+1:])
-}
--- a/health/health.go
+++ b/health/health.go
@@ -218,9 +218,10 @@
 }
 
 // note remembers a return to health, from which the ramp starts. An engine
-// that was healthy from the first has no ramp.
+// that was healthy from the first has no ramp, nor has one that an operator
+// had told to stop: it has answered all along.
 func (e *Engine) note(h route.Health, now time.Time) {
-	if h == route.Healthy && e.was != route.Healthy {
+	if h == route.Healthy && e.was != route.Healthy && e.was != route.Stopping {
 		e.returnedAt = now
 	}
 	e.was = h
--- a/once/once.go
+++ b/once/once.go
@@ -23,6 +23,15 @@
 	Key     string `json:"key"`
 }
 
+// Call is one call with a key, on the host that wants to make it.
+type Call struct {
+	Key     Key
+	Home    string    // the region that keeps the key
+	Digest  uint64    // of the request, to tell two requests with one key apart
+	Attempt string    // new for each call that a host takes in
+	Until   time.Time // when the call will have ended, one way or the other
+}
+
 // Answer is a recorded answer.
 type Answer struct {
 	Status int         `json:"status"`
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -9,7 +9,10 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"k8s.io/apimachinery/pkg/labels"
 
@@ -200,3 +203,47 @@
 	}
 	return g.Pending == nil || g.Pending.Engine(r, place, engine)
 }
+
+// Fingerprint tells whether two sets of rules permit the same requests of a
+// service at a place. homes are the regions that members can have.
+func (rs Rules) Fingerprint(service string, place Place, homes []string) uint64 {
+	hash := xxhash.New()
+	for _, account := range append(rs.accounts(service), "") {
+		for _, home := range homes {
+			for _, class := range []request.Class{request.ClassInteractive, request.ClassStandard, request.ClassBatch} {
+				r := request.Request{Service: service, Home: home, Account: account, Class: class}
+				if ok, _ := rs.Region(r, place); ok {
+					_, _ = hash.WriteString(home + "\x00" + account + "\x00" + string(class) + "\x00" + rs.engineRules(r) + "\x01")
+				}
+			}
+		}
+	}
+	return hash.Sum64()
+}
+
+// engineRules gives what the rules that apply ask of an engine's own labels.
+func (rs Rules) engineRules(r request.Request) string {
+	var parts []string
+	for _, rule := range rs.services[r.Service] {
+		if rule.match.Matches(facts{r}) {
+			parts = append(parts, rule.engine.String())
+		}
+	}
+	slices.Sort(parts)
+	return strings.Join(slices.Compact(parts), "&")
+}
+
+// accounts lists the accounts that the selectors of a service name.
+func (rs Rules) accounts(service string) []string {
+	var out []string
+	for _, rule := range rs.services[service] {
+		requirements, _ := rule.match.Requirements()
+		for _, requirement := range requirements {
+			if requirement.Key() == declare.KeyAccount {
+				out = append(out, requirement.Values().List()...)
+			}
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -90,6 +90,6 @@
 }
 
 // Revision notes the revision in force on this host.
-func (m *Metrics) Revision(revision uint64) {
-	m.revision.Record(context.Background(), int64(revision))
+func (m *Metrics) Revision(revision int64) {
+	m.revision.Record(context.Background(), revision)
 }
--- /dev/null
+++ b/voters/voters.go
@@ -0,0 +1,162 @@
+// Package voters replaces the lost voters of a replicated log.
+//
+// A voter is lost when it has been silent for long, or when its host runs under
+// another identity because its data folder was lost. The leader's Keeper then
+// takes one step at a time: a spare is added as a learner, gets a vote when it
+// has caught up, and only after that the lost voter goes. A second loss during
+// the repair so meets one voter more and not one fewer.
+package voters
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/linenscale/linenscale/raft"
+	"github.com/linenscale/linenscale/replica"
+)
+
+// Timing of the replacement of voters.
+const (
+	votersEvery = 500 * time.Millisecond
+	// lostAfter is how long a voter must be silent to be replaced.
+	lostAfter = 15 * time.Second
+	// memberTime bounds the wait for one change of members.
+	memberTime = 3 * time.Second
+	// caughtUp is how many entries behind a learner may be to get a vote.
+	caughtUp = 64
+)
+
+// Keeper keeps the wanted number of voters. New makes one.
+type Keeper struct {
+	replica *replica.Replica
+	spares  func() []Spare
+	wanted  int
+	log     *zap.Logger
+}
+
+// New makes a keeper. spares lists the replicas that could vote, in any order;
+// wanted is the number of voters.
+func New(r *replica.Replica, spares func() []Spare, wanted int, log *zap.Logger) *Keeper {
+	return &Keeper{r, spares, wanted, log}
+}
+
+// Run keeps the voters whenever this replica leads, until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	ticker := time.NewTicker(votersEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if status := k.replica.Status(); status.Role == raft.Leader {
+			k.step(ctx, status)
+		}
+	}
+}
+
+func (k *Keeper) step(ctx context.Context, status raft.Status) {
+	spares := k.spares()
+	slices.SortFunc(spares, func(a, b Spare) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	next, why := Next(status, spares, k.wanted, time.Now())
+	if why == "" {
+		return
+	}
+	bound, cancel := context.WithTimeout(ctx, memberTime)
+	defer cancel()
+	err := k.replica.ProposeMembers(bound, next)
+	if errors.Is(err, raft.ErrMembershipPending) {
+		return
+	}
+	k.log.Info("members changed", zap.String("why", why), zap.Any("voters", next.Voters), zap.Any("learners", next.Learners), zap.Error(err))
+}
+
+// HostOf gives the host part of a replica's identity.
+func HostOf(id raft.ID) string {
+	host, _, _ := strings.Cut(string(id), "#")
+	return host
+}
+
+// Spare is a replica that runs on a host with a disk.
+type Spare struct {
+	ID     raft.ID
+	Region string
+}
+
+// Next gives the next step towards the wanted number of voters that
+// answer, and why; why is empty where nothing is to be done.
+func Next(status raft.Status, spares []Spare, wanted int, now time.Time) (next raft.Membership, why string) {
+	members := status.Members
+	lost := lostVoter(status, spares, now)
+	for _, p := range status.Peers {
+		if slices.Contains(members.Learners, p.ID) && isLost(p, spares, now) {
+			return members.Without(p.ID), "learner " + string(p.ID) + " is lost"
+		}
+		if slices.Contains(members.Learners, p.ID) && p.Match > 0 && p.Match+caughtUp >= status.Commit && (lost != raft.None || len(members.Voters) < wanted) && len(members.Voters) <= wanted {
+			return members.WithVoter(p.ID), "learner " + string(p.ID) + " has caught up"
+		}
+	}
+	if lost != raft.None && len(members.Voters) > wanted {
+		return members.Without(lost), "voter " + string(lost) + " is lost"
+	}
+	if (lost != raft.None || len(members.Voters) < wanted) && len(members.Learners) == 0 {
+		if spare, ok := pickSpare(members, spares, lost); ok {
+			return members.WithLearner(spare), "a voter is needed beside " + string(lost)
+		}
+	}
+	return raft.Membership{}, ""
+}
+
+// lostVoter gives a voter that has been silent too long, or whose host runs
+// under another identity by now.
+func lostVoter(status raft.Status, spares []Spare, now time.Time) raft.ID {
+	for _, p := range status.Peers {
+		if status.Members.IsVoter(p.ID) && isLost(p, spares, now) {
+			return p.ID
+		}
+	}
+	return raft.None
+}
+
+func isLost(p raft.PeerStatus, spares []Spare, now time.Time) bool {
+	for _, s := range spares {
+		if HostOf(s.ID) == HostOf(p.ID) && s.ID != p.ID {
+			return true
+		}
+	}
+	return now.Sub(p.Heard) > lostAfter
+}
+
+// pickSpare takes a spare, of the lost voter's own region if there is one, so
+// that the voters stay spread.
+func pickSpare(members raft.Membership, spares []Spare, lost raft.ID) (raft.ID, bool) {
+	region := ""
+	held := map[string]bool{}
+	for _, s := range spares {
+		if HostOf(s.ID) == HostOf(lost) {
+			region = s.Region
+		}
+		if members.IsVoter(s.ID) {
+			held[s.Region] = true
+		}
+	}
+	best := raft.None
+	for _, s := range spares {
+		if members.Has(s.ID) {
+			continue
+		}
+		if s.Region == region || (region == "" && !held[s.Region]) {
+			return s.ID, true
+		}
+		if best == raft.None {
+			best = s.ID
+		}
+	}
+	return best, best != raft.None
+}
--- /dev/null
+++ b/wire/server.go
@@ -0,0 +1,82 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc/pool"
+)
+
+// Server answers calls. NewServer makes one.
+type Server struct {
+	rpc *rpc.Server
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+// NewServer makes a server that answers nothing yet.
+func NewServer() *Server {
+	return &Server{rpc: rpc.NewServer(), conns: make(map[net.Conn]bool)}
+}
+
+// Register adds a receiver whose methods are called as "name.Method".
+func (s *Server) Register(name string, receiver any) error {
+	return errors.Annotatef(s.rpc.RegisterName(name, receiver), "register %s", name)
+}
+
+// Serve answers the connections of a listener until ctx ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() {
+		listener.Close()
+		s.closeAll()
+	})
+	defer stop()
+	group := pool.New()
+	defer group.Wait()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Annotate(err, "accept")
+		}
+		if !s.add(ctx, conn) {
+			return nil
+		}
+		group.Go(func() {
+			s.rpc.ServeConn(conn)
+			s.remove(conn)
+		})
+	}
+}
+
+// add notes a connection, so that it can be closed at the end.
+func (s *Server) add(ctx context.Context, conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ctx.Err() != nil {
+		conn.Close()
+		return false
+	}
+	s.conns[conn] = true
+	return true
+}
+
+func (s *Server) remove(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		conn.Close()
+	}
+}
