--- /dev/null
+++ b/control/history_test.go
@@ -0,0 +1,305 @@
+package control_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/shoenig/test/must"
+
+	"github.com/linenscale/linenscale/control"
+	"github.com/linenscale/linenscale/declare"
+	"github.com/linenscale/linenscale/internal/simlog"
+)
+
+// seeds gives how many seeds a history test runs: few in CI, more by
+// "make soak".
+func seeds(t *testing.T) uint64 {
+	t.Helper()
+	if text := os.Getenv("LINENSCALE_SEEDS"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 32)
+		must.NoError(t, err)
+		return n
+	}
+	return 12
+}
+
+// The operations of a history: a change made from a revision, which wins or is
+// stale, and a read of the revision in force.
+type (
+	input struct {
+		read bool
+		base uint64
+		id   string
+	}
+	output struct {
+		known    bool // false: the answer was lost for good
+		status   control.Status
+		revision uint64
+	}
+)
+
+// model is what one copy of the control log would do.
+var model = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, in, out any) (bool, any) {
+		revision, i, o := state.(uint64), in.(input), out.(output)
+		if i.read {
+			return !o.known || o.revision == revision, revision
+		}
+		wins := i.base == revision
+		next := revision
+		if wins {
+			next++
+		}
+		switch {
+		case !o.known:
+			return true, next
+		case o.status == control.StatusAccepted:
+			return wins && o.revision == next, next
+		case o.status == control.StatusStale:
+			return !wins && o.revision == revision, revision
+		default:
+			return false, revision
+		}
+	},
+	DescribeOperation: func(in, out any) string { return fmt.Sprintf("%+v -> %+v", in, out) },
+}
+
+// operator sends changes and reads, one after the other, and sends a change
+// again with its ID until it has an answer.
+type operator struct {
+	client  int
+	cluster *simlog.Cluster
+	history *[]porcupine.Operation
+	seen    uint64 // newest revision that it knows
+
+	in      input
+	change  declare.Change
+	called  time.Time
+	busy    bool
+	waiting bool // for an answer to what was sent last
+	sentAt  time.Time
+	count   int
+	sends   int
+}
+
+const patience = 3 * time.Second
+
+func (o *operator) step() {
+	c := o.cluster
+	if !o.busy {
+		if c.Random.Float64() < 0.02 {
+			o.begin()
+		}
+		return
+	}
+	if o.waiting && c.Now.Sub(o.sentAt) < patience {
+		return
+	}
+	n := c.Nodes[c.Random.IntN(len(c.Nodes))]
+	if !n.Up || n.Paused {
+		return
+	}
+	o.waiting, o.sentAt = true, c.Now
+	o.sends++
+	sent := o.sends
+	if o.in.read {
+		c.Read(n, func(ok bool) {
+			if sent != o.sends || !o.busy {
+				return
+			}
+			o.waiting = false
+			if ok {
+				o.end(output{known: true, revision: n.Machine.(*control.State).View().Config.Revision()})
+			}
+		})
+		return
+	}
+	data, err := json.Marshal(control.Command{Propose: &control.Propose{Change: o.change, At: c.Now}})
+	if err != nil {
+		panic(err)
+	}
+	c.Propose(n, data, func(result any, err error) {
+		if sent != o.sends || !o.busy {
+			return // a lost answer that comes late
+		}
+		o.waiting = false
+		if err == nil && c.Random.Float64() > 0.1 { // some answers are lost
+			out := result.(control.Outcome)
+			o.end(output{known: true, status: out.Status, revision: out.Revision})
+		}
+	})
+}
+
+func (o *operator) begin() {
+	o.busy, o.waiting, o.called = true, false, o.cluster.Now
+	o.count++
+	o.in = input{read: o.cluster.Random.Float64() < 0.4, base: o.seen, id: fmt.Sprintf("op%d-%d", o.client, o.count)}
+	region := declare.Region{Name: o.in.id}
+	o.change = declare.Change{ID: o.in.id, Base: o.seen, Puts: []declare.Envelope{{Object: region}}}
+}
+
+func (o *operator) end(out output) {
+	o.busy = false
+	if out.known {
+		o.seen = out.revision
+	}
+	*o.history = append(*o.history, porcupine.Operation{
+		ClientId: o.client, Input: o.in, Call: o.called.UnixNano(), Output: out, Return: o.cluster.Now.UnixNano(),
+	})
+}
+
+// fault brings about one fault now and then, and mends what is broken.
+func fault(c *simlog.Cluster) {
+	r := c.Random
+	n := c.Nodes[r.IntN(len(c.Nodes))]
+	if leader := c.Leader(); leader != nil && r.Float64() < 0.5 {
+		n = leader
+	}
+	switch r.IntN(8) {
+	case 0:
+		if n.Up {
+			c.Crash(n, r.IntN(200))
+		}
+	case 1, 2:
+		if !n.Up {
+			c.Start(n)
+		}
+	case 3:
+		n.Paused = !n.Paused
+	case 4:
+		n.Paused = false
+	case 5: // silent: it still sends, or still hears
+		c.Isolate(n.Index, r.Float64() < 0.5, true)
+	case 6, 7:
+		c.Isolate(n.Index, false, false)
+	}
+}
+
+// mend starts, wakes and joins everything, so that each history also shows
+// what comes after the faults.
+func mend(c *simlog.Cluster) {
+	for _, n := range c.Nodes {
+		if !n.Up {
+			c.Start(n)
+		}
+		n.Paused = false
+		c.Isolate(n.Index, false, false)
+	}
+}
+
+func newCluster(seed uint64, snapshotEvery uint64) *simlog.Cluster {
+	return simlog.New(simlog.Options{
+		Seed: seed, Voters: 3, Election: 1500 * time.Millisecond, Heartbeat: 250 * time.Millisecond,
+		Delay: 80 * time.Millisecond, Loss: 0.02, SnapshotEvery: snapshotEvery,
+		New: func() simlog.Machine { return control.NewState() },
+	})
+}
+
+// TestHistoriesAreLinearizable lets operators race while replicas crash with
+// loss of unsynced bytes, pause, and are cut off silently. Whatever they are
+// told must fit one copy of the log.
+func TestHistoriesAreLinearizable(t *testing.T) {
+	for seed := range seeds(t) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(seed, 20)
+			var history []porcupine.Operation
+			operators := make([]*operator, 4)
+			for i := range operators {
+				operators[i] = &operator{client: i, cluster: c, history: &history}
+			}
+			for i := range 12_000 { // a minute
+				if i%200 == 199 {
+					fault(c)
+				}
+				if i%3000 == 2999 {
+					mend(c)
+				}
+				c.Step()
+				for _, o := range operators {
+					o.step()
+				}
+			}
+			answered := len(history)
+			for _, o := range operators {
+				if o.busy {
+					o.end(output{})
+					history[len(history)-1].Return = 1 << 62
+				}
+			}
+			must.Greater(t, 20, answered, must.Sprint("too few operations were answered for the history to mean anything"))
+			result, info := porcupine.CheckOperationsVerbose(model, history, time.Minute)
+			if result != porcupine.Ok {
+				_ = info
+				for _, op := range history {
+					t.Logf("%d %d-%d %s", op.ClientId, op.Call/1e6, op.Return/1e6, model.DescribeOperation(op.Input, op.Output))
+				}
+			}
+			must.Eq(t, porcupine.Ok, result)
+		})
+	}
+}
+
+// TestSameStateAfterHundredsOfChanges restarts every replica after 500 changes
+// and compares what they hold, then sends the first change again.
+func TestSameStateAfterHundredsOfChanges(t *testing.T) {
+	c := newCluster(1, 100)
+	c.Run(5 * time.Second)
+	first := propose(t, c, changeOf("change-0", 0))
+	must.Eq(t, control.StatusAccepted, first.Status)
+	for i := 1; i < 500; i++ {
+		out := propose(t, c, changeOf(fmt.Sprintf("change-%d", i), uint64(i)))
+		must.Eq(t, control.StatusAccepted, out.Status)
+	}
+	c.Run(2 * time.Second)
+	for _, n := range c.Nodes {
+		c.Crash(n, 0)
+	}
+	for _, n := range c.Nodes {
+		c.Start(n)
+	}
+	c.Run(10 * time.Second)
+	for _, n := range c.Nodes {
+		must.Eq(t, 500, n.Machine.(*control.State).View().Config.Revision())
+	}
+	must.Eq(t, first, propose(t, c, changeOf("change-0", 0)), must.Sprint("a resent change must get its first answer"))
+	other := changeOf("change-0", 0)
+	other.Author = "somebody else"
+	must.Eq(t, control.StatusConflict, propose(t, c, other).Status)
+}
+
+func changeOf(id string, base uint64) declare.Change {
+	return declare.Change{ID: id, Base: base, Puts: []declare.Envelope{{Object: declare.Region{Name: "region-" + id}}}}
+}
+
+// propose proposes at the leader and waits for the outcome.
+func propose(t *testing.T, c *simlog.Cluster, change declare.Change) control.Outcome {
+	t.Helper()
+	data, err := json.Marshal(control.Command{Propose: &control.Propose{Change: change, At: c.Now}})
+	must.NoError(t, err)
+	var out control.Outcome
+	done := false
+	for range 40 {
+		if leader := c.Leader(); leader != nil {
+			c.Propose(leader, data, func(result any, err error) {
+				if err == nil {
+					out, done = result.(control.Outcome), true
+				}
+			})
+		}
+		for range 200 {
+			if done {
+				return out
+			}
+			c.Step()
+		}
+	}
+	t.Fatal("no outcome")
+	return out
+}
--- a/control/matters.go
+++ b/control/matters.go
@@ -23,7 +23,7 @@
 		m.object(now)
 	}
 	m.compare()
-	out := make([]string, 0, len(m.found))
+	var out []string
 	for name := range m.found {
 		out = append(out, name)
 	}
--- /dev/null
+++ b/control/tally_test.go
@@ -0,0 +1,174 @@
+package control_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/linenscale/linenscale/control"
+	"github.com/linenscale/linenscale/declare"
+)
+
+var timing = control.Timing{Lease: 3 * time.Second, Decide: 5 * time.Second}
+
+const at = "127.0.0.1:1"
+
+func hostIn(name, dc string, state declare.HostState) declare.Host {
+	return declare.Host{Name: name, DataCentre: dc, Callers: at, Handover: at, Control: at, Operators: at, State: state}
+}
+
+func change(id string, base uint64, objects ...declare.Object) declare.Change {
+	c := declare.Change{ID: id, Base: base}
+	for _, o := range objects {
+		c.Puts = append(c.Puts, declare.Envelope{Object: o})
+	}
+	return c
+}
+
+func engineIn(dc string, cost float64) declare.Engine {
+	return declare.Engine{Name: "engine-" + dc, Service: "s", DataCentre: dc, Address: at, Slots: 1, Cost: cost}
+}
+
+// started gives a state with hosts a, b, c in data centre d and host z in e,
+// and one more change pending.
+func started(t *testing.T, pending ...declare.Object) *control.State {
+	t.Helper()
+	s := control.NewState()
+	first := change("first", 0,
+		declare.Region{Name: "r"}, declare.DataCentre{Name: "d", Region: "r"},
+		declare.Region{Name: "q"}, declare.DataCentre{Name: "e", Region: "q"},
+		declare.Service{Name: "s", Type: declare.ServicePlain}, engineIn("d", 0), engineIn("e", 0),
+		hostIn("a", "d", ""), hostIn("b", "d", ""), hostIn("c", "d", ""), hostIn("z", "e", ""))
+	must.Eq(t, control.StatusPending, apply(t, s, control.Command{Propose: &control.Propose{Change: first}}).Status)
+	must.Eq(t, control.StatusAccepted, apply(t, s, control.Command{Decide: &control.Decide{ID: "first", Accept: true}}).Status)
+	must.Eq(t, control.StatusPending, apply(t, s, control.Command{Propose: &control.Propose{Change: change("second", 1, pending...)}}).Status)
+	return s
+}
+
+func apply(t *testing.T, s *control.State, c control.Command) control.Outcome {
+	t.Helper()
+	data, err := json.Marshal(c)
+	must.NoError(t, err)
+	return s.Apply(0, data).(control.Outcome)
+}
+
+// acknowledge reports the newest view for each host.
+func acknowledge(tally *control.Tally, now time.Time, view control.View, hosts ...string) {
+	for _, host := range hosts {
+		tally.Report(now, control.HostReport{Host: host, DataCentre: "d", Established: true, Seq: view.Seq}, view)
+	}
+}
+
+func TestOneOfThreeIsNotEnough(t *testing.T) {
+	view := started(t, engineIn("d", 1)).View()
+	tally, now := control.NewTally(timing), time.Now()
+	acknowledge(tally, now, view, "a")
+	must.False(t, tally.Decide(now, view).Decided)
+	late := now.Add(timing.Decide)
+	must.Eq(t, control.Decision{Decided: true, Cut: []string{"d"}}, tally.Decide(late, view))
+}
+
+func TestMajorityWaitsForTheLeasesOfTheOthers(t *testing.T) {
+	view := started(t, engineIn("d", 1)).View()
+	tally, now := control.NewTally(timing), time.Now()
+	acknowledge(tally, now, view, "a", "b")
+	must.False(t, tally.Decide(now, view).Decided)
+	must.False(t, tally.Decide(now.Add(timing.Lease), view).Decided, must.Sprint("a slow clock may still hold a lease"))
+	must.Eq(t, control.Decision{Decided: true, Accept: true}, tally.Decide(now.Add(timing.Wait()), view))
+}
+
+func TestAllAcknowledgedNeedNoWait(t *testing.T) {
+	view := started(t, engineIn("d", 1)).View()
+	tally, now := control.NewTally(timing), time.Now()
+	acknowledge(tally, now, view, "a", "b", "c")
+	must.True(t, tally.Decide(now, view).Accept)
+}
+
+// TestGrantToAPeerDelaysTheFastPath is the case of a host that acknowledged,
+// restarted, and was renewed by a peer under the old view before that peer
+// acknowledged: its old acknowledgement arrives late and completes the count.
+func TestGrantToAPeerDelaysTheFastPath(t *testing.T) {
+	view := started(t, engineIn("d", 1)).View()
+	tally, now := control.NewTally(timing), time.Now()
+	acknowledge(tally, now, view, "a", "b")
+	tally.Report(now, control.HostReport{Host: "c", DataCentre: "d", Established: true, Seq: view.Seq, Granted: 2 * time.Second}, view)
+	must.False(t, tally.Decide(now, view).Decided)
+	must.False(t, tally.Decide(now.Add(2*time.Second), view).Decided)
+	must.True(t, tally.Decide(now.Add(2300*time.Millisecond), view).Accept)
+}
+
+func TestOldViewIsNotRenewedNorCounted(t *testing.T) {
+	view := started(t, engineIn("d", 1)).View()
+	tally, now := control.NewTally(timing), time.Now()
+	old := control.HostReport{Host: "a", DataCentre: "d", Established: true, Seq: view.Seq - 1}
+	must.False(t, tally.Report(now, old, view))
+	acknowledge(tally, now, view, "b")
+	must.False(t, tally.Decide(now.Add(time.Minute), view).Accept)
+	must.False(t, tally.Report(now, control.HostReport{Host: "a"}, control.View{}), must.Sprint("an empty log gives no right to serve"))
+}
+
+func TestChangeOfTheSetNeedsBothMajorities(t *testing.T) {
+	// b and c are taken from the data centre in one change and x and y come;
+	// b and c may still run.
+	s := started(t, engineIn("d", 1))
+	apply(t, s, control.Command{Decide: &control.Decide{ID: "second", Accept: true}})
+	swap := change("swap", 2, hostIn("x", "d", ""), hostIn("y", "d", ""))
+	swap.Deletes = []declare.Ref{{Kind: declare.KindHost, Name: "b"}, {Kind: declare.KindHost, Name: "c"}}
+	must.Eq(t, []string{"d"}, apply(t, s, control.Command{Propose: &control.Propose{Change: swap}}).DataCentres)
+	view := s.View()
+	tally, now := control.NewTally(timing), time.Now()
+	acknowledge(tally, now, view, "a", "x", "y")
+	tally.Decide(now, view)
+	must.False(t, tally.Decide(now.Add(timing.Wait()), view).Accept, must.Sprint("b and c could still renew each other"))
+	acknowledge(tally, now, view, "b", "c")
+	must.True(t, tally.Decide(now, view).Accept)
+}
+
+func TestLoneSurvivorCanDeclareTheOthersGone(t *testing.T) {
+	s := started(t, hostIn("b", "d", declare.HostGone), hostIn("c", "d", declare.HostGone))
+	view := s.View()
+	tally, now := control.NewTally(timing), time.Now()
+	acknowledge(tally, now, view, "a")
+	tally.Decide(now, view)
+	must.True(t, tally.Decide(now.Add(timing.Wait()), view).Accept)
+}
+
+func TestDataCentreThatIsGoneForGood(t *testing.T) {
+	s := started(t, hostIn("z", "e", declare.HostGone))
+	tally, now := control.NewTally(timing), time.Now()
+	must.False(t, tally.Decide(now, s.View()).Decided, must.Sprint("a lease may still run there"))
+	must.True(t, tally.Decide(now.Add(timing.Wait()), s.View()).Accept)
+}
+
+func TestChangeMattersOnlyWhereItAltersWhatIsServed(t *testing.T) {
+	s := started(t, engineIn("d", 1))
+	must.Eq(t, []string{"d"}, s.View().Pending.Matters)
+	apply(t, s, control.Command{Decide: &control.Decide{ID: "second", Accept: true}})
+	selector := declare.Selector{Name: "only-q", Service: "s", Allow: "region=q"}
+	out := apply(t, s, control.Command{Propose: &control.Propose{Change: change("third", 2, selector)}})
+	must.Eq(t, control.StatusPending, out.Status)
+	must.Eq(t, []string{"e"}, out.DataCentres, must.Sprint("region r could not serve it before and can't now"))
+	apply(t, s, control.Command{Decide: &control.Decide{ID: "third", Accept: true}})
+	out = apply(t, s, control.Command{Propose: &control.Propose{Change: change("fourth", 3, declare.Region{Name: "new"})}})
+	must.Eq(t, control.StatusAccepted, out.Status, must.Sprint("it matters to nobody"))
+}
+
+func TestRacingOperators(t *testing.T) {
+	s := started(t, engineIn("d", 1))
+	other := change("other", 1, engineIn("d", 2))
+	must.Eq(t, control.StatusBusy, apply(t, s, control.Command{Propose: &control.Propose{Change: other}}).Status)
+	apply(t, s, control.Command{Decide: &control.Decide{ID: "second", Accept: true}})
+	out := apply(t, s, control.Command{Propose: &control.Propose{Change: other}})
+	must.Eq(t, control.StatusStale, out.Status)
+	must.Eq(t, []declare.Ref{{Kind: declare.KindEngine, Name: "engine-d"}}, out.Since[0].Objects, must.Sprint("the loser is told what changed"))
+	must.Eq(t, out, apply(t, s, control.Command{Propose: &control.Propose{Change: other}}), must.Sprint("and gets the same answer again"))
+}
+
+func TestOppositeDecisionsAreDecidedByTheLog(t *testing.T) {
+	s := started(t, engineIn("d", 1))
+	must.Eq(t, control.StatusRefused, apply(t, s, control.Command{Decide: &control.Decide{ID: "second"}}).Status)
+	must.Eq(t, control.StatusRefused, apply(t, s, control.Command{Decide: &control.Decide{ID: "second", Accept: true}}).Status)
+	must.Eq(t, 1, s.View().Config.Revision())
+}
