--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -51,7 +51,7 @@
 		service: service,
 		view:    route.View{Cached: route.NewPrefixIndex(prefixes)},
 		queue:   admit.New[waiting](queueLimit),
-		budget:  &retry.Budget{},
+		budget:  retry.New(),
 	}
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -337,12 +337,12 @@
 // shows whether it is whole.
 func (s *Server) deliverFlow(w *lateWriter, p *payload, resp *http.Response) error {
 	defer resp.Body.Close()
-	var seen func([]byte)
+	var look relay.Look
 	if p.record != nil {
 		p.record.start(resp)
-		seen = p.record.see
+		look = p.record.look
 	}
-	_, err := relay.Copy(w, resp.Body, s.Limits.SlowCallerTime, seen)
+	_, err := relay.Copy(w, resp.Body, s.Limits.SlowCallerTime, look)
 	if p.record != nil {
 		p.record.finish(resp, err)
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -208,6 +208,12 @@
 	r.header.Del("Set-Cookie")
 }
 
+// look implements relay.Look: everything may pass.
+func (r *recorder) look(chunk []byte) (keep int, end bool) {
+	r.see(chunk)
+	return len(chunk), false
+}
+
 func (r *recorder) see(data []byte) {
 	if r.over || r.body.Len()+len(data) > once.MaxBody {
 		r.over = true
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -175,26 +175,31 @@
 // chunkSize bounds what is read at once of a body that is passed on.
 const chunkSize = 4 << 10
 
+// Look sees each chunk of a body before it is passed on. It tells how much of
+// the chunk may pass, and whether the body ends there.
+type Look func(chunk []byte) (keep int, end bool)
+
 // Copy passes a body on as it comes, flushing whatever has been read. slow
-// bounds each wait for the caller. It gives the number of bytes passed on; an
-// error of the caller's side is a *CallerError.
-func Copy(w http.ResponseWriter, from io.Reader, slow time.Duration, seen func([]byte)) (int64, error) {
+// bounds each wait for the caller; look may be nil. It gives the number of
+// bytes passed on; an error of the caller's side is a *CallerError.
+func Copy(w http.ResponseWriter, from io.Reader, slow time.Duration, look Look) (int64, error) {
 	controller := http.NewResponseController(w)
 	chunk := chunks.Get().(*[chunkSize]byte)
 	defer chunks.Put(chunk)
 	var total int64
 	for {
 		n, err := from.Read(chunk[:])
+		end := false
+		if n > 0 && look != nil {
+			n, end = look(chunk[:n])
+		}
 		if n > 0 {
-			if seen != nil {
-				seen(chunk[:n])
-			}
 			if err := pass(w, controller, chunk[:n], slow); err != nil {
 				return total, err
 			}
 			total += int64(n)
 		}
-		if err == io.EOF {
+		if err == io.EOF || end {
 			return total, nil
 		}
 		if err != nil {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -17,23 +17,46 @@
 // doneEvent ends every complete stream of the OpenAI interface.
 var doneEvent = []byte("data: [DONE]\n\n")
 
-// tail keeps the last bytes of a stream, enough to know doneEvent.
-type tail struct {
-	last []byte
+// ending finds the last event of a stream. What an engine sends after it is
+// not part of the answer. The zero value is the start of a stream.
+type ending struct {
+	carry []byte // the end of what has been seen, shorter than doneEvent
+	done  bool
 }
 
-func (t *tail) see(data []byte) {
-	if len(data) >= len(doneEvent) {
-		t.last = append(t.last[:0], data[len(data)-len(doneEvent):]...)
-		return
+// look implements Look.
+func (e *ending) look(chunk []byte) (keep int, end bool) {
+	if at := e.across(chunk); at > 0 {
+		e.done = true
+		return at, true
 	}
-	t.last = append(t.last, data...)
-	if over := len(t.last) - len(doneEvent); over > 0 {
-		t.last = append(t.last[:0], t.last[over:]...)
+	if at := bytes.Index(chunk, doneEvent); at >= 0 {
+		e.done = true
+		return at + len(doneEvent), true
 	}
+	e.remember(chunk)
+	return len(chunk), false
 }
 
-func (t *tail) done() bool { return bytes.Equal(t.last, doneEvent) }
+// across finds a last event that began in an earlier chunk; it gives where it
+// ends in this one, or 0.
+func (e *ending) across(chunk []byte) int {
+	head := chunk[:min(len(chunk), len(doneEvent)-1)]
+	both := append(e.carry, head...)
+	at := bytes.Index(both, doneEvent)
+	e.carry = both[:len(e.carry)]
+	if at < 0 {
+		return 0
+	}
+	return at + len(doneEvent) - len(e.carry)
+}
+
+func (e *ending) remember(chunk []byte) {
+	e.carry = append(e.carry, chunk[max(0, len(chunk)-len(doneEvent)+1):]...)
+	if over := len(e.carry) - len(doneEvent) + 1; over > 0 {
+		e.carry = append(e.carry[:0], e.carry[over:]...)
+	}
+}
 
 // maxResumes bounds how often one stream is taken up again.
 const maxResumes = 2
@@ -41,19 +64,19 @@
 // Stream passes on an event stream. base is the engine's URL without a path.
 // A nil error means that every byte, to the last event, has been passed on.
 func (c *Client) Stream(ctx context.Context, w http.ResponseWriter, resp *http.Response, base string, slow time.Duration) error {
-	var end tail
+	var end ending
 	var passed int64
 	id := resp.Header.Get(HeaderStream)
 	attempt := resp.Header.Get(HeaderAttempt)
 	for resumes := 0; ; resumes++ {
-		n, err := Copy(w, resp.Body, slow, end.see)
+		n, err := Copy(w, resp.Body, slow, end.look)
 		resp.Body.Close()
 		passed += n
 		var gone *CallerError
 		if errors.As(err, &gone) || ctx.Err() != nil {
 			return errors.Annotate(err, "stream")
 		}
-		if end.done() {
+		if end.done {
 			return nil
 		}
 		if err == nil {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -17,8 +17,7 @@
 // MaxAttempts is how often one request may be sent to engines.
 const MaxAttempts = 3
 
-// Budget is safe for concurrent use. The zero value is an empty budget with
-// the default share and burst.
+// Budget is safe for concurrent use. New makes one; the zero value is empty.
 type Budget struct {
 	mu     sync.Mutex
 	saved  float64
@@ -27,6 +26,9 @@
 	denied uint64
 }
 
+// New makes a budget with a full burst saved up.
+func New() *Budget { return &Budget{saved: DefaultBurst} }
+
 // First notes a first attempt.
 func (b *Budget) First() {
 	b.mu.Lock()
