Record a keyed answer before its caller has it

Cause: a caller that repeated a call right after its answer was told in progress, since the record was made after the last byte; and a policy without weights sent requests away from a home that met its target. Both were seen only under the race detector, by tests that stood already. Ruled out: the table of keys (its verdicts were right for their order). Change: the part of an answer that can be kept is read and recorded first; weights that say nothing weigh tail and share away alike. Conclusion: the order is record, then tell.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -338,11 +338,19 @@
 func (s *Server) deliverFlow(w *lateWriter, p *payload, resp *http.Response) error {
 	defer resp.Body.Close()
 	var look relay.Look
+	var from io.Reader = resp.Body
 	if p.record != nil {
 		p.record.start(resp)
-		look = p.record.look
+		head, whole, err := p.record.readHead(resp.Body)
+		if err != nil {
+			return err
+		}
+		from, look = bytes.NewReader(head), nil
+		if !whole {
+			from, look = io.MultiReader(from, resp.Body), p.record.look
+		}
 	}
-	_, err := relay.Copy(w, resp.Body, s.Limits.SlowCallerTime, look)
+	_, err := relay.Copy(w, from, s.Limits.SlowCallerTime, look)
 	if p.record != nil {
 		p.record.finish(resp, err)
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -109,7 +109,10 @@
 // runKeyed makes the call and records what became of it. The record is made
 // even where the caller has gone, and before an abort.
 func (s *Server) runKeyed(x *exchange, p *payload, call once.Call) (err error) {
-	p.record = &recorder{}
+	p.record = &recorder{save: func(r *recorder) {
+		s.record(x, p, call, true, nil)
+		r.saved = true
+	}}
 	x.r = x.r.WithContext(context.WithoutCancel(x.r.Context()))
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.req.Deadline)
 	defer cancel()
@@ -118,7 +121,9 @@
 	ended := false
 	defer func() {
 		// A panic is the abort of an answer that broke: its outcome is lost.
-		s.record(x, p, call, ended, err)
+		if !p.record.saved {
+			s.record(x, p, call, ended, err)
+		}
 	}()
 	err = s.attempts(x, p)
 	ended = true
@@ -200,6 +205,8 @@
 	body   bytes.Buffer
 	over   bool // the body is too long to keep
 	whole  bool // the engine's answer has come to its end
+	saved  bool // and has been recorded
+	save   func(*recorder)
 }
 
 func (r *recorder) start(resp *http.Response) {
@@ -223,9 +230,28 @@
 	r.body.Write(data)
 }
 
+// readHead reads as much of the answer as may be kept. Where that is all of it,
+// the record is made before the caller gets the first byte, so that one who
+// has an answer never finds his key in progress.
+func (r *recorder) readHead(body io.Reader) (head []byte, whole bool, err error) {
+	head, err = io.ReadAll(io.LimitReader(body, once.MaxBody+1))
+	if err != nil {
+		return nil, false, errors.Annotate(err, "answer")
+	}
+	r.see(head)
+	if len(head) <= once.MaxBody {
+		r.whole = true
+		r.save(r)
+	}
+	return head, r.whole, nil
+}
+
 // finish notes the end of the answer. Where only the caller has gone, the rest
 // of the answer is read for the record.
 func (r *recorder) finish(resp *http.Response, err error) {
+	if r.whole {
+		return
+	}
 	if isCallerError(err) {
 		_, err = io.Copy(writerFunc(r.see), resp.Body)
 	}
--- a/route/region.go
+++ b/route/region.go
@@ -81,10 +81,11 @@
 // the share sent away counts.
 const awayMargin = 500 * time.Millisecond
 
-// awayShare weighs the share sent away against tail latency, 0 to 1.
+// awayShare weighs the share sent away against tail latency, 0 to 1. Weights
+// that say nothing weigh both the same.
 func (w *Weights) awayShare() float64 {
 	if w.Tail+w.Away == 0 {
-		return 0
+		return 0.5
 	}
 	return w.Away / (w.Tail + w.Away)
 }
