Keep serving through the loss of the leader, and find the next one sooner

Cause, seen in the demo: a host of a cut-off region lost its lease, because it asked for the leader in turn, longer than a lease, before it asked its peers; a change after the leader's loss took 6.4 to 10.7 s, because hosts that are not the leader answered each other's watches from their own views and two of them waited for each other, and because any lease given to a peer stopped the fast path; the tool gave up at once while there was no leader. Change: renewal by peers is a duty of its own; only the leader, or a relay when asked as one, answers a watch; reports name to which incarnation a lease was given, and only another one than that which acknowledged holds a change up; reads of the tool are asked again for 10 s.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,7 +7,8 @@
 // be reached, the hosts of the data centre renew each other, and pass on the
 // newest view that any of them has.
 //
-// Each duty runs in its own goroutine: report, watch, members, ping.
+// Each duty runs in its own goroutine: report, renew by peers, watch, members,
+// ping.
 package agent
 
 import (
@@ -100,6 +101,7 @@
 func (a *Agent) Run(ctx context.Context) error {
 	group := pool.New().WithContext(ctx).WithCancelOnError()
 	group.Go(a.report)
+	group.Go(a.renewByPeers)
 	group.Go(a.watch)
 	group.Go(a.learnMembers)
 	group.Go(a.ping)
--- a/agent/duties.go
+++ b/agent/duties.go
@@ -27,15 +27,29 @@
 // a lost message doesn't end it.
 func (a *Agent) reportEvery() time.Duration { return a.Settings.Control.Lease / 4 }
 
+// peersEvery is how often a host looks whether it must turn to its peers.
+const peersEvery = 150 * time.Millisecond
+
+// renewByPeers is the duty that keeps the lease alive without a leader. It
+// doesn't wait for the reports, which may take longer than a lease to find out
+// that nobody answers.
+func (a *Agent) renewByPeers(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if a.byPeersDue() {
+			a.askPeers(ctx)
+			a.logServing()
+		}
+		pause(ctx, peersEvery)
+	}
+	return nil
+}
+
 // report is the duty that keeps the lease alive. It also reports at once when
 // the view has changed, which is the acknowledgement.
 func (a *Agent) report(ctx context.Context) error {
 	for ctx.Err() == nil {
 		_, changed := a.View()
 		renewed := a.reportOnce(ctx)
-		if !renewed && a.byPeersDue() {
-			renewed = a.askPeers(ctx)
-		}
 		a.logServing()
 		wait := a.reportEvery()
 		if !renewed {
@@ -54,6 +68,8 @@
 func (a *Agent) reportOnce(ctx context.Context) bool {
 	sent := time.Now()
 	report := a.ownReport(sent)
+	ctx, cancel := context.WithTimeout(ctx, a.Settings.Control.Lease/2)
+	defer cancel()
 	reply, err := a.forward(ctx, leader.ReportArgs{Reports: []leader.Report{report}})
 	if err != nil {
 		return false
@@ -99,7 +115,7 @@
 	err := a.ask(ctx, args.Hops, 0, func() *leader.NotLeader {
 		reply = a.Leader.Report(args)
 		return reply.NotLeader
-	}, func(ctx context.Context, address string) (*leader.NotLeader, error) {
+	}, func(ctx context.Context, _ target, address string) (*leader.NotLeader, error) {
 		next := args
 		next.Hops++
 		reply = leader.ReportReply{}
@@ -114,7 +130,7 @@
 func (a *Agent) byPeersDue() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return time.Until(a.holder.Until()) < a.Settings.Control.Lease*2/3
+	return time.Until(a.holder.Until()) < a.Settings.Control.Lease/2
 }
 
 // askPeers asks the other hosts of the data centre for a renewal, and takes
@@ -172,7 +188,7 @@
 	}
 	view, _ := a.View()
 	var reply leader.WatchReply
-	if err := a.Near.WithTimeout(ctx, nearTime, address, "Host.Watch", leader.WatchArgs{Seq: view.Seq, Hops: maxHops}, &reply); err != nil {
+	if err := a.Near.WithTimeout(ctx, nearTime, address, "Host.Watch", leader.WatchArgs{Seq: view.Seq, Hops: maxHops, Relay: true}, &reply); err != nil {
 		return
 	}
 	if err := a.take(reply); err != nil {
@@ -213,9 +229,10 @@
 	err := a.ask(ctx, args.Hops, args.Wait, func() *leader.NotLeader {
 		reply = a.Leader.Watch(ctx, args)
 		return reply.NotLeader
-	}, func(ctx context.Context, address string) (*leader.NotLeader, error) {
+	}, func(ctx context.Context, t target, address string) (*leader.NotLeader, error) {
 		next := args
 		next.Hops++
+		next.Relay = t.relay
 		reply = leader.WatchReply{}
 		err := a.Long.Call(ctx, address, "Host.Watch", next, &reply)
 		return reply.NotLeader, err
@@ -246,7 +263,7 @@
 	err := a.ask(ctx, args.Hops, 0, func() *leader.NotLeader {
 		reply = a.Leader.Members()
 		return reply.NotLeader
-	}, func(ctx context.Context, address string) (*leader.NotLeader, error) {
+	}, func(ctx context.Context, _ target, address string) (*leader.NotLeader, error) {
 		next := args
 		next.Hops++
 		reply = leader.MembersReply{}
--- a/agent/operate.go
+++ b/agent/operate.go
@@ -24,7 +24,7 @@
 	err := a.ask(ctx, directly, wait, func() *leader.NotLeader {
 		reply, failed = a.Leader.Propose(ctx, args)
 		return reply.NotLeader
-	}, func(ctx context.Context, address string) (*leader.NotLeader, error) {
+	}, func(ctx context.Context, _ target, address string) (*leader.NotLeader, error) {
 		reply, failed = leader.ProposeReply{}, nil
 		err := a.Long.Call(ctx, address, "Host.Propose", args, &reply)
 		return reply.NotLeader, err
@@ -42,7 +42,7 @@
 	err := a.ask(ctx, directly, time.Second, func() *leader.NotLeader {
 		reply, failed = a.Leader.State(ctx, args)
 		return reply.NotLeader
-	}, func(ctx context.Context, address string) (*leader.NotLeader, error) {
+	}, func(ctx context.Context, _ target, address string) (*leader.NotLeader, error) {
 		reply, failed = leader.StateReply{}, nil
 		err := a.Long.Call(ctx, address, "Host.State", args, &reply)
 		return reply.NotLeader, err
@@ -86,6 +86,9 @@
 // host that can't be asked counts as unknown, and the engine as not empty.
 func (a *Agent) Drain(ctx context.Context, name string) (Drain, error) {
 	view, _ := a.View()
+	if state, err := a.State(ctx, leader.StateArgs{}); err == nil {
+		view = state.View // this host may be behind
+	}
 	object, ok := view.Config.Get(declare.Ref{Kind: declare.KindEngine, Name: name})
 	if !ok {
 		return Drain{}, errors.NotFoundf("engine %q", name)
--- a/agent/service.go
+++ b/agent/service.go
@@ -61,8 +61,13 @@
 	return nil
 }
 
-// Watch answers from this host's own view: what it has seen was committed.
+// Watch answers as the leader or, if asked as a relay, from this host's own
+// view: what it has seen was committed.
 func (s *Service) Watch(args leader.WatchArgs, reply *leader.WatchReply) error {
+	if !args.Relay {
+		*reply = s.watchLeader(args)
+		return nil
+	}
 	timer := time.NewTimer(args.Wait)
 	defer timer.Stop()
 	for {
@@ -81,6 +86,13 @@
 	}
 }
 
+func (s *Service) watchLeader(args leader.WatchArgs) leader.WatchReply {
+	if s.agent.Leader == nil {
+		return leader.WatchReply{NotLeader: &leader.NotLeader{Leader: s.agent.knownLeader()}}
+	}
+	return s.agent.Leader.Watch(s.ctx, args)
+}
+
 // after gives the events after seq, or the whole view.
 func (a *Agent) after(seq uint64) leader.WatchReply {
 	a.mu.Lock()
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -131,7 +131,7 @@
 // local answers for this host's own leader side, and again for another's; both
 // tell by a *leader.NotLeader that they don't lead. wait is added to the time
 // of the call.
-func (a *Agent) ask(ctx context.Context, hops int, wait time.Duration, local func() *leader.NotLeader, remote func(ctx context.Context, address string) (*leader.NotLeader, error)) error {
+func (a *Agent) ask(ctx context.Context, hops int, wait time.Duration, local func() *leader.NotLeader, remote func(ctx context.Context, t target, address string) (*leader.NotLeader, error)) error {
 	if a.Leader != nil {
 		not := local()
 		if not == nil {
@@ -158,7 +158,7 @@
 }
 
 // askTarget asks one host, and the leader that it names if it is another.
-func (a *Agent) askTarget(ctx context.Context, t target, wait time.Duration, tried map[string]bool, remote func(ctx context.Context, address string) (*leader.NotLeader, error)) bool {
+func (a *Agent) askTarget(ctx context.Context, t target, wait time.Duration, tried map[string]bool, remote func(ctx context.Context, t target, address string) (*leader.NotLeader, error)) bool {
 	for range 2 {
 		address, bound, ok := a.address(t.name)
 		if !ok || tried[t.name] {
@@ -169,7 +169,7 @@
 			bound += farTime // it asks the leader in turn
 		}
 		callCtx, cancel := context.WithTimeout(ctx, bound+wait)
-		not, err := remote(callCtx, address)
+		not, err := remote(callCtx, t, address)
 		cancel()
 		switch {
 		case err != nil:
--- a/control/tally.go
+++ b/control/tally.go
@@ -17,9 +17,16 @@
 	// date. Until then it grants nothing and counts for nothing.
 	Established bool
 	Seq         uint64 // of the view that it serves under: its acknowledgement
-	// Granted is how long the last lease that the host gave to a peer may
-	// still run.
-	Granted time.Duration
+	// Granted lists the leases that the host gave to peers and that may still
+	// run.
+	Granted []Granted
+}
+
+// Granted is one lease given to a peer.
+type Granted struct {
+	Host        string
+	Incarnation string
+	Left        time.Duration // that it may run
 }
 
 // Timing of leases and decisions.
@@ -166,15 +173,21 @@
 	return true
 }
 
-// noGrants tells whether no host of the data centre has given a lease to a
-// peer that may still run. A host that restarted just after it acknowledged
-// may hold one under the old view, while its earlier acknowledgement still
-// counts here; of the majority that renewed it, some host has reported since.
+// noGrants tells whether no host of the data centre has given a lease, that may
+// still run, to another incarnation of a peer than the one that has
+// acknowledged. A host that restarted just after it acknowledged may hold such a
+// lease under the old view, while its earlier acknowledgement still counts here;
+// of the majority that renewed it, some host has reported since.
 func (t *Tally) noGrants(now time.Time, dc string) bool {
 	for _, h := range t.hosts {
-		granted := time.Duration(float64(h.report.Granted) * (1 + raft.DriftShare))
-		if h.report.DataCentre == dc && now.Before(h.heard.Add(granted)) {
-			return false
+		if h.report.DataCentre != dc {
+			continue
+		}
+		for _, g := range h.report.Granted {
+			left := time.Duration(float64(g.Left) * (1 + raft.DriftShare))
+			if g.Incarnation != t.hosts[g.Host].report.Incarnation && now.Before(h.heard.Add(left)) {
+				return false
+			}
 		}
 	}
 	return true
--- a/leader/types.go
+++ b/leader/types.go
@@ -69,6 +69,10 @@
 	Seq  uint64
 	Wait time.Duration // longest time until an answer
 	Hops int
+	// Relay asks the host for what it has seen itself. Without it only the
+	// leader answers: two hosts that have lost it must not wait for each
+	// other.
+	Relay bool
 }
 
 // WatchReply holds the events after Seq, or a whole view.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -33,14 +33,20 @@
 	established      bool
 	view             control.View
 	until            time.Time
-	wall             time.Time // until, by the wall clock
-	byLeader         time.Time // when the last renewal by a leader was asked for
-	grantedAt        time.Time // when this host last renewed a peer
+	wall             time.Time          // until, by the wall clock
+	byLeader         time.Time          // when the last renewal by a leader was asked for
+	grants           map[string]grantee // the last renewal of each peer
+}
+
+// grantee is a peer that this host has renewed.
+type grantee struct {
+	incarnation string
+	at          time.Time
 }
 
 // New makes the holder of a host that has just started.
 func New(host, dataCentre, incarnation string, length time.Duration) *Holder {
-	return &Holder{host: host, dataCentre: dataCentre, incarnation: incarnation, length: length}
+	return &Holder{host: host, dataCentre: dataCentre, incarnation: incarnation, length: length, grants: make(map[string]grantee)}
 }
 
 // View gives the view that the host serves under.
@@ -75,8 +81,22 @@
 	return control.HostReport{
 		Host: h.host, DataCentre: h.dataCentre, Incarnation: h.incarnation,
 		Established: h.established, Seq: h.view.Seq,
-		Granted: max(0, h.grantedAt.Add(h.length).Sub(now)),
+		Granted: h.running(now),
+	}
+}
+
+// running lists the leases given to peers that may still run.
+func (h *Holder) running(now time.Time) []control.Granted {
+	var out []control.Granted
+	for host, g := range h.grants {
+		left := g.at.Add(h.length).Sub(now)
+		if left <= 0 {
+			delete(h.grants, host)
+			continue
+		}
+		out = append(out, control.Granted{Host: host, Incarnation: g.incarnation, Left: left})
 	}
+	return out
 }
 
 // RenewedByLeader takes a renewal that was asked for at sent, under the view
@@ -99,8 +119,9 @@
 
 // Ask is a request for renewal to a peer of the same data centre.
 type Ask struct {
-	Host string
-	Seq  uint64
+	Host        string
+	Incarnation string
+	Seq         uint64
 }
 
 // Grant is a peer's answer.
@@ -111,14 +132,14 @@
 }
 
 // Ask gives the request for renewal by peers.
-func (h *Holder) Ask() Ask { return Ask{h.host, h.view.Seq} }
+func (h *Holder) Ask() Ask { return Ask{h.host, h.incarnation, h.view.Seq} }
 
 // Answer decides a peer's request. Nobody is renewed under a view that is
 // older than this host's own.
 func (h *Holder) Answer(now time.Time, ask Ask) Grant {
 	granted := h.established && ask.Seq >= h.view.Seq
 	if granted {
-		h.grantedAt = now
+		h.grants[ask.Host] = grantee{ask.Incarnation, now}
 	}
 	return Grant{h.host, granted, h.view.Seq}
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -70,13 +70,13 @@
 // Config asks for the configuration in force.
 func (c *Client) Config(ctx context.Context) (declare.Config, error) {
 	var out declare.Config
-	return out, c.do(ctx, http.MethodGet, "/v1/config", nil, &out)
+	return out, c.again(ctx, http.MethodGet, "/v1/config", nil, &out)
 }
 
 // History asks for the changes accepted after a revision.
 func (c *Client) History(ctx context.Context, after uint64) ([]control.Record, error) {
 	var out []control.Record
-	return out, c.do(ctx, http.MethodGet, "/v1/history?after="+strconv.FormatUint(after, 10), nil, &out)
+	return out, c.again(ctx, http.MethodGet, "/v1/history?after="+strconv.FormatUint(after, 10), nil, &out)
 }
 
 // Drain asks for what an engine has in flight.
@@ -91,6 +91,22 @@
 	return out, c.do(ctx, http.MethodGet, "/v1/explain?"+query.Encode(), nil, &out)
 }
 
+// again is do, repeated while there is no leader to ask: after the loss of one
+// it takes a few seconds until the next leads.
+func (c *Client) again(ctx context.Context, method, path string, body []byte, into any) error {
+	until := time.Now().Add(readAgain)
+	for {
+		err := c.do(ctx, method, path, body, into)
+		if err == nil || ctx.Err() != nil || time.Now().After(until) {
+			return err
+		}
+		time.Sleep(pauseBetween)
+	}
+}
+
+// readAgain is how long a read is asked for again.
+const readAgain = 10 * time.Second
+
 // do asks the hosts in turn. An answer in JSON counts, whatever its status.
 func (c *Client) do(ctx context.Context, method, path string, body []byte, into any) error {
 	var last error = errors.New("no host is named")
