Run three hosts in one test; probe less; flush with fewer timers

Change: the first configuration needs no acknowledgement (nobody can serve under an earlier one); probes once a second, cache events every other time; ticks of replicas at 25 ms; a write deadline is moved only when a quarter has gone.

--- a/control/state.go
+++ b/control/state.go
@@ -254,6 +254,9 @@
 		return s.remember(p.Change.ID, digest, out)
 	}
 	matters := Matters(s.view.Config, next, p.Change)
+	if now == 0 {
+		matters = nil // nobody can serve under an earlier configuration
+	}
 	s.emit(Event{Kind: EventProposed, Change: &p.Change, Matters: matters, At: p.At})
 	if len(matters) == 0 {
 		return s.decide(Decide{ID: p.Change.ID, Accept: true, At: p.At})
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -33,7 +33,7 @@
 )
 
 // fleetInterval is how often the fleet looks at its queues and its health.
-const fleetInterval = 100 * time.Millisecond
+const fleetInterval = 200 * time.Millisecond
 
 // controlGroup names the control log.
 const controlGroup = "control"
--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,178 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+
+	"github.com/linenscale/linenscale/control"
+	"github.com/linenscale/linenscale/daemon"
+	"github.com/linenscale/linenscale/declare"
+	"github.com/linenscale/linenscale/operator"
+	"github.com/linenscale/linenscale/request"
+	"github.com/linenscale/linenscale/settings"
+	"github.com/linenscale/linenscale/standin"
+)
+
+// association is three hosts of one data centre, run in this process.
+type association struct {
+	t        *testing.T
+	settings settings.Settings
+	stop     map[string]func()
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newAssociation(t *testing.T, portal string) *association {
+	t.Helper()
+	dir := t.TempDir()
+	text := "association: test\ndeclarations: declarations\ndata_root: " + filepath.Join(dir, "data") + "\nhosts:\n"
+	for _, name := range []string{"h1", "h2", "h3"} {
+		text += fmt.Sprintf("  - {name: %s, region: r, data_centre: d, callers: %q, handover: %q, control: %q, operators: %q, disk: true, voter: true}\n",
+			name, freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t))
+	}
+	declarations := fmt.Sprintf("kind: Service\nname: portal\ntype: plain\n---\nkind: Engine\nname: p1\nservice: portal\ndata_centre: d\naddress: %s\nslots: 4\n---\nkind: Selector\nname: all\nservice: portal\nallow: region=r\n", portal)
+	must.NoError(t, os.Mkdir(filepath.Join(dir, "declarations"), 0o700))
+	must.NoError(t, os.WriteFile(filepath.Join(dir, "declarations", "all.yaml"), []byte(declarations), 0o600))
+	must.NoError(t, os.WriteFile(filepath.Join(dir, "settings.yaml"), []byte(text), 0o600))
+	s, err := settings.Read(filepath.Join(dir, "settings.yaml"))
+	must.NoError(t, err)
+	a := &association{t: t, settings: s, stop: map[string]func(){}}
+	t.Cleanup(func() {
+		for _, stop := range a.stop {
+			stop()
+		}
+	})
+	return a
+}
+
+func (a *association) start(name string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group := pool.New().WithErrors()
+	group.Go(func() error { return daemon.Run(ctx, a.settings, name, zap.NewNop()) })
+	a.stop[name] = func() {
+		cancel()
+		must.NoError(a.t, group.Wait())
+		delete(a.stop, name)
+	}
+}
+
+func (a *association) url(name string) string {
+	h, err := a.settings.Host(name)
+	must.NoError(a.t, err)
+	return "http://" + h.Callers
+}
+
+func (a *association) awaitReady(names ...string) {
+	for _, name := range names {
+		ready := false
+		for range 300 {
+			if resp, err := http.Get(a.url(name) + "/readyz"); err == nil {
+				resp.Body.Close()
+				if ready = resp.StatusCode == http.StatusNoContent; ready {
+					break
+				}
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		must.True(a.t, ready, must.Sprintf("%s is not ready", name))
+	}
+}
+
+func (a *association) client() *operator.Client {
+	var hosts []string
+	for _, h := range a.settings.Hosts {
+		hosts = append(hosts, h.Operators)
+	}
+	return operator.NewClient(hosts, 20*time.Second)
+}
+
+// order makes a keyed call until it is answered.
+func (a *association) order(name, key string) (body string, replayed bool) {
+	for range 100 {
+		req, err := http.NewRequest(http.MethodPost, a.url(name)+"/services/portal/orders", strings.NewReader("two boards"))
+		must.NoError(a.t, err)
+		req.Header.Set(request.HeaderHome, "r")
+		req.Header.Set(request.HeaderIdempotency, key)
+		req.Header.Set(standin.HeaderOrder, key)
+		resp, err := http.DefaultClient.Do(req)
+		must.NoError(a.t, err)
+		data, err := io.ReadAll(resp.Body)
+		must.NoError(a.t, err)
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return string(data), resp.Header.Get("Idempotency-Replayed") == "true"
+		}
+		must.Eq(a.t, request.NotRunValue, resp.Header.Get(request.HeaderOutcome))
+		time.Sleep(100 * time.Millisecond)
+	}
+	a.t.Fatal("the order was not answered")
+	return "", false
+}
+
+// TestHostsRunTogether starts three hosts, changes the configuration, repeats
+// an order on another host, loses one host, and restarts all of them.
+func TestHostsRunTogether(t *testing.T) {
+	portal := standin.NewPlain("p1", 0)
+	server := httptest.NewServer(portal)
+	defer server.Close()
+	a := newAssociation(t, strings.TrimPrefix(server.URL, "http://"))
+	for _, name := range []string{"h1", "h2", "h3"} {
+		a.start(name)
+	}
+	a.awaitReady("h1", "h2", "h3")
+	ctx := context.Background()
+
+	change := declare.Change{ID: "c1", Base: 1, Puts: []declare.Envelope{{Object: declare.Region{Name: "another"}}}}
+	out, err := a.client().Change(ctx, change)
+	must.NoError(t, err)
+	must.Eq(t, control.StatusAccepted, out.Status)
+	again, err := a.client().Change(ctx, change)
+	must.NoError(t, err)
+	must.Eq(t, out, again, must.Sprint("a resent change gets its first answer"))
+
+	first, replayed := a.order("h1", "k1")
+	must.False(t, replayed)
+	second, replayed := a.order("h2", "k1")
+	must.True(t, replayed)
+	must.Eq(t, first, second)
+
+	a.stop["h1"]()
+	third, replayed := a.order("h3", "k1")
+	must.True(t, replayed)
+	must.Eq(t, first, third)
+	out, err = a.client().Change(ctx, declare.Change{ID: "c2", Base: 2, Puts: []declare.Envelope{{Object: declare.Region{Name: "third"}}}})
+	must.NoError(t, err)
+	must.Eq(t, control.StatusAccepted, out.Status)
+
+	a.stop["h2"]()
+	a.stop["h3"]()
+	for _, name := range []string{"h1", "h2", "h3"} {
+		a.start(name)
+	}
+	a.awaitReady("h1", "h2", "h3")
+	config, err := a.client().Config(ctx)
+	must.NoError(t, err)
+	must.Eq(t, 3, config.Revision(), must.Sprint("what was accepted is there after a restart of all"))
+	_, replayed = a.order("h2", "k1")
+	must.True(t, replayed)
+	must.Eq(t, 1, portal.Ran("k1"))
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,156 @@
+package fleet_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/linenscale/linenscale/declare"
+	"github.com/linenscale/linenscale/fleet"
+	"github.com/linenscale/linenscale/request"
+	"github.com/linenscale/linenscale/route"
+)
+
+// clock is a time that tests set.
+type clock struct{ now time.Time }
+
+func (c *clock) get() time.Time { return c.now }
+
+func config(t *testing.T, engines ...declare.Engine) declare.Config {
+	t.Helper()
+	change := declare.Change{Puts: []declare.Envelope{
+		{Object: declare.Region{Name: "r"}},
+		{Object: declare.DataCentre{Name: "d", Region: "r"}},
+		{Object: declare.Service{Name: "s", Type: declare.ServiceModel}},
+	}}
+	for _, e := range engines {
+		change.Puts = append(change.Puts, declare.Envelope{Object: e})
+	}
+	c, err := declare.Config{}.With(change)
+	must.NoError(t, err)
+	return c
+}
+
+func engine(name string, slots int) declare.Engine {
+	return declare.Engine{Name: name, Service: "s", DataCentre: "d", Address: "127.0.0.1:1", Slots: slots}
+}
+
+func newFleet(t *testing.T, engines ...declare.Engine) (*fleet.Fleet, *clock) {
+	t.Helper()
+	c := &clock{time.Unix(1_700_000_000, 0)}
+	f := fleet.New("r", c.get, route.PrefixBounded{}, 1)
+	f.Apply(config(t, engines...), nil)
+	return f, c
+}
+
+func (c *clock) ask() fleet.Ask {
+	return fleet.Ask{Request: request.Request{Service: "s", Class: request.ClassStandard, Deadline: c.now.Add(time.Minute)}}
+}
+
+func acquire(t *testing.T, f *fleet.Fleet, c *clock) *fleet.Ticket {
+	t.Helper()
+	ticket, err := f.Acquire(context.Background(), c.ask())
+	must.NoError(t, err)
+	return ticket
+}
+
+func TestWaiterGetsTheSlotThatIsGivenBack(t *testing.T) {
+	f, c := newFleet(t, engine("e", 1))
+	first := acquire(t, f, c)
+	served := make(chan fleet.Served, 1)
+	f.Submit(c.ask(), func(s fleet.Served) { served <- s })
+	must.Eq(t, 0, len(served))
+	first.Done(fleet.Result{Outcome: fleet.Answered})
+	must.Eq(t, "e", (<-served).Ticket.Engine)
+}
+
+func TestCancelledWaiterLeavesNoSlotBehind(t *testing.T) {
+	f, c := newFleet(t, engine("e", 1))
+	first := acquire(t, f, c)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := f.Acquire(ctx, c.ask())
+	var refusal *request.NotRun
+	must.True(t, errors.As(err, &refusal))
+	first.Done(fleet.Result{Outcome: fleet.Answered})
+	must.Eq(t, 0, f.InFlight("e"))
+	acquire(t, f, c)
+}
+
+func TestStoppedEngineFinishesAndGetsNothingNew(t *testing.T) {
+	f, c := newFleet(t, engine("a", 8), engine("b", 8))
+	var onA *fleet.Ticket
+	for onA == nil {
+		if ticket := acquire(t, f, c); ticket.Engine == "a" {
+			onA = ticket
+		}
+	}
+	before := f.InFlight("a")
+	f.Apply(config(t, engine("a", 8).WithState(declare.EngineStopping), engine("b", 8)), nil)
+	for range 4 {
+		must.Eq(t, "b", acquire(t, f, c).Engine)
+	}
+	must.Eq(t, before, f.InFlight("a"))
+	onA.Done(fleet.Result{Outcome: fleet.Answered})
+	must.Eq(t, before-1, f.InFlight("a"))
+}
+
+func TestEngineOfAnUndecidedChangeIsHeld(t *testing.T) {
+	f, c := newFleet(t, engine("a", 8), engine("b", 8))
+	f.Apply(config(t, engine("a", 8), engine("b", 8)), func(name string) bool { return name == "a" })
+	for range 4 {
+		must.Eq(t, "b", acquire(t, f, c).Engine)
+	}
+}
+
+func TestLeavingEngineGetsNothingNewAtOnce(t *testing.T) {
+	f, c := newFleet(t, engine("a", 8))
+	f.SetLeaving(func(string) bool { return true })
+	_, err := f.Acquire(context.Background(), c.ask())
+	var refusal *request.NotRun
+	must.True(t, errors.As(err, &refusal))
+	must.Eq(t, request.ReasonNoEngine, refusal.Reason)
+}
+
+// TestReclaimDuringADrain stops one engine while the host of the other is
+// reclaimed: what runs goes on, and new requests are refused as not run.
+func TestReclaimDuringADrain(t *testing.T) {
+	f, c := newFleet(t, engine("a", 8), engine("b", 8))
+	running := []*fleet.Ticket{acquire(t, f, c), acquire(t, f, c), acquire(t, f, c)}
+	f.Apply(config(t, engine("a", 8).WithState(declare.EngineStopping), engine("b", 8)), nil)
+	f.SetLeaving(func(string) bool { return true })
+	_, err := f.Acquire(context.Background(), c.ask())
+	must.ErrorContains(t, err, "no engine here is healthy and permitted")
+	must.Eq(t, 3, f.InFlight("a")+f.InFlight("b"))
+	for _, ticket := range running {
+		ticket.Done(fleet.Result{Outcome: fleet.Answered})
+	}
+	must.Eq(t, 0, f.InFlight("a")+f.InFlight("b"))
+}
+
+func TestLateWaiterIsRefusedByTheTick(t *testing.T) {
+	f, c := newFleet(t, engine("e", 1))
+	acquire(t, f, c)
+	ask := c.ask()
+	ask.Request.Deadline = c.now.Add(3 * time.Second)
+	var got fleet.Served
+	f.Submit(ask, func(s fleet.Served) { got = s })
+	f.Tick()
+	must.Nil(t, got.Err)
+	c.now = c.now.Add(3*time.Second + 1)
+	f.Tick()
+	must.ErrorContains(t, got.Err, "no slot was free in time")
+}
+
+func TestReplacedEngineKeepsTicketsTrue(t *testing.T) {
+	f, c := newFleet(t, engine("a", 8))
+	ticket := acquire(t, f, c)
+	f.Apply(config(t, engine("b", 8)), nil)
+	must.Eq(t, "b", acquire(t, f, c).Engine)
+	must.Eq(t, 1, f.InFlight("a"))
+	ticket.Done(fleet.Result{Outcome: fleet.Answered})
+	must.Eq(t, 1, f.InFlight("b"))
+}
--- a/keyhome/keyhome.go
+++ b/keyhome/keyhome.go
@@ -30,8 +30,8 @@
 // Timing of the log. Its replicas stand in one region, so it is tighter than
 // the control log's.
 const (
-	election      = 500 * time.Millisecond
-	heartbeat     = 100 * time.Millisecond
+	election      = 900 * time.Millisecond
+	heartbeat     = 200 * time.Millisecond
 	snapshotEvery = 8192
 )
 
--- a/operator/server.go
+++ b/operator/server.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"strconv"
 	"time"
 
@@ -73,6 +74,8 @@
 	r.GET("/v1/drain/:engine", s.drain)
 	r.GET("/v1/explain", s.explain)
 	r.Handler(http.MethodGet, "/metrics", s.metrics)
+	r.HandlerFunc(http.MethodGet, "/debug/pprof/profile", pprof.Profile)
+	r.Handler(http.MethodGet, "/debug/pprof/heap", pprof.Handler("heap"))
 	return r
 }
 
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -24,7 +24,8 @@
 
 // Timing of the probes.
 const (
-	engineInterval   = 500 * time.Millisecond
+	engineInterval   = time.Second
+	eventsEvery      = 2 // probes
 	engineTimeout    = 400 * time.Millisecond
 	platformInterval = 500 * time.Millisecond
 	// platformFresh is the age up to which a list is believed.
@@ -41,6 +42,7 @@
 	client   *http.Client
 	platform string
 	log      *zap.Logger
+	rounds   int
 	missing  map[string]time.Time // since when an IP is not listed
 	leaving  map[string]bool
 }
@@ -80,14 +82,16 @@
 }
 
 func (p *Prober) engines(ctx context.Context) {
+	p.rounds++
+	events := p.rounds%eventsEvery == 0
 	group := pool.New().WithMaxGoroutines(parallel)
 	for _, e := range p.fleet.Addresses() {
-		group.Go(func() { p.engine(ctx, e) })
+		group.Go(func() { p.engine(ctx, e, events) })
 	}
 	group.Wait()
 }
 
-func (p *Prober) engine(ctx context.Context, e fleet.Address) {
+func (p *Prober) engine(ctx context.Context, e fleet.Address, events bool) {
 	var report fleet.Report
 	err := p.get(ctx, "http://"+e.Address+"/engine/load", &report)
 	if ctx.Err() != nil {
@@ -99,6 +103,13 @@
 		return
 	}
 	p.fleet.SetReport(e.Service, e.Engine, report)
+	if events {
+		p.cacheEvents(ctx, e)
+	}
+}
+
+// cacheEvents takes an engine's word of what it has evicted.
+func (p *Prober) cacheEvents(ctx context.Context, e fleet.Address) {
 	var events struct {
 		Evicted []uint64 `json:"evicted"`
 	}
--- /dev/null
+++ b/probe/probe_test.go
@@ -0,0 +1,91 @@
+package probe_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"github.com/linenscale/linenscale/declare"
+	"github.com/linenscale/linenscale/fleet"
+	"github.com/linenscale/linenscale/probe"
+	"github.com/linenscale/linenscale/route"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func setup(t *testing.T) (*probe.Prober, *fleet.Fleet) {
+	t.Helper()
+	change := declare.Change{Puts: []declare.Envelope{
+		{Object: declare.Region{Name: "r"}},
+		{Object: declare.DataCentre{Name: "d", Region: "r"}},
+		{Object: declare.Service{Name: "s", Type: declare.ServiceModel}},
+	}}
+	for i, ip := range []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"} {
+		e := declare.Engine{Name: string(rune('a' + i)), Service: "s", DataCentre: "d", Address: ip + ":80", Slots: 1}
+		change.Puts = append(change.Puts, declare.Envelope{Object: e})
+	}
+	config, err := declare.Config{}.With(change)
+	must.NoError(t, err)
+	f := fleet.New("r", func() time.Time { return now }, route.Random{}, 1)
+	f.Apply(config, nil)
+	return probe.New(f, http.DefaultTransport, "", zap.NewNop()), f
+}
+
+func list(at time.Time, states ...string) probe.List {
+	l := probe.List{At: at}
+	for i, state := range states {
+		if state != "" {
+			l.Hosts = append(l.Hosts, probe.ListHost{IP: "127.0.1." + string(rune('1'+i)), State: state})
+		}
+	}
+	return l
+}
+
+func health(t *testing.T, f *fleet.Fleet, engine string) route.Health {
+	t.Helper()
+	h, ok := f.Health(engine)
+	must.True(t, ok)
+	return h
+}
+
+func TestLeavingIsBelievedAtOnce(t *testing.T) {
+	p, f := setup(t)
+	p.Believe(list(now, "live", "leaving", "live"), now)
+	must.Eq(t, route.Leaving, health(t, f, "b"))
+	must.Eq(t, route.Healthy, health(t, f, "a"))
+}
+
+func TestEmptyOrOldListProvesNothing(t *testing.T) {
+	p, f := setup(t)
+	for i := range 20 {
+		at := now.Add(time.Duration(i) * time.Second)
+		p.Believe(probe.List{At: at}, at)
+		p.Believe(list(now.Add(-time.Hour), "leaving", "leaving", "leaving"), at)
+	}
+	for _, e := range []string{"a", "b", "c"} {
+		must.Eq(t, route.Healthy, health(t, f, e))
+	}
+}
+
+func TestMissingHostLeavesAfterAWhile(t *testing.T) {
+	p, f := setup(t)
+	p.Believe(list(now, "live", "", "live"), now)
+	must.Eq(t, route.Healthy, health(t, f, "b"))
+	later := now.Add(6 * time.Second)
+	p.Believe(list(later, "live", "", "live"), later)
+	must.Eq(t, route.Leaving, health(t, f, "b"))
+	p.Believe(list(later, "live", "live", "live"), later)
+	must.Eq(t, route.Healthy, health(t, f, "b"))
+}
+
+func TestListOfOthersProvesNothing(t *testing.T) {
+	p, f := setup(t)
+	for i := range 20 {
+		at := now.Add(time.Duration(i) * time.Second)
+		p.Believe(list(at, "live", "", ""), at)
+	}
+	must.Eq(t, route.Healthy, health(t, f, "b"))
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -183,7 +183,7 @@
 // bounds each wait for the caller; look may be nil. It gives the number of
 // bytes passed on; an error of the caller's side is a *CallerError.
 func Copy(w http.ResponseWriter, from io.Reader, slow time.Duration, look Look) (int64, error) {
-	controller := http.NewResponseController(w)
+	out := &patient{w: w, controller: http.NewResponseController(w), slow: slow}
 	chunk := chunks.Get().(*[chunkSize]byte)
 	defer chunks.Put(chunk)
 	var total int64
@@ -194,7 +194,7 @@
 			n, end = look(chunk[:n])
 		}
 		if n > 0 {
-			if err := pass(w, controller, chunk[:n], slow); err != nil {
+			if err := out.pass(chunk[:n]); err != nil {
 				return total, err
 			}
 			total += int64(n)
@@ -217,14 +217,27 @@
 // Unwrap gives the cause.
 func (e *CallerError) Unwrap() error { return e.cause }
 
-func pass(w http.ResponseWriter, controller *http.ResponseController, data []byte, slow time.Duration) error {
-	// A deadline set before each write would cost a timer each time, so the
-	// error of an unsupported writer is all that is looked at here.
-	_ = controller.SetWriteDeadline(time.Now().Add(slow))
-	if _, err := w.Write(data); err != nil {
+// patient writes to a caller and bounds each wait for it.
+type patient struct {
+	w          http.ResponseWriter
+	controller *http.ResponseController
+	slow       time.Duration
+	until      time.Time // the deadline that is set
+}
+
+// pass writes and flushes. The deadline is moved only when a quarter of it has
+// gone, since each move costs a timer: a caller so has between three quarters
+// and the whole of the time.
+func (p *patient) pass(data []byte) error {
+	if now := time.Now(); p.until.Sub(now) < p.slow*3/4 {
+		p.until = now.Add(p.slow)
+		// A writer without deadlines, as in tests, is as good.
+		_ = p.controller.SetWriteDeadline(p.until)
+	}
+	if _, err := p.w.Write(data); err != nil {
 		return &CallerError{err}
 	}
-	if err := controller.Flush(); err != nil {
+	if err := p.controller.Flush(); err != nil {
 		return &CallerError{err}
 	}
 	return nil
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -63,7 +63,7 @@
 const ringSize = 4096
 
 // tickEvery is how often the node is told the time.
-const tickEvery = 10 * time.Millisecond
+const tickEvery = 25 * time.Millisecond
 
 // Replica is one replica. Open makes one; Run runs it.
 type Replica struct {
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,115 @@
+package wire_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/goleak"
+
+	"github.com/linenscale/linenscale/wire"
+)
+
+// Echo is a receiver that can hang.
+type Echo struct {
+	hang  chan struct{}
+	calls atomic.Int64
+}
+
+// Say answers what it was told.
+func (e *Echo) Say(text string, reply *string) error {
+	*reply = text
+	return nil
+}
+
+// Fail answers with an error.
+func (e *Echo) Fail(string, *string) error { return errors.New("no") }
+
+// Hang answers when the test ends.
+func (e *Echo) Hang(string, *string) error {
+	<-e.hang
+	return nil
+}
+
+// Take counts messages.
+func (e *Echo) Take(messages []int, _ *wire.Nothing) error {
+	e.calls.Add(int64(len(messages)))
+	return nil
+}
+
+func serve(t *testing.T) (*Echo, string) {
+	t.Helper()
+	echo := &Echo{hang: make(chan struct{})}
+	server := wire.NewServer()
+	must.NoError(t, server.Register("Echo", echo))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	group := pool.New()
+	group.Go(func() { _ = server.Serve(ctx, listener) })
+	t.Cleanup(func() {
+		close(echo.hang)
+		cancel()
+		group.Wait()
+	})
+	return echo, listener.Addr().String()
+}
+
+func kindOf(t *testing.T, err error) wire.Kind {
+	t.Helper()
+	var failed *wire.Error
+	must.True(t, errors.As(err, &failed))
+	return failed.Kind
+}
+
+func TestPeerThatHangsHoldsNothingUp(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	t.Run("calls", func(t *testing.T) {
+		_, address := serve(t)
+		client := wire.NewClient(&net.Dialer{Timeout: time.Second})
+		defer client.Close()
+		var reply string
+		err := client.WithTimeout(context.Background(), 50*time.Millisecond, address, "Echo.Hang", "x", &reply)
+		must.Eq(t, wire.Unanswered, kindOf(t, err))
+		must.NoError(t, client.WithTimeout(context.Background(), time.Second, address, "Echo.Say", "hello", &reply))
+		must.Eq(t, "hello", reply)
+		must.Eq(t, wire.Refused, kindOf(t, client.WithTimeout(context.Background(), time.Second, address, "Echo.Fail", "x", &reply)))
+	})
+}
+
+func TestUnreachablePeerIsUnsent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	listener.Close()
+	client := wire.NewClient(&net.Dialer{Timeout: time.Second})
+	err = client.WithTimeout(context.Background(), time.Second, listener.Addr().String(), "Echo.Say", "x", new(string))
+	must.Eq(t, wire.Unsent, kindOf(t, err))
+}
+
+func TestSenderSurvivesALostPeer(t *testing.T) {
+	echo, address := serve(t)
+	sender := wire.NewSender[int](&net.Dialer{Timeout: time.Second}, "Echo.Take")
+	ctx, cancel := context.WithCancel(context.Background())
+	group := pool.New()
+	group.Go(func() { _ = sender.Run(ctx) })
+	defer group.Wait()
+	defer cancel()
+	for i := range 5000 { // nobody listens there
+		sender.Post("127.0.0.1:1", i)
+	}
+	for i := range 100 {
+		sender.Post(address, i)
+	}
+	for range 200 {
+		if echo.calls.Load() == 100 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("%d of 100 messages arrived", echo.calls.Load())
+}
