--- a/agent/agent.go
+++ b/agent/agent.go
@@ -74,6 +74,7 @@
 	bad        map[string]time.Time
 	members    map[string]member
 	regions    map[string]*link
+	loads      map[string]regionLoad // newest word of each other region
 	batch      *reportBatch
 	behind     int // reports in a row that found the leader ahead
 	wasServing bool
@@ -94,6 +95,7 @@
 		bad:     make(map[string]time.Time),
 		members: make(map[string]member),
 		regions: make(map[string]*link),
+		loads:   make(map[string]regionLoad),
 	}
 }
 
@@ -213,6 +215,15 @@
 	return func(engine string) bool { return held[engine] }
 }
 
+// ownLoads gives the loads of this region's engines, as this host sees them.
+func (a *Agent) ownLoads() []leader.ServiceLoad {
+	var out []leader.ServiceLoad
+	for _, d := range a.Fleet.Digests() {
+		out = append(out, leader.ServiceLoad{Service: d.Service, Slots: d.Digest.Slots, Load: d.Digest.Load, ServiceTime: d.Digest.ServiceTime})
+	}
+	return out
+}
+
 // isServing tells whether the host takes requests now.
 func (a *Agent) isServing() bool {
 	a.mu.Lock()
@@ -224,7 +235,7 @@
 func (a *Agent) status() leader.HostStatus {
 	status := leader.HostStatus{
 		Host: a.Host.Name, DataCentre: a.Host.DataCentre, Region: a.Host.Region,
-		InFlight: int(a.InFlight()), Replica: a.Replica, Services: a.Fleet.Digests(),
+		InFlight: int(a.InFlight()), Replica: a.Replica, Services: a.ownLoads(),
 	}
 	status.KeyReplica, status.KeyLeader = a.KeyReplica()
 	a.mu.Lock()
--- a/agent/duties.go
+++ b/agent/duties.go
@@ -18,7 +18,8 @@
 const (
 	watchWait    = 2 * time.Second
 	retryPause   = 100 * time.Millisecond
-	membersEvery = time.Second
+	membersEvery = 2 * time.Second
+	hostsEvery   = 2 // of those, one asks for the hosts as well
 	pingEvery    = 2 * time.Second
 	pingTime     = time.Second
 )
@@ -240,18 +241,19 @@
 	return reply, err
 }
 
-// learnMembers is the duty that learns of the other hosts.
+// learnMembers is the duty that learns of the other hosts and regions.
 func (a *Agent) learnMembers(ctx context.Context) error {
-	for ctx.Err() == nil {
-		reply, err := a.membersOnce(ctx, leader.MembersArgs{})
-		if err == nil {
-			for _, status := range reply.Hosts {
-				a.noteMember(status)
-			}
-		}
+	for round := 0; ctx.Err() == nil; round++ {
+		reply, err := a.membersOnce(ctx, leader.MembersArgs{Hosts: round%hostsEvery == 0})
 		wait := membersEvery
-		if len(reply.Hosts) < 2 {
-			wait = retryPause // just started: nobody is known yet
+		if err != nil || len(reply.Hosts) == 1 {
+			wait, round = retryPause, -1 // just started: nobody is known yet
+		}
+		for _, status := range reply.Hosts {
+			a.noteMember(status)
+		}
+		for _, load := range reply.Regions {
+			a.noteRegion(load)
 		}
 		pause(ctx, wait)
 	}
@@ -261,7 +263,7 @@
 func (a *Agent) membersOnce(ctx context.Context, args leader.MembersArgs) (leader.MembersReply, error) {
 	var reply leader.MembersReply
 	err := a.ask(ctx, args.Hops, 0, func() *leader.NotLeader {
-		reply = a.Leader.Members()
+		reply = a.Leader.Members(args)
 		return reply.NotLeader
 	}, func(ctx context.Context, _ target, address string) (*leader.NotLeader, error) {
 		next := args
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -12,7 +12,7 @@
 )
 
 // memberLife is how old a host's word may be for it to be recommended.
-const memberLife = 5 * time.Second
+const memberLife = 8 * time.Second
 
 // link is what is known of the way to another region. The zero value is a way
 // that has not been tried.
@@ -66,37 +66,39 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	newest := map[string]int{a.Host.Region: 0}
-	for _, m := range a.members {
-		if m.status.Region == a.Host.Region || !m.status.Ready {
-			continue
-		}
-		d, ok := a.digest(m, service)
-		if !ok {
-			continue
-		}
-		at, known := newest[d.Region]
-		switch {
-		case !known:
-			newest[d.Region] = len(out)
+	for region, known := range a.loads {
+		if d, ok := a.digest(region, known, service); ok {
 			out = append(out, d)
-		case d.At.After(out[at].At):
-			out[at] = d
 		}
 	}
 	return out
 }
 
-// digest gives a member's word on a service in its region, with the time by
-// this host's clock and the way there. The lock is held.
-func (a *Agent) digest(m member, service string) (route.Digest, bool) {
-	for _, s := range m.status.Services {
+// regionLoad is what is known of another region's engines.
+type regionLoad struct {
+	services []leader.ServiceLoad
+	at       time.Time // when it was said, by this host's clock
+}
+
+// noteRegion takes over the word of a region, unless a newer one is known.
+func (a *Agent) noteRegion(load leader.RegionLoad) {
+	at := time.Now().Add(-load.Age)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if load.Region != a.Host.Region && at.After(a.loads[load.Region].at) {
+		a.loads[load.Region] = regionLoad{load.Services, at}
+	}
+}
+
+// digest gives the digest of a service in another region, and the way there.
+// The lock is held.
+func (a *Agent) digest(region string, known regionLoad, service string) (route.Digest, bool) {
+	for _, s := range known.services {
 		if s.Service != service {
 			continue
 		}
-		d := s.Digest
-		d.At = m.at
-		if l := a.regions[d.Region]; l != nil {
+		d := route.Digest{Region: region, Slots: s.Slots, Load: s.Load, ServiceTime: s.ServiceTime, At: known.at}
+		if l := a.regions[region]; l != nil {
 			d.RoundTrip, d.Cut = l.roundTrip, l.cut()
 		}
 		d.RoundTrip = max(d.RoundTrip, time.Millisecond)
--- a/agent/service.go
+++ b/agent/service.go
@@ -118,7 +118,7 @@
 // Members answers with what this host knows of all hosts.
 func (s *Service) Members(args leader.MembersArgs, reply *leader.MembersReply) error {
 	if s.agent.Leader != nil {
-		if got := s.agent.Leader.Members(); got.NotLeader == nil {
+		if got := s.agent.Leader.Members(args); got.NotLeader == nil {
 			*reply = got
 			return nil
 		}
@@ -127,10 +127,24 @@
 		*reply = leader.MembersReply{NotLeader: &leader.NotLeader{}}
 		return nil
 	}
-	reply.Hosts = s.agent.knownMembers()
+	reply.Regions = s.agent.knownRegions()
+	if args.Hosts {
+		reply.Hosts = leader.WithoutServices(s.agent.knownMembers())
+	}
 	return nil
 }
 
+// knownRegions gives what this host knows of all regions' engines.
+func (a *Agent) knownRegions() []leader.RegionLoad {
+	out := []leader.RegionLoad{{Region: a.Host.Region, Services: a.ownLoads()}}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for region, known := range a.loads {
+		out = append(out, leader.RegionLoad{Region: region, Age: time.Since(known.at), Services: known.services})
+	}
+	return out
+}
+
 func (a *Agent) knownMembers() []leader.HostStatus {
 	own := a.status()
 	a.mu.Lock()
--- a/cmd/linenscale-lab/main.go
+++ b/cmd/linenscale-lab/main.go
@@ -36,6 +36,8 @@
 	flaggy.AttachSubcommand(load.command, 1)
 	decisions := newDecisionsCommand()
 	flaggy.AttachSubcommand(decisions.command, 1)
+	slopes := newCapacityCommand()
+	flaggy.AttachSubcommand(slopes.command, 1)
 	flaggy.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -50,6 +52,8 @@
 		err = load.run(ctx)
 	case decisions.command.Used:
 		err = decisions.run()
+	case slopes.command.Used:
+		err = slopes.run()
 	default:
 		flaggy.ShowHelpAndExit("name a subcommand")
 	}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -194,12 +194,46 @@
 // statusLife is how long a host's status is passed on.
 const statusLife = 10 * time.Second
 
-// Members gives the status of all hosts that have reported lately.
-func (l *Leader) Members() MembersReply {
+// Members gives the loads of all regions, and the status of all hosts that have
+// reported lately if that is asked for.
+func (l *Leader) Members(args MembersArgs) MembersReply {
 	if not := l.leads(); not != nil {
 		return MembersReply{NotLeader: not}
 	}
-	return MembersReply{Hosts: l.hosts()}
+	all := l.hosts()
+	reply := MembersReply{Regions: RegionLoads(all)}
+	if args.Hosts {
+		reply.Hosts = WithoutServices(all)
+	}
+	return reply
+}
+
+// RegionLoads gives, for each region, the newest word of a host that serves.
+func RegionLoads(hosts []HostStatus) []RegionLoad {
+	at := map[string]int{}
+	var out []RegionLoad
+	for _, h := range hosts {
+		i, known := at[h.Region]
+		switch {
+		case !h.Ready || len(h.Services) == 0:
+		case !known:
+			at[h.Region] = len(out)
+			out = append(out, RegionLoad{h.Region, h.Age, h.Services})
+		case h.Age < out[i].Age:
+			out[i] = RegionLoad{h.Region, h.Age, h.Services}
+		}
+	}
+	return out
+}
+
+// WithoutServices gives the hosts' status without the loads.
+func WithoutServices(hosts []HostStatus) []HostStatus {
+	out := make([]HostStatus, len(hosts))
+	for i, h := range hosts {
+		h.Services = nil
+		out[i] = h
+	}
+	return out
 }
 
 func (l *Leader) hosts() []HostStatus {
@@ -306,7 +340,7 @@
 	if err != nil {
 		return StateReply{}, errors.Trace(err)
 	}
-	reply := StateReply{Raft: l.replica.Status(), Hosts: l.hosts()}
+	reply := StateReply{Raft: l.replica.Status(), Hosts: WithoutServices(l.hosts())}
 	l.machine.read(func(s *control.State) {
 		reply.View = s.View()
 		reply.History = s.History(args.After)
--- a/leader/types.go
+++ b/leader/types.go
@@ -11,7 +11,6 @@
 
 	"github.com/linenscale/linenscale/control"
 	"github.com/linenscale/linenscale/declare"
-	"github.com/linenscale/linenscale/fleet"
 	"github.com/linenscale/linenscale/raft"
 )
 
@@ -29,9 +28,24 @@
 	// Age is how long ago the host said this. Ages are passed on in the
 	// place of times, because clocks differ.
 	Age time.Duration
-	// Services are the digests of the region's engines, as this host sees
-	// them.
-	Services []fleet.ServiceDigest
+	// Services are the loads of the region's engines, as this host sees them.
+	// They go to the leader, which passes on one word for each region.
+	Services []ServiceLoad
+}
+
+// ServiceLoad is the state of one service's engines in a region.
+type ServiceLoad struct {
+	Service     string
+	Slots       int // of healthy engines
+	Load        int // running and waiting
+	ServiceTime time.Duration
+}
+
+// RegionLoad is the newest word of a region's engines.
+type RegionLoad struct {
+	Region   string
+	Age      time.Duration
+	Services []ServiceLoad
 }
 
 // Report is a host's regular message to the leader.
@@ -82,13 +96,18 @@
 	View      *control.View
 }
 
-// MembersArgs asks for the status of all hosts.
-type MembersArgs struct{ Hops int }
+// MembersArgs asks for the loads of all regions and, if Hosts is set, for the
+// status of all hosts.
+type MembersArgs struct {
+	Hops  int
+	Hosts bool
+}
 
-// MembersReply holds the status of each host that has reported lately.
+// MembersReply answers it. The status of hosts is without their Services.
 type MembersReply struct {
 	NotLeader *NotLeader
 	Hosts     []HostStatus
+	Regions   []RegionLoad
 }
 
 // ProposeArgs asks for a change.
--- a/spec/log.pml
+++ b/spec/log.pml
@@ -16,8 +16,10 @@
  *
  * Planted faults, one at a time by -D: OLD_IDENTITY (a voter that lost its disk
  * comes back as its old self), STALE_VOTE (votes for a log that is behind),
- * OLD_TERM (entries of earlier terms are committed by counting), EARLY_VOTE (a
- * learner gets a vote before it has caught up, and two voters change at once).
+ * EARLY_VOTE (a learner gets a vote before it has caught up, and two voters
+ * change at once). A fourth, OLD_TERM (entries of earlier terms are committed by
+ * counting), needs four terms, more than can be searched; the histories of
+ * package control find it.
  */
 
 #define IDS 4
