Don't crash on the line that tells of a replaced voter

Cause: zap-logfmt panics on a slice of a named string type, so the leader of each log died when it logged that members had changed; found by taking a disk away from a running system. No test had a real encoder under the log. Ruled out: the change of members itself, which the model and the histories check; the process that lost its disk went on. Change: identities are logged as plain strings; the processes' tests log through the real encoder, and one takes a voter's folder away.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -9,13 +9,13 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/sourcegraph/conc/pool"
-	"go.uber.org/zap"
 
 	"github.com/linenscale/linenscale/control"
 	"github.com/linenscale/linenscale/daemon"
@@ -24,6 +24,7 @@
 	"github.com/linenscale/linenscale/request"
 	"github.com/linenscale/linenscale/settings"
 	"github.com/linenscale/linenscale/standin"
+	"github.com/linenscale/linenscale/telemetry"
 )
 
 // association is three hosts of one data centre, run in this process.
@@ -67,7 +68,9 @@
 func (a *association) start(name string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	group := pool.New().WithErrors()
-	group.Go(func() error { return daemon.Run(ctx, a.settings, name, zap.NewNop()) })
+	log, err := telemetry.NewLogger(io.Discard, "debug") // what is logged must be fit to be written
+	must.NoError(a.t, err)
+	group.Go(func() error { return daemon.Run(ctx, a.settings, name, log) })
 	a.stop[name] = func() {
 		cancel()
 		must.NoError(a.t, group.Wait())
@@ -176,3 +179,33 @@
 	must.True(t, replayed)
 	must.Eq(t, 1, portal.Ran("k1"))
 }
+
+// TestLostDiskIsReplacedWithoutAnOperator takes a voter's data folder away. Its
+// host must come back under a new identity, which takes the old one's place.
+func TestLostDiskIsReplacedWithoutAnOperator(t *testing.T) {
+	portal := standin.NewPlain("p1", 0)
+	server := httptest.NewServer(portal)
+	defer server.Close()
+	a := newAssociation(t, strings.TrimPrefix(server.URL, "http://"))
+	for _, name := range []string{"h1", "h2", "h3"} {
+		a.start(name)
+	}
+	a.awaitReady("h1", "h2", "h3")
+	a.order("h1", "k1")
+	a.stop["h1"]()
+	must.NoError(t, os.RemoveAll(filepath.Join(a.settings.DataRoot, "h1")))
+	a.start("h1")
+	replaced := false
+	for range 200 {
+		status, err := a.client().Status(context.Background())
+		if err == nil && len(status.Voters) == 3 && !slices.Contains(status.Voters, "h1#1") {
+			replaced = true
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	must.True(t, replaced)
+	_, replayed := a.order("h1", "k1")
+	must.True(t, replayed)
+	must.Eq(t, 1, portal.Ran("k1"))
+}
--- a/voters/voters.go
+++ b/voters/voters.go
@@ -74,7 +74,17 @@
 	if errors.Is(err, raft.ErrMembershipPending) {
 		return
 	}
-	k.log.Info("members changed", zap.String("why", why), zap.Any("voters", next.Voters), zap.Any("learners", next.Learners), zap.Error(err))
+	k.log.Info("members changed", zap.String("why", why), zap.Strings("voters", names(next.Voters)), zap.Strings("learners", names(next.Learners)), zap.Error(err))
+}
+
+// names gives identities as plain strings: the encoder of the log takes no other
+// slices.
+func names(ids []raft.ID) []string {
+	out := make([]string, len(ids))
+	for i, id := range ids {
+		out[i] = string(id)
+	}
+	return out
 }
 
 // HostOf gives the host part of a replica's identity.
