Join what stood twice: quorum figures, scripts

Cause: three loops over the voters of a leader, and two copies of the scripts' process handling; the measurement of memory could not open more streams than the example's engines have slots. Change: one quorum function; examples/common.sh; the memory part runs on the example with 1000 slots to an engine.

--- a/examples/measure.sh
+++ b/examples/measure.sh
@@ -5,27 +5,15 @@
 set -euo pipefail
 bin=${1:?usage: measure.sh BIN_DIR}
 here=$(cd "$(dirname "$0")" && pwd)
-work=$(mktemp -d)
-pids=()
-finish() {
-	for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-	for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-	rm -rf "$work"
-}
-trap finish EXIT
+source "$here/common.sh"
 settings=$here/cooperative/settings.yaml
-run() { # token-time
-	(cd "$work" && exec "$bin/linenscale-lab" serve --settings "$settings" --token-time "$1" >/dev/null 2>"$work/lab.log") &
-	lab=$!
-	pids+=($lab)
-}
-run 2ms
-for host in ikeja-1 wuse-1 nassarawa-1; do
-	(cd "$work" && exec "$bin/linenscaled" --settings "$settings" --host "$host" --log-level warn 2>"$work/$host.log") &
-	pids+=($!)
-	[ "$host" = ikeja-1 ] && gateway=$!
+start lab "$bin/linenscale-lab" serve --settings "$settings" --token-time 2ms
+lab=$started
+for host in wuse-1 nassarawa-1 ikeja-1; do
+	start "$host" "$bin/linenscaled" --settings "$settings" --host "$host" --log-level warn
 done
-for _ in $(seq 200); do curl -fs -o /dev/null http://127.10.1.1:7100/readyz && break; sleep 0.1; done
+gateway=$started
+ready http://127.10.1.1:7100/readyz
 cpu() { awk '{print ($14 + $15) * 10}' "/proc/$gateway/stat"; } # milliseconds
 rss() { awk '/^VmRSS/ {print $2}' "/proc/$gateway/status"; }    # KiB
 url=http://127.10.1.1:7100/services/review-assistant/v1/chat/completions
@@ -36,23 +24,32 @@
 load --direct "$direct" --gateway "$url" --rate 20 --time 2s --tokens 5 >/dev/null
 load --direct "$direct" --gateway "$url" --rate 100 --time 10s --tokens 5
 
-echo "== processor time, ${RATE:=150} streams a second of ${TOKENS:=100} tokens"
+echo "== processor time, ${RATE:=80} streams a second of ${TOKENS:=200} tokens"
 before=$(cpu)
 load --gateway "$url" --rate "$RATE" --time 10s --tokens "$TOKENS" --parallel 2048 | tee "$work/load.txt"
 after=$(cpu)
-events=$(awk '$1 == "gateway" {print $6 * 10}' "$work/load.txt")
+events=$(awk -v tokens="$TOKENS" '$1 == "gateway" {print $3 * (tokens + 1)}' "$work/load.txt")
 echo "processor time $((after - before)) ms for about $events events: $((events * 1000 / (after - before))) events a second for each core"
 
-echo "== memory, open streams"
-idle=$(rss)
-kill -TERM "$lab"
-wait "$lab" 2>/dev/null || true
-sed 's/slots: 8/slots: 1000/' -i "$work"/nothing 2>/dev/null || true
-run 100ms
+echo "== memory, open streams (engines of the example with 1000 slots each)"
+for pid in "${pids[@]}"; do kill -TERM "$pid"; done
+for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+pids=()
+cp -r "$here/cooperative" "$work/wide"
+sed -i 's/slots: 8/slots: 1000/' "$work"/wide/declarations/*.yaml
+settings=$work/wide/settings.yaml
+start lab "$bin/linenscale-lab" serve --settings "$settings" --token-time 250ms
+rm -rf "$work/data"
+for host in wuse-1 nassarawa-1 ikeja-1; do
+	start "$host" env GOMAXPROCS=1 "$bin/linenscaled" --settings "$settings" --host "$host" --log-level warn
+done
+gateway=$started
+ready http://127.10.1.1:7100/readyz
 sleep 2
-load --gateway "$url" --rate 45 --time 6s --tokens 60 --parallel 4096 >/dev/null &
+idle=$(rss)
+load --gateway "$url" --rate 250 --time 10s --tokens 60 --parallel 6000 >/dev/null &
 loader=$!
-sleep 5
+sleep 9
 open=$(curl -s http://127.10.1.1:7400/metrics | awk '/^linenscale_in_flight/ {n += $2} END {print n}')
 full=$(rss)
 wait "$loader" || true
--- a/raft/node.go
+++ b/raft/node.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -358,56 +359,39 @@
 	return n.quorumHeard().Add(safe)
 }
 
-// quorumHeard gives the sending time of the newest round that a quorum, this
-// replica included, has answered.
-func (n *Node) quorumHeard() time.Time {
-	times := make([]time.Time, 0, len(n.members.Voters))
+// quorum gives the greatest value that a majority of the voters has reached: own
+// is this replica's, of gives another's, and missing stands in for a voter that
+// nothing is known of.
+func quorum[T any](n *Node, own, missing T, of func(*progress) T, compare func(a, b T) int) T {
+	values := make([]T, 0, len(n.members.Voters))
 	for _, id := range n.members.Voters {
 		switch p := n.peers[id]; {
 		case id == n.opts.ID:
-			times = append(times, n.now)
+			values = append(values, own)
 		case p != nil:
-			times = append(times, p.acked)
+			values = append(values, of(p))
 		default:
-			times = append(times, time.Time{})
+			values = append(values, missing)
 		}
 	}
-	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
-	return times[n.members.Quorum()-1]
+	slices.SortFunc(values, func(a, b T) int { return compare(b, a) })
+	return values[n.members.Quorum()-1]
+}
+
+// quorumHeard gives the sending time of the newest round that a quorum, this
+// replica included, has answered.
+func (n *Node) quorumHeard() time.Time {
+	return quorum(n, n.now, time.Time{}, func(p *progress) time.Time { return p.acked }, time.Time.Compare)
 }
 
 func (n *Node) quorumRound() uint64 {
-	rounds := make([]uint64, 0, len(n.members.Voters))
-	for _, id := range n.members.Voters {
-		switch p := n.peers[id]; {
-		case id == n.opts.ID:
-			rounds = append(rounds, n.round)
-		case p != nil:
-			rounds = append(rounds, p.round)
-		default:
-			rounds = append(rounds, 0)
-		}
-	}
-	slices.SortFunc(rounds, func(a, b uint64) int { return int(int64(b - a)) })
-	return rounds[n.members.Quorum()-1]
+	return quorum(n, n.round, 0, func(p *progress) uint64 { return p.round }, cmp.Compare[uint64])
 }
 
+// maybeCommit commits what a quorum holds, if it is of this leader's term.
 func (n *Node) maybeCommit() {
-	matches := make([]uint64, 0, len(n.members.Voters))
-	for _, id := range n.members.Voters {
-		switch p := n.peers[id]; {
-		case id == n.opts.ID:
-			matches = append(matches, n.stable)
-		case p != nil:
-			matches = append(matches, p.match)
-		default:
-			matches = append(matches, 0)
-		}
-	}
-	slices.Sort(matches)
-	slices.Reverse(matches)
-	quorum := matches[n.members.Quorum()-1]
-	if term, ok := n.log.term(quorum); ok && quorum > n.commit && term == n.hard.Term {
-		n.commit = quorum
+	match := quorum(n, n.stable, 0, func(p *progress) uint64 { return p.match }, cmp.Compare[uint64])
+	if term, ok := n.log.term(match); ok && match > n.commit && term == n.hard.Term {
+		n.commit = match
 	}
 }
