--- a/gateway/body.go
+++ b/gateway/body.go
@@ -158,8 +158,6 @@
 
 const eventStream = "text/event-stream"
 
-var _ io.Reader = (*bodyEnd)(nil)
-
 // answerHeaders copies the headers of an answer for the caller.
 func answerHeaders(to http.Header, resp *http.Response) {
 	for name, values := range forward(resp.Header) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -402,3 +402,33 @@
 	must.Eq(t, http.StatusOK, a.status)
 	must.Eq(t, "", a.header.Get(request.HeaderOutcome))
 }
+
+// TestSlowCallerIsLetGo lets a caller ask for a long answer and read nothing of
+// it. Others must be served meanwhile, and the engine's slot given back.
+func TestSlowCallerIsLetGo(t *testing.T) {
+	service := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/long" {
+			return
+		}
+		chunk := make([]byte, 64<<10)
+		for range 1024 {
+			if _, err := w.Write(chunk); err != nil {
+				return
+			}
+		}
+	})
+	e := newEntry(t, "a", objects(anywhere, engineAt("p1", plainService, "da", serve(t, service))))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(e.callers, "http://"))
+	must.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /services/portal/long HTTP/1.1\r\nHost: x\r\nLinenscale-Home: a\r\n\r\n")
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, e.call(t, http.MethodGet, "/services/portal/short", "").status)
+	for range 200 {
+		if e.fleet.InFlight("p1") == 0 && e.server.InFlight() == 0 {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatal("the slow caller still holds its slot")
+}
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -130,12 +129,10 @@
 	if half, ok := conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
 	}
-	linger(conn)
+	// Waiting without reading lets the refusal arrive before the reset.
+	time.Sleep(lingerTime)
 }
 
-// linger waits without reading, so that the refusal arrives before the reset.
-func linger(net.Conn) { time.Sleep(lingerTime) }
-
 // abort ends a connection whose answer can't be completed, so that the caller
 // sees it fail.
 func abort() { panic(http.ErrAbortHandler) }
--- a/gateway/system_test.go
+++ b/gateway/system_test.go
@@ -182,6 +182,7 @@
 	must.NoError(t, err)
 	limits := settings.DefaultLimits
 	limits.RequestTime = 20 * time.Second
+	limits.SlowCallerTime = 500 * time.Millisecond
 	client := relay.New(&net.Dialer{Timeout: time.Second}, limits.RequestTime)
 	t.Cleanup(client.Close)
 	var random atomic.Uint64
