Elect after 1 s and lease for 2.5 s

Cause: a change asked for right after the loss of a leader that is also a host of the data centre it matters to took up to 7.9 s, aim 7 s: election and lease add up. Ruled out: shorter heartbeats; a round trip between regions is 160 ms and a leader's lease is renewed each 250 ms as it is.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -86,8 +86,8 @@
 	}
 	DefaultTiming = Timing{
 		Heartbeat: 250 * time.Millisecond,
-		Election:  1500 * time.Millisecond,
-		Lease:     3 * time.Second,
+		Election:  time.Second,
+		Lease:     2500 * time.Millisecond,
 		Decide:    5 * time.Second,
 	}
 )
