Ask a key's home once for a call that is handed over

Cause: an entry host that got a keyed call from another looked its key up again, found the first host's intent in progress, and refused the call as not run: a keyed call that arrived away from its member's home region never ran. Found by reading; no test joined a key with a hand-over. Ruled out: the table (in progress is the right verdict for a second host). Change: only the host that took the call in asks the home.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -432,3 +432,23 @@
 	}
 	t.Fatal("the slow caller still holds its slot")
 }
+
+// TestKeyedCallThatIsHandedOverAsksItsHomeOnce lets a call with a key arrive away
+// from its home region: the host that took it in has recorded the intent, so the
+// one that it is handed to must not take that for an earlier call.
+func TestKeyedCallThatIsHandedOverAsksItsHomeOnce(t *testing.T) {
+	plain := standin.NewPlain("pb", 0)
+	all := objects(anywhere, engineAt("pb", plainService, "db", serve(t, plain)))
+	a, b := newEntry(t, "a", all), newEntry(t, "b", all)
+	b.keys.table = a.keys.table // one home
+	a.entries = []declare.Host{b.object()}
+	a.regions = []route.Digest{{Region: "b", Slots: 8, At: time.Now(), RoundTrip: time.Millisecond}}
+	order := func() answer {
+		return a.call(t, http.MethodPost, "/services/portal/orders", "x", request.HeaderHome, "b", request.HeaderIdempotency, "k", "Order", "o1")
+	}
+	first := order()
+	must.Eq(t, http.StatusOK, first.status, must.Sprintf("%+v", first))
+	must.Eq(t, first.body, order().body)
+	must.Eq(t, 1, plain.Ran("o1"))
+	must.Eq(t, 1, b.arrived.Load())
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -33,7 +33,8 @@
 		x.r.Body = p.flow
 	}
 	var err error
-	if x.req.Key != "" && !x.req.Repeatable {
+	if x.req.Key != "" && !x.req.Repeatable && !x.fixed {
+		// The host that hands a call over has asked the key's home already.
 		err = s.keyed(x, p)
 	} else {
 		err = s.attempts(x, p)
