Don't let a late answer of a call be written where it is still read

Ruled out: the lease's own lock, which is held on both sides. Change: each call is answered into a value of its own, copied only on success; writes to a peer end after 2 s, since net/rpc writes under a lock; peers are served in the order of the members. A new test fails with the old code by the race detector.

--- a/raft/node.go
+++ b/raft/node.go
@@ -221,8 +221,11 @@
 		n.rounds = n.rounds[1:]
 	}
 	n.beatAt = n.now.Add(n.opts.Heartbeat)
-	for id, p := range n.peers {
-		n.send(id, p)
+	// In the order of the members, so that equal inputs give equal messages.
+	for _, id := range slices.Concat(n.members.Voters, n.members.Learners) {
+		if p := n.peers[id]; p != nil {
+			n.send(id, p)
+		}
 	}
 }
 
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -2,7 +2,10 @@
 
 package raft
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Ready is one batch of work. The owner makes Hard, Install and Entries
 // durable, in that order, then sends Messages, then applies Committed.
@@ -107,8 +110,10 @@
 		Last: n.log.lastIndex(), Members: n.members, Lease: n.LeaseUntil(), Snapshot: n.log.snapshot.Index,
 	}
 	if n.role == Leader {
-		for id, p := range n.peers {
-			s.Peers = append(s.Peers, PeerStatus{id, p.match, p.heard})
+		for _, id := range slices.Concat(n.members.Voters, n.members.Learners) {
+			if p := n.peers[id]; p != nil {
+				s.Peers = append(s.Peers, PeerStatus{id, p.match, p.heard})
+			}
 		}
 	}
 	return s
--- a/wire/client.go
+++ b/wire/client.go
@@ -12,6 +12,7 @@
 	"context"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 
@@ -72,7 +73,10 @@
 	if err != nil {
 		return &Error{Unsent, address, method, err}
 	}
-	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// A call that is given up may still be answered: the answer goes into a
+	// value that nobody else looks at.
+	got := reflect.New(reflect.TypeOf(reply).Elem())
+	call := conn.Go(method, args, got.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
@@ -84,6 +88,7 @@
 	var refused rpc.ServerError
 	switch {
 	case call.Error == nil:
+		reflect.ValueOf(reply).Elem().Set(got.Elem())
 		return nil
 	case errors.As(call.Error, &refused):
 		return &Error{Refused, address, method, call.Error}
@@ -105,7 +110,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	fresh := rpc.NewClient(raw)
+	fresh := rpc.NewClient(bounded{raw})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if conn, ok = c.conns[address]; ok {
@@ -116,6 +121,21 @@
 	return fresh, nil
 }
 
+// writeTime bounds each write to a connection: net/rpc writes while it holds a
+// lock, so that a peer which takes nothing would hold up every call to it.
+const writeTime = 2 * time.Second
+
+// bounded is a connection whose writes end.
+type bounded struct{ net.Conn }
+
+// Write implements net.Conn.
+func (b bounded) Write(data []byte) (int, error) {
+	if err := b.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+		return 0, errors.Trace(err)
+	}
+	return b.Conn.Write(data)
+}
+
 func (c *Client) drop(address string, conn *rpc.Client) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/wire/sender.go
+++ b/wire/sender.go
@@ -94,7 +94,7 @@
 			pause(ctx, senderPause)
 			continue
 		}
-		client := rpc.NewClient(raw)
+		client := rpc.NewClient(bounded{raw})
 		s.stream(ctx, client, queue)
 		client.Close()
 	}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -36,6 +36,13 @@
 	return nil
 }
 
+// Slow answers a list after a moment.
+func (e *Echo) Slow(wait time.Duration, reply *[]string) error {
+	time.Sleep(wait)
+	*reply = []string{"late", "answer"}
+	return nil
+}
+
 // Take counts messages.
 func (e *Echo) Take(messages []int, _ *wire.Nothing) error {
 	e.calls.Add(int64(len(messages)))
@@ -113,3 +120,29 @@
 	}
 	t.Fatalf("%d of 100 messages arrived", echo.calls.Load())
 }
+
+// TestLateAnswerTouchesNothing gives calls up and goes on using their replies
+// while the answers come in; the race detector sees a late answer that is still
+// written there.
+func TestLateAnswerTouchesNothing(t *testing.T) {
+	_, address := serve(t)
+	client := wire.NewClient(&net.Dialer{Timeout: time.Second})
+	defer client.Close()
+	for range 30 {
+		var reply []string
+		ctx, cancel := context.WithCancel(context.Background())
+		group := pool.New()
+		group.Go(func() {
+			time.Sleep(5 * time.Millisecond)
+			cancel() // given up, with the connection kept
+		})
+		err := client.Call(ctx, address, "Echo.Slow", 6*time.Millisecond, &reply)
+		for range 100 {
+			if err != nil {
+				reply = nil
+			}
+			time.Sleep(50 * time.Microsecond)
+		}
+		group.Wait()
+	}
+}
