Give each test association loopback addresses of its own

Cause: the processes' tests took ports that were free when asked for and could be taken by the time they were listened on, or while a host was down; no failure was seen, but the verdict must always be the same. Change: fixed ports on loopback addresses counted up for each association. Conclusion: one cause of a flaky verdict less.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,21 +34,19 @@
 	stop     map[string]func()
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
+// tests counts the associations, each of which has loopback addresses of its
+// own: a port that is merely free now may be taken before it is listened on.
+var tests atomic.Int64
 
 func newAssociation(t *testing.T, portal string) *association {
 	t.Helper()
 	dir := t.TempDir()
 	text := "association: test\ndeclarations: declarations\ndata_root: " + filepath.Join(dir, "data") + "\nhosts:\n"
-	for _, name := range []string{"h1", "h2", "h3"} {
+	test := tests.Add(1)
+	for i, name := range []string{"h1", "h2", "h3"} {
+		ip := fmt.Sprintf("127.78.%d.%d", test, i+1)
 		text += fmt.Sprintf("  - {name: %s, region: r, data_centre: d, callers: %q, handover: %q, control: %q, operators: %q, disk: true, voter: true}\n",
-			name, freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t))
+			name, ip+":7100", ip+":7200", ip+":7300", ip+":7400")
 	}
 	declarations := fmt.Sprintf("kind: Service\nname: portal\ntype: plain\n---\nkind: Engine\nname: p1\nservice: portal\ndata_centre: d\naddress: %s\nslots: 4\n---\nkind: Selector\nname: all\nservice: portal\nallow: region=r\n", portal)
 	must.NoError(t, os.Mkdir(filepath.Join(dir, "declarations"), 0o700))
