--- /dev/null
+++ b/catalog/check.go
@@ -0,0 +1,96 @@
+// This file defines the checks of a catalog.
+
+package catalog
+
+import (
+	"fmt"
+	"strings"
+)
+
+// InvalidError lists everything that is wrong with a catalog.
+type InvalidError struct {
+	Faults []string
+}
+
+// Error gives the faults in one line.
+func (e *InvalidError) Error() string { return "invalid catalog: " + strings.Join(e.Faults, "; ") }
+
+// Check tells what is wrong with a catalog; the error is an *InvalidError.
+func (c Catalog) Check() error {
+	k := checker{services: make(map[string]bool), places: make(map[string]string)}
+	if c.Version <= 0 {
+		k.faultf("the version is %d, must be more than 0", c.Version)
+	}
+	for _, s := range c.Services {
+		k.service(s)
+	}
+	for _, r := range c.Routes {
+		k.route(r)
+	}
+	if len(k.faults) > 0 {
+		return &InvalidError{k.faults}
+	}
+	return nil
+}
+
+type checker struct {
+	services map[string]bool
+	places   map[string]string // route names by host and prefix
+	faults   []string
+}
+
+func (k *checker) faultf(format string, args ...any) {
+	k.faults = append(k.faults, fmt.Sprintf(format, args...))
+}
+
+func (k *checker) service(s Service) {
+	if s.Name == "" {
+		k.faultf("a service has no name")
+	}
+	if k.services[s.Name] {
+		k.faultf("service %q is given twice", s.Name)
+	}
+	if s.MaxConnections < 0 || s.ColdRate < 0 || s.ColdTime < 0 {
+		k.faultf("service %q has a negative limit", s.Name)
+	}
+	k.services[s.Name] = true
+}
+
+func (k *checker) route(r Route) {
+	switch r.Kind {
+	case KindSafe, KindUnsafe, KindStream:
+	default:
+		k.faultf("route %q is of unknown kind %q", r.Name, r.Kind)
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		k.faultf("route %q has prefix %q, which must begin and end with a slash", r.Name, r.Prefix)
+	}
+	place := r.Host + r.Prefix
+	if other, taken := k.places[place]; taken {
+		k.faultf("routes %q and %q share %s", other, r.Name, place)
+	}
+	k.places[place] = r.Name
+	if r.Timeout <= 0 {
+		k.faultf("route %q has timeout %v, must be more than 0", r.Name, r.Timeout)
+	}
+	if r.Attempts < 1 {
+		k.faultf("route %q allows %d attempts, must be 1 or more", r.Name, r.Attempts)
+	}
+	k.backends(r)
+}
+
+func (k *checker) backends(r Route) {
+	total := 0
+	for _, b := range r.Backends {
+		if !k.services[b.Service] {
+			k.faultf("route %q names unknown service %q", r.Name, b.Service)
+		}
+		if b.Weight < 0 {
+			k.faultf("route %q gives service %q the weight %d", r.Name, b.Service, b.Weight)
+		}
+		total += b.Weight
+	}
+	if total <= 0 {
+		k.faultf("the weights of route %q sum to %d", r.Name, total)
+	}
+}
--- /dev/null
+++ b/controller/controller.go
@@ -0,0 +1,328 @@
+// Package controller is the control role of a host: it keeps a replica of the
+// ledger, hears engines, and tells everybody who follows it.
+//
+// Operators and engines may call any control host. A command is carried to the
+// ledger's leader and answered once a majority of the voters has it on disk; a
+// read is confirmed with the leader first, so that no control host ever shows
+// an older catalog than one that was accepted. Engines' heartbeats need no
+// majority: the control host that hears one tells its followers, and an engine
+// that drains is acknowledged only after the gateways of its region have been
+// told.
+package controller
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+
+	"github.com/linenscale/linenscale/catalog"
+	"github.com/linenscale/linenscale/disk"
+	"github.com/linenscale/linenscale/follow"
+	"github.com/linenscale/linenscale/ledger"
+	"github.com/linenscale/linenscale/raft"
+	"github.com/linenscale/linenscale/registry"
+	"github.com/linenscale/linenscale/replica"
+	"github.com/linenscale/linenscale/roster"
+	"github.com/linenscale/linenscale/voters"
+	"github.com/linenscale/linenscale/wire"
+)
+
+// Timing of the control role.
+const (
+	// Election and Heartbeat of the ledger's log: a round trip between regions
+	// takes 160 ms, so that an election timeout holds four heartbeats.
+	election  = time.Second
+	heartbeat = 250 * time.Millisecond
+	// snapshotEvery is after how many commands the log is cut. Catalogs are
+	// long, and disks are small.
+	snapshotEvery = 64
+	// hostSilence is how long a host may be silent before it is taken off
+	// the roster: three questions.
+	hostSilence = 2 * time.Second
+	// voterSilence is how long a voter may be silent before a spare takes its
+	// place.
+	voterSilence = 2 * time.Second
+	// tidyEvery is how often the roster and the registry are looked over.
+	tidyEvery = 250 * time.Millisecond
+	// answerTime bounds one command or read; callers turn to another control
+	// host after a second without an answer.
+	answerTime = 900 * time.Millisecond
+	// leaderPause is the wait between two looks for a leader.
+	leaderPause = 50 * time.Millisecond
+	// drainTold bounds the wait until the gateways know that an engine
+	// drains, well within the second that engines wait for an answer.
+	drainTold = 450 * time.Millisecond
+)
+
+// Errors of commands and reads.
+var (
+	// ErrUnavailable says that no majority could be asked in time. A command
+	// may have been taken all the same, and may be sent again.
+	ErrUnavailable = errors.New("no majority of the control hosts can be asked now")
+	// ErrEmpty says that nothing has been declared yet.
+	ErrEmpty = errors.New("no catalog has been declared yet")
+)
+
+// Deps are what a Controller needs.
+type Deps struct {
+	Self      roster.Host // without replica
+	Replica   raft.ID
+	Folder    disk.Folder
+	Voters    int                 // wanted
+	Regions   map[string]string   // by data centre
+	Heartbeat time.Duration       // of engines
+	Seeds     func() []string     // peer addresses
+	Calls     *wire.Client        // for questions that wait
+	Commands  *wire.Client        // for everything else
+	Send      func(raft.Envelope) // must not block
+	Log       *zap.Logger
+	Clock     func() time.Time
+	Seed      uint64
+}
+
+// Controller is safe for concurrent use. New makes one; Run runs it.
+type Controller struct {
+	Deps
+	machine  *ledger.Machine
+	replica  *replica.Replica
+	roster   *roster.Roster
+	engines  *registry.Table
+	follower *follow.Follower
+	stopping atomic.Bool
+
+	mu      sync.Mutex
+	told    map[string]told // by gateway
+	changed chan struct{}   // closed with the ledger's next change
+}
+
+// told is up to which number a gateway has confirmed the engines.
+type told struct {
+	number uint64
+	region string
+	at     time.Time
+}
+
+// New opens the ledger's replica and makes a controller.
+func New(deps Deps) (*Controller, error) {
+	c := &Controller{
+		Deps: deps, roster: roster.New(deps.Clock), engines: registry.New(deps.Self.Life, deps.Heartbeat, deps.Clock),
+		told: make(map[string]told), changed: make(chan struct{}),
+	}
+	c.machine = ledger.New(c.ledgerChanged)
+	var err error
+	c.replica, err = replica.Open(replica.Options{
+		ID: deps.Replica, Election: election, Heartbeat: heartbeat, Folder: deps.Folder, Machine: c.machine,
+		Send: deps.Send, SnapshotEvery: snapshotEvery, Log: deps.Log, Seed: deps.Seed,
+	})
+	if err != nil {
+		return nil, errors.Annotate(err, "ledger")
+	}
+	c.follower = follow.New(follow.Deps{
+		Self: c.self, Seeds: deps.Seeds, Calls: deps.Calls, Engines: c.engines, Log: deps.Log, Clock: deps.Clock,
+	})
+	return c, nil
+}
+
+// self gives what this host tells of itself.
+func (c *Controller) self() roster.Host {
+	h := c.Self
+	h.Replica, h.Stopping = string(c.Replica), c.stopping.Load()
+	return h
+}
+
+// Run runs the duties until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	group := pool.New().WithContext(ctx).WithCancelOnError()
+	group.Go(c.replica.Run)
+	group.Go(c.follower.Run)
+	group.Go(voters.New(c.replica, c.spares, voters.Policy{Wanted: c.Voters, LostAfter: voterSilence, Standby: true}, c.Log).Run)
+	group.Go(c.tidy)
+	return group.Wait()
+}
+
+// Stop prepares the end of the process: another host leads from now on.
+func (c *Controller) Stop() {
+	c.stopping.Store(true)
+	status := c.replica.Status()
+	if status.Role != raft.Leader {
+		return
+	}
+	best := raft.PeerStatus{}
+	for _, p := range status.Peers {
+		if status.Members.IsVoter(p.ID) && p.Match >= best.Match && p.Heard.After(best.Heard) {
+			best = p
+		}
+	}
+	if best.ID != raft.None {
+		c.replica.Transfer(best.ID)
+	}
+}
+
+// spares lists the control hosts that could vote.
+func (c *Controller) spares() []voters.Spare {
+	hosts, _ := c.roster.Hosts(roster.RoleControl)
+	out := []voters.Spare{{ID: c.Replica, Region: c.Self.Region}}
+	for _, h := range hosts {
+		if h.Replica != "" && !h.Stopping {
+			out = append(out, voters.Spare{ID: raft.ID(h.Replica), Region: h.Region})
+		}
+	}
+	return out
+}
+
+// ledgerChanged is called by the replica with each new state.
+func (c *Controller) ledgerChanged(s ledger.State) {
+	c.mu.Lock()
+	close(c.changed)
+	c.changed = make(chan struct{})
+	c.mu.Unlock()
+	c.Log.Info("ledger applied", zap.Uint64("index", s.Index), zap.Int64("version", s.Catalog.Version), zap.Strings("evacuated", s.Evacuated))
+}
+
+// tidy is the duty that notices who has fallen silent.
+func (c *Controller) tidy(ctx context.Context) error {
+	ticker := time.NewTicker(tidyEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		for _, h := range c.roster.Expire(hostSilence) {
+			c.Log.Warn("host silent", zap.String("host", h.Name), zap.String("role", string(h.Role)), zap.Duration("silent_for", c.Clock().Sub(h.Heard)))
+		}
+		for _, e := range c.engines.Expire() {
+			c.Log.Warn("engine silent", zap.String("engine", e.ID), zap.String("service", e.Service), zap.String("address", e.Address), zap.Int64("sequence", e.Sequence), zap.Duration("silent_for", c.Clock().Sub(e.Heard)))
+		}
+	}
+}
+
+// Put takes a catalog: if its version is above the one held, it holds from now
+// on, else nothing changes. source is what reads give back. The error is a
+// *catalog.InvalidError or ErrUnavailable.
+func (c *Controller) Put(ctx context.Context, next catalog.Catalog, source []byte) (ledger.Result, error) {
+	if err := next.Check(); err != nil {
+		return ledger.Result{}, err
+	}
+	result, err := c.command(ctx, ledger.PutCatalog{Catalog: next, Source: source})
+	c.Log.Info("catalog put", zap.Int64("version", next.Version), zap.Int("routes", len(next.Routes)), zap.Bool("changed", result.Changed), zap.Int64("held", result.Version), zap.Error(err))
+	return result, err
+}
+
+// Evacuate begins or ends the evacuation of a data centre. The error is
+// ErrUnavailable, or a NotFound for a data centre that doesn't exist.
+func (c *Controller) Evacuate(ctx context.Context, dataCentre string, on bool) error {
+	if _, ok := c.Regions[dataCentre]; !ok {
+		return errors.NotFoundf("data centre %q", dataCentre)
+	}
+	result, err := c.command(ctx, ledger.SetEvacuation{DataCentre: dataCentre, On: on})
+	c.Log.Info("evacuation", zap.String("data_centre", dataCentre), zap.Bool("on", on), zap.Bool("changed", result.Changed), zap.Error(err))
+	return err
+}
+
+// command carries a command to the leader until it is applied, or time is up.
+func (c *Controller) command(ctx context.Context, command ledger.Command) (ledger.Result, error) {
+	data, err := ledger.Encode(command)
+	if err != nil {
+		return ledger.Result{}, errors.Trace(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	var result ledger.Result
+	err = c.askLeader(ctx, func() error {
+		result, err = c.propose(ctx, data)
+		return err
+	}, func(address string) error {
+		return c.Commands.Call(ctx, address, follow.Service+".Propose", follow.ProposeArgs{Command: data}, &result)
+	})
+	return result, err
+}
+
+// askLeader asks the leader, here or elsewhere, and looks again for one until
+// ctx ends. The commands may be given twice, so that nothing is lost by asking
+// again.
+func (c *Controller) askLeader(ctx context.Context, here func() error, there func(address string) error) error {
+	cause := follow.ErrNoLeader
+	for ctx.Err() == nil {
+		switch status := c.replica.Status(); {
+		case status.Role == raft.Leader:
+			cause = here()
+		case status.Leader != raft.None:
+			cause = there(PeerOf(status.Leader))
+		}
+		if cause == nil {
+			return nil
+		}
+		pause(ctx, leaderPause)
+	}
+	c.Log.Warn("leader not reached", zap.Error(cause))
+	return ErrUnavailable
+}
+
+// propose proposes a command to this host's replica, which must lead.
+func (c *Controller) propose(ctx context.Context, data []byte) (ledger.Result, error) {
+	out, err := c.replica.Propose(ctx, data)
+	if err != nil {
+		return ledger.Result{}, errors.Trace(err)
+	}
+	switch out := out.(type) {
+	case ledger.Result:
+		return out, nil
+	case error:
+		return ledger.Result{}, errors.Trace(out)
+	default:
+		return ledger.Result{}, errors.Errorf("result of type %T", out)
+	}
+}
+
+// Read gives the newest state: every command that was accepted before the call
+// is in it. The error is ErrUnavailable, or ErrEmpty where no catalog holds.
+func (c *Controller) Read(ctx context.Context) (ledger.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	var reply follow.ReadReply
+	err := c.askLeader(ctx, func() error {
+		var err error
+		reply.Index, err = c.readIndex(ctx)
+		return err
+	}, func(address string) error {
+		return c.Commands.Call(ctx, address, follow.Service+".ReadIndex", follow.Nothing{}, &reply)
+	})
+	for err == nil && c.replica.Status().Applied < reply.Index {
+		pause(ctx, leaderPause/5)
+		if ctx.Err() != nil {
+			err = ErrUnavailable
+		}
+	}
+	state := c.machine.State()
+	if err == nil && state.Catalog.Version == 0 {
+		err = ErrEmpty
+	}
+	c.Log.Info("catalog read", zap.Int64("version", state.Catalog.Version), zap.Uint64("confirmed_index", reply.Index), zap.Error(err))
+	return state, err
+}
+
+// readIndex gives an index up to which everything accepted so far reaches.
+func (c *Controller) readIndex(ctx context.Context) (uint64, error) {
+	if err := c.replica.Read(ctx); err != nil {
+		return 0, errors.Trace(err)
+	}
+	return c.replica.Status().Applied, nil
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
+// PeerOf gives the address of net/rpc of the host that a replica runs on: its
+// identity begins with it.
+func PeerOf(id raft.ID) string { return voters.HostOf(id) }
--- /dev/null
+++ b/controller/engines.go
@@ -0,0 +1,103 @@
+// This file defines how engines are heard and where callers are sent.
+
+package controller
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/linenscale/linenscale/registry"
+	"github.com/linenscale/linenscale/roster"
+)
+
+// Beat takes an engine's heartbeat. It returns once the gateways concerned
+// know of an engine that drains, and gives the address of a nearer control host
+// for later heartbeats, or "".
+func (c *Controller) Beat(ctx context.Context, e registry.Engine) (nearer string) {
+	if c.engines.Beat(e) {
+		c.Log.Info("engine", zap.String("engine", e.ID), zap.String("service", e.Service), zap.String("address", e.Address),
+			zap.String("data_centre", e.DataCentre), zap.Stringer("phase", e.Phase), zap.Int64("sequence", e.Sequence), zap.Duration("cold_for", max(0, e.ColdUntil.Sub(c.Clock()))))
+	}
+	if e.Phase == registry.Draining {
+		c.tell(ctx, e.DataCentre)
+	}
+	return c.nearer(c.Regions[e.DataCentre])
+}
+
+// Leave takes an engine's goodbye; it returns once the gateways know.
+func (c *Controller) Leave(ctx context.Context, id string) {
+	c.engines.Leave(id)
+	e, _ := c.engines.Get(id)
+	c.Log.Info("engine left", zap.String("engine", id), zap.String("service", e.Service), zap.String("address", e.Address))
+	c.tell(ctx, e.DataCentre)
+}
+
+// tell waits until the gateways of the data centre's region that are in touch
+// have confirmed all changes so far, or drainTold has passed.
+func (c *Controller) tell(ctx context.Context, dataCentre string) {
+	number := c.engines.Number()
+	until := c.Clock().Add(drainTold)
+	for ctx.Err() == nil && c.Clock().Before(until) && c.untold(number, c.Regions[dataCentre]) {
+		pause(ctx, 5*time.Millisecond)
+	}
+}
+
+// untold tells whether a gateway of the region, or any if it is "", that is in
+// touch has not confirmed the changes up to number.
+func (c *Controller) untold(number uint64, region string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock()
+	for _, t := range c.told {
+		if now.Sub(t.at) < hostSilence && t.number < number && (region == "" || t.region == region) {
+			return true
+		}
+	}
+	return false
+}
+
+// nearer gives the operators' address of a control host in the region, if this
+// one stands elsewhere.
+func (c *Controller) nearer(region string) string {
+	if region == "" || region == c.Self.Region {
+		return ""
+	}
+	hosts, _ := c.roster.Hosts(roster.RoleControl)
+	for _, h := range hosts {
+		if h.Region == region && !h.Stopping {
+			return h.Operators
+		}
+	}
+	return ""
+}
+
+// Entries gives the gateways that a caller in a data centre should use for a
+// host name: those of its own region, else those of the regions in which all
+// requests for the name may run, else all others. Gateways of the caller's own
+// data centre come first.
+func (c *Controller) Entries(name, region, dataCentre string) []string {
+	gateways, _ := c.roster.Hosts(roster.RoleGateway)
+	gateways = slices.DeleteFunc(gateways, func(h roster.Host) bool { return h.Stopping || h.Callers == "" })
+	homes, bound := c.homes(name)
+	choices := []func(roster.Host) bool{
+		func(h roster.Host) bool { return h.DataCentre == dataCentre },
+		func(h roster.Host) bool { return h.Region == region },
+		func(h roster.Host) bool { return !bound || slices.Contains(homes, h.Region) },
+		func(roster.Host) bool { return true },
+	}
+	for _, choice := range choices {
+		var out []string
+		for _, h := range gateways {
+			if choice(h) {
+				out = append(out, h.Callers)
+			}
+		}
+		if len(out) > 0 {
+			return out
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/controller/service.go
@@ -0,0 +1,160 @@
+// This file defines what other hosts ask of a control host, by net/rpc.
+
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/linenscale/linenscale/catalog"
+	"github.com/linenscale/linenscale/follow"
+	"github.com/linenscale/linenscale/ledger"
+	"github.com/linenscale/linenscale/roster"
+)
+
+// Service answers as follow.Service. NewService makes one.
+type Service struct {
+	ctx        context.Context // net/rpc gives its methods none
+	controller *Controller
+}
+
+// NewService makes the receiver; its waits end with ctx.
+func NewService(ctx context.Context, c *Controller) *Service { return &Service{ctx, c} }
+
+// Sync hears a host and answers when something is new for it.
+func (s *Service) Sync(args follow.SyncArgs, reply *follow.SyncReply) error {
+	c := s.controller
+	if c.roster.Hear(args.Self) {
+		c.Log.Info("host heard", zap.String("host", args.Self.Name), zap.String("role", string(args.Self.Role)), zap.String("life", args.Self.Life), zap.String("replica", args.Self.Replica))
+	}
+	if args.Life != c.Self.Life {
+		args.Engines, args.Roster = 0, 0
+	}
+	c.noteTold(args)
+	until := time.Now().Add(min(args.Wait, follow.SyncWait))
+	for {
+		news := c.news()
+		*reply = c.sync(args)
+		if reply.News(args) {
+			return nil
+		}
+		select {
+		case <-s.ctx.Done():
+			return nil
+		case <-time.After(time.Until(until)):
+			c.roster.Hear(args.Self)
+			return nil
+		case <-news.roster:
+		case <-news.engines:
+		case <-news.ledger:
+		}
+	}
+}
+
+// news are channels that are closed with the next change of each kind.
+type news struct{ roster, engines, ledger <-chan struct{} }
+
+func (c *Controller) news() news {
+	_, changed := c.roster.Changed()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return news{changed, c.engines.Changed(), c.changed}
+}
+
+// noteTold notes what a gateway has confirmed by asking for more.
+func (c *Controller) noteTold(args follow.SyncArgs) {
+	if args.Self.Role != roster.RoleGateway {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if args.Self.Stopping {
+		delete(c.told, args.Self.Name)
+		return
+	}
+	c.told[args.Self.Name] = told{args.Engines, args.Self.Region, c.Clock()}
+}
+
+// sync gives what is new for the caller.
+func (c *Controller) sync(args follow.SyncArgs) follow.SyncReply {
+	now := c.Clock()
+	reply := follow.SyncReply{Life: c.Self.Life, Index: c.machine.State().Index}
+	wanted := func(dataCentre string) bool {
+		return args.Self.Role == roster.RoleControl || c.Regions[dataCentre] == args.Self.Region
+	}
+	engines, number := c.engines.Since(args.Engines, wanted)
+	reply.Engines, reply.Number = follow.NewsOf(engines, now), number
+	control, version := c.roster.Hosts(roster.RoleControl)
+	reply.Roster = version
+	if version != args.Roster {
+		gateways, _ := c.roster.Hosts(roster.RoleGateway)
+		reply.Control, reply.Gateways = follow.HostsOf(append(control, c.ownHost(now)), now), follow.HostsOf(gateways, now)
+	}
+	reply.Regions = c.regions(now)
+	return reply
+}
+
+func (c *Controller) ownHost(now time.Time) roster.Host {
+	h := c.self()
+	h.Heard = now
+	return h
+}
+
+// regions gives the newest word that a gateway of each region has told.
+func (c *Controller) regions(now time.Time) []follow.RegionNews {
+	gateways, _ := c.roster.Hosts(roster.RoleGateway)
+	newest := make(map[string]roster.Host)
+	for _, h := range gateways {
+		if known, ok := newest[h.Region]; len(h.Load) > 0 && (!ok || h.Heard.After(known.Heard)) {
+			newest[h.Region] = h
+		}
+	}
+	out := make([]follow.RegionNews, 0, len(newest))
+	for region, h := range newest {
+		out = append(out, follow.RegionNews{Region: region, Load: h.Load, Age: now.Sub(h.Heard)})
+	}
+	return out
+}
+
+// State gives the ledger's state as it has been applied here.
+func (s *Service) State(_ follow.StateArgs, reply *follow.StateReply) error {
+	state := s.controller.machine.State()
+	data, err := ledger.Pack(state.WithoutSource())
+	reply.Index, reply.State = state.Index, data
+	return err
+}
+
+// Propose proposes a command, if this host leads.
+func (s *Service) Propose(args follow.ProposeArgs, reply *ledger.Result) error {
+	ctx, cancel := context.WithTimeout(s.ctx, answerTime)
+	defer cancel()
+	var err error
+	*reply, err = s.controller.propose(ctx, args.Command)
+	return err
+}
+
+// ReadIndex gives an index up to which everything accepted so far reaches, if
+// this host leads.
+func (s *Service) ReadIndex(_ follow.Nothing, reply *follow.ReadReply) error {
+	ctx, cancel := context.WithTimeout(s.ctx, answerTime)
+	defer cancel()
+	var err error
+	reply.Index, err = s.controller.readIndex(ctx)
+	return errors.Trace(err)
+}
+
+// Deliver takes messages for this host's replica.
+func (s *Service) Deliver(messages follow.Deliveries, _ *follow.Nothing) error {
+	for _, m := range messages {
+		s.controller.replica.Deliver(m)
+	}
+	return nil
+}
+
+// homes gives the regions in which all requests for a host name may run.
+func (c *Controller) homes(name string) (regions []string, bound bool) {
+	return catalog.NewTable(c.machine.State().Catalog).Homes(name)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -201,7 +201,7 @@
 		InFlight:    func() int64 { return d.gateway.InFlight() },
 		Stopping:    func() bool { return d.gateway.Stopping() },
 	})
-	d.client = relay.New(d.dialer, d.settings.Limits.RequestTime)
+	d.client = relay.New(d.dialer, relay.Options{AnswerTime: d.settings.Limits.RequestTime})
 	d.gateway = gateway.New(gateway.Deps{
 		Host: d.host, Limits: d.settings.Limits, Authority: d.agent, Peers: d.agent,
 		Keys: keyhome.NewClient(d.agent, d.near), Fleet: d.fleet, Engines: d.client, Away: d.client,
--- a/daemon/dial.go
+++ b/daemon/dial.go
@@ -3,8 +3,11 @@
 import (
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/linenscale/linenscale/settings"
 )
 
@@ -24,3 +27,18 @@
 func probeTransport(dialer *net.Dialer) *http.Transport {
 	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true}
 }
+
+// newMemberDialer opens connections that break by themselves when what is sent
+// stays unacknowledged: behind a cut, nothing else ever tells.
+func newMemberDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, Control: func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failed
+	}}
+}
--- a/daemon/identity.go
+++ b/daemon/identity.go
@@ -79,18 +79,18 @@
 // anything committed, is the log formed: otherwise a voter whose folder was
 // lost could vote a second time as its old self.
 func (j *joiner) identity(ctx context.Context) (raft.ID, error) {
-	data, err := j.folder.Read(identityFile)
-	if err == nil {
-		return j.reform(raft.ID(strings.TrimSpace(string(data))))
+	known, err := readIdentity(j.folder)
+	if err != nil {
+		return raft.None, errors.Trace(err)
 	}
-	if !errors.Is(err, os.ErrNotExist) {
-		return raft.None, errors.Annotate(err, "identity")
+	if known != raft.None {
+		return j.reform(known)
 	}
-	id := raft.ID(j.host.Name + "#" + uuid.NewString()[:8])
+	id := newIdentity(j.host.Name)
 	if j.mayForm(ctx) {
 		id = raft.ID(j.host.Name + firstIdentity)
 	}
-	if err := j.write(id); err != nil {
+	if err := writeIdentity(j.folder, id); err != nil {
 		return raft.None, errors.Annotate(err, "identity")
 	}
 	j.log.Info("new identity", zap.String("log", j.group), zap.String("identity", string(id)))
@@ -100,25 +100,48 @@
 // reform writes the first membership of a log that was to be formed, if that
 // hasn't been done: the process may have ended in between.
 func (j *joiner) reform(id raft.ID) (raft.ID, error) {
+	hosts := make([]string, len(j.voters))
+	for i, v := range j.voters {
+		hosts[i] = v.Name
+	}
+	return id, formFirst(j.folder, id, hosts)
+}
+
+// formFirst writes the first membership of a log, if the identity is one that
+// forms a log and this hasn't been done.
+func formFirst(folder disk.Folder, id raft.ID, hosts []string) error {
 	if !strings.HasSuffix(string(id), firstIdentity) {
-		return id, nil
+		return nil
 	}
-	names, err := j.folder.Names()
+	names, err := folder.Names()
 	if err != nil {
-		return raft.None, errors.Trace(err)
+		return errors.Trace(err)
 	}
 	if len(names) > 1 {
-		return id, nil
+		return nil
 	}
-	ids := make([]raft.ID, len(j.voters))
-	for i, v := range j.voters {
-		ids[i] = raft.ID(v.Name + firstIdentity)
+	ids := make([]raft.ID, len(hosts))
+	for i, host := range hosts {
+		ids[i] = raft.ID(host + firstIdentity)
 	}
-	return id, errors.Trace(replica.Form(j.folder, ids))
+	return errors.Trace(replica.Form(folder, ids))
 }
 
-func (j *joiner) write(id raft.ID) error {
-	file, err := j.folder.Create(identityFile + ".new")
+// readIdentity gives a folder's identity, or raft.None where it has none yet.
+func readIdentity(folder disk.Folder) (raft.ID, error) {
+	data, err := folder.Read(identityFile)
+	if errors.Is(err, os.ErrNotExist) {
+		return raft.None, nil
+	}
+	return raft.ID(strings.TrimSpace(string(data))), errors.Annotate(err, "identity")
+}
+
+// newIdentity gives an identity that no membership holds yet.
+func newIdentity(host string) raft.ID { return raft.ID(host + "#" + uuid.NewString()[:8]) }
+
+// writeIdentity makes a folder's identity durable.
+func writeIdentity(folder disk.Folder, id raft.ID) error {
+	file, err := folder.Create(identityFile + ".new")
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -129,10 +152,10 @@
 	if err := file.Sync(); err != nil {
 		return errors.Trace(err)
 	}
-	if err := j.folder.Rename(identityFile+".new", identityFile); err != nil {
+	if err := folder.Rename(identityFile+".new", identityFile); err != nil {
 		return errors.Trace(err)
 	}
-	return errors.Trace(j.folder.Sync())
+	return errors.Trace(folder.Sync())
 }
 
 func (j *joiner) mayForm(ctx context.Context) bool {
--- /dev/null
+++ b/daemon/member.go
@@ -0,0 +1,303 @@
+// This file defines the process of a host that finds the others by seeds: a
+// gateway or a control host.
+
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+
+	"github.com/linenscale/linenscale/controller"
+	"github.com/linenscale/linenscale/disk"
+	"github.com/linenscale/linenscale/dispatch"
+	"github.com/linenscale/linenscale/follow"
+	"github.com/linenscale/linenscale/ingress"
+	"github.com/linenscale/linenscale/ledger"
+	"github.com/linenscale/linenscale/platform"
+	"github.com/linenscale/linenscale/raft"
+	"github.com/linenscale/linenscale/registry"
+	"github.com/linenscale/linenscale/relay"
+	"github.com/linenscale/linenscale/retry"
+	"github.com/linenscale/linenscale/roster"
+	"github.com/linenscale/linenscale/settings"
+	"github.com/linenscale/linenscale/telemetry"
+	"github.com/linenscale/linenscale/wire"
+)
+
+// Bounds of a member's process.
+const (
+	// stopMargin is how much earlier than the settings' stop time a process
+	// ends by itself.
+	stopMargin = 700 * time.Millisecond
+	// controlStop is how long a stopping control host answers what it has.
+	controlStop = 400 * time.Millisecond
+	// reloadEvery is how often the settings file is looked at.
+	reloadEvery = 2 * time.Second
+	// dispatchEvery is how often the dispatcher looks at the engines even if
+	// none has changed.
+	dispatchEvery = 200 * time.Millisecond
+	// engineDial and peerDial bound the opening of a connection: engines stand
+	// in the same region, other hosts up to a round trip of 160 ms away.
+	engineDial = 300 * time.Millisecond
+	peerDial   = 800 * time.Millisecond
+	// unacknowledged is how long sent bytes may stay unacknowledged before a
+	// connection counts as broken.
+	unacknowledged = 1200 * time.Millisecond
+	// engineIdle is how long an idle connection to an engine is kept.
+	engineIdle = 2 * time.Second
+	// metricsPort serves metrics, at every address of the host. The number is
+	// that of the OpenTelemetry exporter for Prometheus.
+	metricsPort = ":9464"
+)
+
+// member is one running process.
+type member struct {
+	path     string
+	settings settings.Member
+	seeds    atomic.Pointer[[]string]
+	life     string
+	log      *zap.Logger
+	metrics  *telemetry.Metrics
+	calls    *wire.Client
+	commands *wire.Client
+}
+
+// RunMember runs the process whose settings file is at path until ctx ends.
+// reload is sent to when the file may have changed.
+func RunMember(ctx context.Context, path string, reload <-chan struct{}, log *zap.Logger) error {
+	s, err := settings.ReadMember(path)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	registerMessages()
+	dialer := newMemberDialer(peerDial)
+	m := &member{
+		path: path, settings: s, life: uuid.NewString(), metrics: metrics,
+		log:   log.With(zap.String("host", s.Name)),
+		calls: wire.NewClient(dialer), commands: wire.NewClient(dialer),
+	}
+	seeds := s.SeedPeers()
+	m.seeds.Store(&seeds)
+	m.log.Info("started", zap.String("role", string(s.Role)), zap.String("life", m.life), zap.String("region", s.Region),
+		zap.String("data_centre", s.DataCentre), zap.Strings("seeds", seeds), zap.Bool("first_start", s.FirstStart))
+	defer m.log.Info("stopped")
+	// What serves callers ends first; the duties below it go on until then.
+	below, stopBelow := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBelow()
+	group := pool.New().WithContext(below).WithCancelOnError()
+	group.Go(func(ctx context.Context) error { return m.reloads(ctx, reload) })
+	group.Go(func(ctx context.Context) error { return serveHTTP(ctx, metricsPort, metrics.Handler()) })
+	if s.Role == roster.RoleControl {
+		err = m.control(ctx, below, group, stopBelow)
+	} else {
+		err = m.gateway(ctx, group, stopBelow)
+	}
+	if err != nil {
+		stopBelow()
+		_ = group.Wait() // what stopped the start is the error that counts
+		return err
+	}
+	return group.Wait()
+}
+
+// self gives what every host tells of itself.
+func (m *member) self() roster.Host {
+	return roster.Host{
+		Name: m.settings.Name, Role: m.settings.Role, Region: m.settings.Region, DataCentre: m.settings.DataCentre,
+		Life: m.life, Peer: m.settings.Peer(), Callers: m.settings.Listen.Callers, Operators: m.settings.Listen.Operators,
+	}
+}
+
+func (m *member) seedPeers() []string { return *m.seeds.Load() }
+
+// reloads is the duty that takes over new seeds.
+func (m *member) reloads(ctx context.Context, reload <-chan struct{}) error {
+	ticker := time.NewTicker(reloadEvery)
+	defer ticker.Stop()
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-reload:
+			asked = true
+		case <-ticker.C:
+		}
+		s, err := settings.ReadMember(m.path)
+		if err != nil {
+			m.log.Error("settings not reloaded", zap.Error(err))
+			continue
+		}
+		seeds := s.SeedPeers()
+		if asked || !slices.Equal(seeds, m.seedPeers()) {
+			m.log.Info("settings reloaded", zap.Strings("seeds", seeds), zap.Bool("asked", asked))
+		}
+		m.seeds.Store(&seeds)
+	}
+}
+
+// control runs a control host.
+func (m *member) control(ctx, below context.Context, group *pool.ContextPool, stopBelow func()) error {
+	folder, err := disk.OpenDir(m.settings.DataDir)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	id, err := m.identity(folder)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	sender := wire.NewSender[raft.Envelope](newMemberDialer(peerDial), follow.Service+".Deliver")
+	c, err := controller.New(controller.Deps{
+		Self: m.self(), Replica: id, Folder: folder, Voters: m.settings.Voters(), Regions: m.settings.Regions,
+		Heartbeat: m.settings.Heartbeat, Seeds: m.seedPeers, Calls: m.calls, Commands: m.commands,
+		Send: func(e raft.Envelope) { sender.Post(controller.PeerOf(e.To), e) },
+		Log:  m.log, Clock: time.Now, Seed: rand.Uint64(),
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	server := wire.NewServer()
+	if err := server.Register(follow.Service, controller.NewService(below, c)); err != nil {
+		return errors.Trace(err)
+	}
+	listener, err := net.Listen("tcp", m.settings.Peer())
+	if err != nil {
+		return errors.Trace(err)
+	}
+	group.Go(func(ctx context.Context) error { return server.Serve(ctx, listener) })
+	group.Go(sender.Run)
+	group.Go(c.Run)
+	group.Go(func(ctx context.Context) error {
+		return serveHTTP(ctx, m.settings.Listen.Operators, platform.NewOperators(c, m.log))
+	})
+	if address := m.settings.Listen.Directory; address != "" {
+		group.Go(func(ctx context.Context) error { return serveHTTP(ctx, address, platform.NewDirectory(c)) })
+	}
+	group.Go(func(context.Context) error {
+		defer stopBelow()
+		<-ctx.Done()
+		m.log.Info("stopping")
+		c.Stop()
+		time.Sleep(controlStop)
+		return nil
+	})
+	return nil
+}
+
+// identity gives the identity of the folder's replica. An empty folder gets a
+// new one, which no membership holds, except at the first start of the whole
+// system, when the seeds form the ledger's log.
+func (m *member) identity(folder disk.Folder) (raft.ID, error) {
+	id, err := readIdentity(folder)
+	if err != nil {
+		return raft.None, errors.Trace(err)
+	}
+	peer := m.settings.Peer()
+	if id == raft.None {
+		id = newIdentity(peer)
+		if m.settings.FirstStart && slices.Contains(m.seedPeers(), peer) {
+			id = raft.ID(peer + firstIdentity)
+		}
+		if err := writeIdentity(folder, id); err != nil {
+			return raft.None, errors.Annotate(err, "identity")
+		}
+		m.log.Info("new identity", zap.String("identity", string(id)))
+	}
+	return id, formFirst(folder, id, m.seedPeers())
+}
+
+// gateway runs a gateway.
+func (m *member) gateway(ctx context.Context, group *pool.ContextPool, stopBelow func()) error {
+	callers, err := net.Listen("tcp", m.settings.Listen.Callers)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	handover, err := net.Listen("tcp", m.settings.Handover())
+	if err != nil {
+		return errors.Trace(err)
+	}
+	engines := registry.New(m.life, m.settings.Heartbeat, time.Now)
+	self := m.self()
+	self.Handover = m.settings.Handover()
+	var server *ingress.Server
+	var dispatcher *dispatch.Dispatcher
+	follower := follow.New(follow.Deps{
+		Self: func() roster.Host {
+			now := self
+			now.Stopping, now.Load = server.Stopping(), dispatcher.Load()
+			return now
+		},
+		Seeds: m.seedPeers, Calls: m.calls, Engines: engines,
+		Took: func(s ledger.State) { server.Take(s) }, Log: m.log, Clock: time.Now,
+	})
+	dispatcher = dispatch.New(dispatch.Deps{
+		Name: self.Name, Region: self.Region, Regions: m.settings.Regions, Engines: engines, Peers: follower.Gateways,
+		Budget: retry.Policy(m.settings.Retries), Log: m.log, Clock: time.Now,
+	})
+	client := relay.New(newMemberDialer(engineDial), relay.Options{IdleTime: engineIdle})
+	server = ingress.New(ingress.Deps{
+		Self: self, Dialect: platform.Dialect{}, Dispatcher: dispatcher, Regions: follower.Region, Gateways: follower.Gateways,
+		Engines: client, Peers: relay.New(newMemberDialer(peerDial), relay.Options{}), Log: m.log, Metrics: m.metrics,
+		Random: rand.Uint64, StopTime: m.settings.StopTime - stopMargin,
+	})
+	group.Go(follower.Run)
+	group.Go(func(ctx context.Context) error { return dispatchDuty(ctx, dispatcher, engines) })
+	if address := m.settings.Listen.Ready; address != "" {
+		group.Go(func(ctx context.Context) error { return serveHTTP(ctx, address, platform.NewReady(server.Ready)) })
+	}
+	group.Go(func(context.Context) error {
+		defer stopBelow()
+		return server.Run(ctx, callers, handover)
+	})
+	return nil
+}
+
+// dispatchDuty keeps the dispatcher up to date with the engines.
+func dispatchDuty(ctx context.Context, d *dispatch.Dispatcher, engines *registry.Table) error {
+	ticker := time.NewTicker(dispatchEvery)
+	defer ticker.Stop()
+	for {
+		changed := engines.Changed()
+		d.Tick()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case <-ticker.C:
+			engines.Expire()
+		}
+	}
+}
+
+// serveHTTP serves an address until ctx ends.
+func serveHTTP(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTime}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Annotatef(err, "serve %s", address)
+	}
+	return nil
+}
+
+// readHeaderTime bounds the reading of the head of an operator's, an engine's
+// or the platform's call.
+const readHeaderTime = 5 * time.Second
--- /dev/null
+++ b/follow/follow.go
@@ -0,0 +1,344 @@
+// Package follow keeps a host in touch with the control hosts.
+//
+// A Follower holds one standing question to each control host that it knows
+// of: the control host answers when something has changed, or after half a
+// second, and is asked again at once. The question tells of the asking host,
+// so that it is also its heartbeat. What comes back is merged: engines into a
+// registry.Table, where the newest word of each holds, and the ledger's state by
+// its index, which never goes back. No control host is more right than another;
+// one that is cut off, slow or gone just brings nothing new.
+//
+// Control hosts are found through the seeds of the settings, and through the
+// rosters of those that answer. They follow each other in the same way.
+package follow
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+
+	"github.com/linenscale/linenscale/ledger"
+	"github.com/linenscale/linenscale/registry"
+	"github.com/linenscale/linenscale/roster"
+	"github.com/linenscale/linenscale/wire"
+)
+
+// Timing of the following.
+const (
+	// SyncWait is how long a control host may hold a question. It bounds the
+	// age of a host's heartbeat, and with it how fast a lost host is noticed.
+	SyncWait = 500 * time.Millisecond
+	// syncSlack is how much longer an answer may take before the connection
+	// counts as dead: a round trip between regions, and a slow processor.
+	syncSlack = 900 * time.Millisecond
+	// retryPause is the wait after a question that was not answered.
+	retryPause = 250 * time.Millisecond
+	// fetchTime bounds the fetching of a state.
+	fetchTime = 1500 * time.Millisecond
+	// farPatience is how long a far control host that is ahead is passed over
+	// in favour of a near one, because bytes between regions cost money.
+	farPatience = 300 * time.Millisecond
+	// contactTime is how old the last answer of a control host that is in
+	// touch may be.
+	contactTime = SyncWait + syncSlack
+	// forgetTime is how long a control host that no seed and no roster names
+	// is still asked.
+	forgetTime = 15 * time.Second
+	// tidyEvery is how often the known control hosts are looked over.
+	tidyEvery = 200 * time.Millisecond
+)
+
+// Deps are what a Follower needs.
+type Deps struct {
+	Self    func() roster.Host // what to tell of this host
+	Seeds   func() []string    // peer addresses of control hosts, from the settings
+	Calls   *wire.Client
+	Engines *registry.Table
+	// Took is called with each newer state of the ledger; nil on a control
+	// host, which has its own.
+	Took  func(ledger.State)
+	Log   *zap.Logger
+	Clock func() time.Time
+}
+
+// Follower is safe for concurrent use. New makes one; Run runs it.
+type Follower struct {
+	Deps
+
+	mu      sync.Mutex
+	links   map[string]*link // by peer address
+	state   ledger.State
+	regions map[string]RegionNews // Age counts from at
+	at      map[string]time.Time
+}
+
+// link is what is known of one control host.
+type link struct {
+	address  string
+	cancel   context.CancelFunc
+	named    time.Time // when a seed or a roster last named it
+	answered time.Time
+	host     roster.Host // as rosters tell, zero while unknown
+	life     string
+	number   uint64
+	roster   uint64
+	gateways []HostNews
+	control  []HostNews
+	taken    time.Time // when the roster was taken
+	ahead    time.Time // since when it has had a newer state
+	down     bool      // its loss has been logged
+}
+
+// New makes a follower.
+func New(deps Deps) *Follower {
+	return &Follower{Deps: deps, links: make(map[string]*link), regions: make(map[string]RegionNews), at: make(map[string]time.Time)}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	group := pool.New()
+	defer group.Wait()
+	ticker := time.NewTicker(tidyEvery)
+	defer ticker.Stop()
+	for {
+		f.tidy(ctx, group)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// tidy starts a duty for each control host that is newly known, and ends those
+// that nothing names any more.
+func (f *Follower) tidy(ctx context.Context, group *pool.Pool) {
+	self := f.Self()
+	now := f.Clock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	named := f.named()
+	delete(named, self.Peer)
+	for address, host := range named {
+		l, ok := f.links[address]
+		if !ok {
+			bound, cancel := context.WithCancel(ctx)
+			l = &link{address: address, cancel: cancel, answered: now}
+			f.links[address] = l
+			group.Go(func() { f.follow(bound, l) })
+		}
+		l.named = now
+		if host.Name != "" {
+			l.host = host
+		}
+	}
+	for address, l := range f.links {
+		if now.Sub(l.named) > forgetTime && now.Sub(l.answered) > forgetTime {
+			l.cancel()
+			delete(f.links, address)
+		}
+	}
+}
+
+// named gives the control hosts that the seeds and the rosters name.
+func (f *Follower) named() map[string]roster.Host {
+	out := make(map[string]roster.Host)
+	for _, seed := range f.Seeds() {
+		out[seed] = roster.Host{}
+	}
+	for _, l := range f.links {
+		for _, h := range l.control {
+			out[h.Host.Peer] = h.Host
+		}
+	}
+	return out
+}
+
+// follow is the duty that asks one control host again and again.
+func (f *Follower) follow(ctx context.Context, l *link) {
+	for ctx.Err() == nil {
+		args := f.ask(l)
+		var reply SyncReply
+		err := f.Calls.WithTimeout(ctx, args.Wait+syncSlack, l.address, Service+".Sync", args, &reply)
+		if err != nil {
+			f.lost(l, err)
+			pause(ctx, retryPause)
+			continue
+		}
+		if f.take(l, args, reply) {
+			f.fetch(ctx, l)
+		}
+	}
+}
+
+func (f *Follower) ask(l *link) SyncArgs {
+	self := f.Self()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	args := SyncArgs{Self: self, Life: l.life, Engines: l.number, Index: f.state.Index, Roster: l.roster, Wait: SyncWait}
+	if l.life == "" || !l.ahead.IsZero() {
+		args.Wait = 0
+	}
+	return args
+}
+
+// lost notes that a control host did not answer.
+func (f *Follower) lost(l *link, cause error) {
+	f.mu.Lock()
+	age := f.Clock().Sub(l.answered)
+	first := !l.down && age > contactTime
+	l.down = l.down || first
+	f.mu.Unlock()
+	if first {
+		f.Log.Warn("control host lost", zap.String("address", l.address), zap.Duration("silent_for", age), zap.Error(cause))
+	}
+}
+
+// take merges an answer. It tells whether a newer state should be fetched from
+// there.
+func (f *Follower) take(l *link, args SyncArgs, reply SyncReply) bool {
+	now := f.Clock()
+	engines := make([]registry.Engine, len(reply.Engines))
+	for i, n := range reply.Engines {
+		engines[i] = n.engine(now)
+	}
+	f.Engines.Merge(engines)
+	f.Engines.Confirm(reply.Life)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l.down || l.life == "" {
+		f.Log.Info("control host in touch", zap.String("address", l.address), zap.String("life", reply.Life), zap.Uint64("index", reply.Index))
+	}
+	l.down, l.answered, l.life, l.number = false, now, reply.Life, reply.Number
+	if reply.Roster != args.Roster || reply.Life != args.Life {
+		l.roster, l.control, l.gateways, l.taken = reply.Roster, reply.Control, reply.Gateways, now
+	}
+	for _, r := range reply.Regions {
+		if at, ok := f.at[r.Region]; !ok || now.Add(-r.Age).After(at) {
+			f.regions[r.Region], f.at[r.Region] = r, now.Add(-r.Age)
+		}
+	}
+	return f.worthFetching(l, args.Self.Region, reply.Index, now)
+}
+
+// worthFetching tells whether to fetch the state from a control host that has a
+// newer one: at once from one of this region, from a far one only where no near
+// one brings it.
+func (f *Follower) worthFetching(l *link, region string, index uint64, now time.Time) bool {
+	if f.Took == nil || index <= f.state.Index {
+		l.ahead = time.Time{}
+		return false
+	}
+	if l.ahead.IsZero() {
+		l.ahead = now
+	}
+	if l.host.Region == region || now.Sub(l.ahead) > farPatience {
+		return true
+	}
+	for _, other := range f.links {
+		if other.host.Region == region && now.Sub(other.answered) < contactTime {
+			return false
+		}
+	}
+	return true
+}
+
+// fetch takes the ledger's state from a control host.
+func (f *Follower) fetch(ctx context.Context, l *link) {
+	var reply StateReply
+	if err := f.Calls.WithTimeout(ctx, fetchTime, l.address, Service+".State", StateArgs{}, &reply); err != nil {
+		f.Log.Warn("state not fetched", zap.String("address", l.address), zap.Error(err))
+		return
+	}
+	var state ledger.State
+	if err := ledger.Unpack(reply.State, &state); err != nil {
+		f.Log.Error("state can't be read", zap.String("address", l.address), zap.Error(err))
+		return
+	}
+	f.mu.Lock()
+	newer := state.Index > f.state.Index
+	if newer {
+		f.state = state
+	}
+	l.ahead = time.Time{}
+	f.mu.Unlock()
+	if newer {
+		f.Log.Info("state taken", zap.String("from", l.address), zap.Uint64("index", state.Index),
+			zap.Int64("version", state.Catalog.Version), zap.Strings("evacuated", state.Evacuated))
+		f.Took(state)
+	}
+}
+
+// State gives the newest state of the ledger that has been fetched.
+func (f *Follower) State() ledger.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state
+}
+
+// InTouch counts the control hosts that have answered lately.
+func (f *Follower) InTouch() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, l := range f.links {
+		if !l.down && l.life != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// Gateways gives the gateways that the control hosts in touch name, each once,
+// with the newest word of it, in the order of their names.
+func (f *Follower) Gateways() []roster.Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock()
+	newest := make(map[string]roster.Host)
+	for _, l := range f.links {
+		for _, n := range l.gateways {
+			h := n.Host
+			h.Heard = l.taken.Add(-n.HeardAgo)
+			if now.Sub(l.answered) < contactTime {
+				// The roster is told anew with each change, so who stands in
+				// it has been heard until now.
+				h.Heard = now
+			}
+			if known, ok := newest[h.Name]; !ok || h.Heard.After(known.Heard) {
+				newest[h.Name] = h
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Values(newest), func(a, b roster.Host) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+}
+
+// Region gives what is known of a region's load and how old the word is; false
+// where nothing is.
+func (f *Follower) Region(region string) ([]roster.Load, time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.regions[region]
+	return r.Load, f.Clock().Sub(f.at[region]), ok
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
+// ErrNoLeader says that no control host leads, as far as is known here.
+var ErrNoLeader = errors.New("no leader of the ledger is known")
--- /dev/null
+++ b/follow/messages.go
@@ -0,0 +1,130 @@
+// This file defines what hosts ask of control hosts, over net/rpc.
+
+package follow
+
+import (
+	"time"
+
+	"github.com/linenscale/linenscale/raft"
+	"github.com/linenscale/linenscale/registry"
+	"github.com/linenscale/linenscale/roster"
+)
+
+// Service is the name under which a control host answers.
+const Service = "Control"
+
+// SyncArgs tells a control host of the caller, and asks for what is new.
+type SyncArgs struct {
+	Self    roster.Host
+	Life    string        // of the control host that Engines counts for
+	Engines uint64        // number up to which the caller knows its engines
+	Index   uint64        // of the ledger's state that the caller has
+	Roster  uint64        // version that the caller has
+	Wait    time.Duration // how long to wait for something new
+}
+
+// SyncReply is what a control host knows and the caller doesn't.
+type SyncReply struct {
+	Life     string
+	Index    uint64 // of the ledger's state that can be fetched
+	Engines  []EngineNews
+	Number   uint64 // up to which Engines reaches
+	Roster   uint64
+	Control  []HostNews // with a new roster: the control hosts
+	Gateways []HostNews // with a new roster: the gateways
+	Regions  []RegionNews
+}
+
+// News tells whether the reply holds anything that the caller didn't know.
+func (r SyncReply) News(args SyncArgs) bool {
+	return r.Life != args.Life || r.Index > args.Index || len(r.Engines) > 0 || r.Roster != args.Roster
+}
+
+// EngineNews is an engine whose times are told as durations, because two hosts'
+// clocks show different times.
+type EngineNews struct {
+	Engine   registry.Engine // without times
+	ColdFor  time.Duration
+	GoneIn   time.Duration // 0 where not known
+	HeardAgo time.Duration
+}
+
+// HostNews is a host with the age of its last word.
+type HostNews struct {
+	Host     roster.Host // without times and load
+	HeardAgo time.Duration
+}
+
+// RegionNews is what gateways tell of their region, with the age of the word.
+type RegionNews struct {
+	Region string
+	Load   []roster.Load
+	Age    time.Duration
+}
+
+// StateArgs asks for the ledger's state.
+type StateArgs struct{}
+
+// StateReply is the ledger's state, packed, without the operator's source.
+type StateReply struct {
+	Index uint64
+	State []byte
+}
+
+// ProposeArgs carries a command of the ledger to the leader.
+type ProposeArgs struct {
+	Command []byte
+}
+
+// ReadReply is the index that a confirmed read must have applied.
+type ReadReply struct {
+	Index uint64
+}
+
+// Nothing stands where a call has no arguments or no answer.
+type Nothing struct{}
+
+// Deliveries are messages between replicas of the ledger.
+type Deliveries []raft.Envelope
+
+// newsOf tells of an engine in terms that hold on any host.
+func newsOf(e registry.Engine, now time.Time) EngineNews {
+	n := EngineNews{Engine: e, ColdFor: max(0, e.ColdUntil.Sub(now)), HeardAgo: now.Sub(e.Heard)}
+	if !e.GoneAt.IsZero() {
+		n.GoneIn = max(1, e.GoneAt.Sub(now))
+	}
+	n.Engine.ColdUntil, n.Engine.GoneAt, n.Engine.Heard, n.Engine.Began = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+	return n
+}
+
+// NewsOf tells of engines in terms that hold on any host.
+func NewsOf(engines []registry.Engine, now time.Time) []EngineNews {
+	out := make([]EngineNews, len(engines))
+	for i, e := range engines {
+		out[i] = newsOf(e, now)
+	}
+	return out
+}
+
+// engine gives the news in the terms of this process's clock.
+func (n EngineNews) engine(now time.Time) registry.Engine {
+	e := n.Engine
+	e.Heard = now.Add(-n.HeardAgo)
+	if n.ColdFor > 0 {
+		e.ColdUntil = now.Add(n.ColdFor)
+	}
+	if n.GoneIn > 0 {
+		e.GoneAt = now.Add(n.GoneIn)
+	}
+	return e
+}
+
+// HostsOf tells of hosts in terms that hold on any host.
+func HostsOf(hosts []roster.Host, now time.Time) []HostNews {
+	out := make([]HostNews, len(hosts))
+	for i, h := range hosts {
+		out[i] = HostNews{Host: h, HeardAgo: now.Sub(h.Heard)}
+		out[i].Host.Heard, out[i].Host.Load = time.Time{}, nil
+	}
+	return out
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -216,7 +216,7 @@
 const headerPriority = "Engine-Priority"
 
 func (s *Server) engineCall(x *exchange, p *payload, ticket *fleet.Ticket) relay.Call {
-	header := forward(x.r.Header)
+	header := relay.Forwardable(x.r.Header)
 	header.Set(headerPriority, strconv.Itoa(x.req.Class.Priority()))
 	path := x.req.Rest
 	if x.r.URL.RawQuery != "" {
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -139,14 +139,14 @@
 		err = checkModel(x.service, rest, body)
 	}
 	if err != nil {
-		s.refuse(x.w, x.r, x.req, asRefusal(err))
+		s.refuse(x.w, x.r, x.req, request.AsRefusal(err))
 		return
 	}
 	x.req = x.req.WithModel(body.Model).WithPrefix(PrefixChain(promptOf(body))).WithRepeatable(true)
 	p := &payload{whole: data, length: int64(len(data)), stream: body.Stream}
 	p.prefill = time.Duration(len(data)) * prefillPerByte
 	if err := s.attempts(x, p); err != nil {
-		s.refuse(x.w, x.r, x.req, asRefusal(err))
+		s.refuse(x.w, x.r, x.req, request.AsRefusal(err))
 	}
 }
 
@@ -160,7 +160,7 @@
 
 // answerHeaders copies the headers of an answer for the caller.
 func answerHeaders(to http.Header, resp *http.Response) {
-	for name, values := range forward(resp.Header) {
+	for name, values := range relay.Forwardable(resp.Header) {
 		switch name {
 		case relay.HeaderStream, request.HeaderOutcome:
 			continue
--- a/gateway/entries.go
+++ b/gateway/entries.go
@@ -41,7 +41,7 @@
 func (s *Server) serveEntries(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	guard, config, err := s.Authority.Serving()
 	if err != nil {
-		s.refuse(w, r, request.Request{}, asRefusal(err))
+		s.refuse(w, r, request.Request{}, request.AsRefusal(err))
 		return
 	}
 	query := r.URL.Query()
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -25,7 +25,7 @@
 		return true, &request.NotRun{Reason: request.ReasonNoEngine, Message: "no entry host of region " + quote(region) + " can be reached"}
 	}
 	s.Log.Info("handed over", zap.String("request", x.req.ID), zap.String("service", x.req.Service), zap.String("region", region), zap.String("host", host.Name), zap.String("reason", reason))
-	header := forward(x.r.Header)
+	header := relay.Forwardable(x.r.Header)
 	sent := x.req.WithVisit(s.Host.Name)
 	sent.SetHandover(header, time.Now(), x.config.Revision())
 	if p.flow != nil {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/linenscale/linenscale/once"
+	"github.com/linenscale/linenscale/relay"
 	"github.com/linenscale/linenscale/request"
 )
 
@@ -40,7 +41,7 @@
 		err = s.attempts(x, p)
 	}
 	if err != nil {
-		s.refuse(x.w, x.r, x.req, asRefusal(err))
+		s.refuse(x.w, x.r, x.req, request.AsRefusal(err))
 	}
 }
 
@@ -212,7 +213,7 @@
 
 func (r *recorder) start(resp *http.Response) {
 	r.status = resp.StatusCode
-	r.header = forward(resp.Header)
+	r.header = relay.Forwardable(resp.Header)
 	r.header.Del("Set-Cookie")
 }
 
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/julienschmidt/httprouter"
 	"go.uber.org/zap"
 
@@ -34,7 +33,7 @@
 	now := time.Now()
 	req, err := request.Identify(params.ByName("service"), params.ByName("rest"), r.Method, r.Header, now, s.Limits.RequestTime)
 	if err != nil {
-		s.refuse(w, r, request.Request{Service: params.ByName("service")}, asRefusal(err))
+		s.refuse(w, r, request.Request{Service: params.ByName("service")}, request.AsRefusal(err))
 		return
 	}
 	s.serve(&exchange{w: w, r: r, req: req, began: now})
@@ -45,12 +44,12 @@
 	w.Header().Set(relay.HeaderAttempt, r.Header.Get(relay.HeaderAttempt))
 	visited, remaining, err := request.TakeHandover(r.Header)
 	if err != nil {
-		s.refuse(w, r, request.Request{Service: params.ByName("service")}, asRefusal(err))
+		s.refuse(w, r, request.Request{Service: params.ByName("service")}, request.AsRefusal(err))
 		return
 	}
 	req, err := request.Identify(params.ByName("service"), params.ByName("rest"), r.Method, r.Header, now, remaining)
 	if err != nil {
-		s.refuse(w, r, request.Request{Service: params.ByName("service")}, asRefusal(err))
+		s.refuse(w, r, request.Request{Service: params.ByName("service")}, request.AsRefusal(err))
 		return
 	}
 	for _, host := range visited {
@@ -70,7 +69,7 @@
 	}
 	defer s.inFlight.Add(-1)
 	if err := s.permit(x); err != nil {
-		s.refuse(x.w, x.r, x.req, asRefusal(err))
+		s.refuse(x.w, x.r, x.req, request.AsRefusal(err))
 		return
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.req.Deadline)
@@ -126,16 +125,6 @@
 	return ""
 }
 
-// asRefusal turns any error into the final answer for the caller. What isn't
-// a refusal yet is one whose outcome is unknown.
-func asRefusal(err error) request.Refusal {
-	var refusal request.Refusal
-	if errors.As(err, &refusal) {
-		return refusal
-	}
-	return &request.OutcomeUnknown{Message: err.Error()}
-}
-
 func quote(s string) string { return `"` + strings.ReplaceAll(s, `"`, `'`) + `"` }
 
 // logRefusal writes the line of a decision that ends a request.
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -10,7 +10,6 @@
 	"math"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/linenscale/linenscale/relay"
@@ -136,23 +135,3 @@
 // abort ends a connection whose answer can't be completed, so that the caller
 // sees it fail.
 func abort() { panic(http.ErrAbortHandler) }
-
-// hopHeaders belong to one connection and are not passed on (RFC 9110, 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
-// forward copies the headers that may be passed on.
-func forward(from http.Header) http.Header {
-	to := from.Clone()
-	for _, listed := range from.Values("Connection") {
-		for _, name := range strings.Split(listed, ",") {
-			to.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		to.Del(name)
-	}
-	return to
-}
--- a/gateway/system_test.go
+++ b/gateway/system_test.go
@@ -183,7 +183,7 @@
 	limits := settings.DefaultLimits
 	limits.RequestTime = 20 * time.Second
 	limits.SlowCallerTime = 500 * time.Millisecond
-	client := relay.New(&net.Dialer{Timeout: time.Second}, limits.RequestTime)
+	client := relay.New(&net.Dialer{Timeout: time.Second}, relay.Options{AnswerTime: limits.RequestTime})
 	t.Cleanup(client.Close)
 	var random atomic.Uint64
 	e.server = gateway.New(gateway.Deps{
--- /dev/null
+++ b/ingress/dialect.go
@@ -0,0 +1,51 @@
+// This file defines what the ingress needs to know of the protocols that
+// callers and engines speak.
+
+package ingress
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/linenscale/linenscale/dispatch"
+	"github.com/linenscale/linenscale/request"
+)
+
+// Identity is what a caller says of a request.
+type Identity struct {
+	ID        string
+	Remaining time.Duration // that the caller will wait; 0 where not said
+	Prompt    dispatch.Prompt
+	LastEvent string // ID of the last event that the caller has; "" for none
+}
+
+// Send is what the system tells an engine beside the caller's own words.
+type Send struct {
+	Engine    string        // the incarnation that is meant
+	Remaining time.Duration // after which the engine may stop
+	LastEvent string        // the stream goes on after this event; "" for the caller's own
+	Priority  int           // 0 is the most urgent
+}
+
+// Verdict is what an answer's head says.
+type Verdict struct {
+	ID          string // of the request that it answers
+	Engine      string // incarnation that answered, "" where not said
+	NotRun      bool   // the engine says that it did not run the request
+	Misdirected bool   // another engine answers at this address
+	Cold        time.Duration
+	RetryAfter  time.Duration
+}
+
+// Dialect speaks the protocol of callers and engines.
+type Dialect interface {
+	// Identify reads a caller's headers; the error is a *request.NotRun.
+	Identify(header http.Header) (Identity, error)
+	// Outgoing gives the headers for an engine: the caller's, without those
+	// that only the system may set, and with what is sent.
+	Outgoing(caller http.Header, send Send) http.Header
+	// Judge reads the head of an engine's answer.
+	Judge(resp *http.Response) Verdict
+	// Refuse gives the status and headers of an answer that is no engine's.
+	Refuse(refusal request.Refusal) (status int, header http.Header)
+}
--- a/keyhome/keyhome.go
+++ b/keyhome/keyhome.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "log of keys")
 	}
-	h.keeper = voters.New(h.replica, opts.Spares, opts.Voters, opts.Log.Named("keys"))
+	h.keeper = voters.New(h.replica, opts.Spares, voters.Policy{Wanted: opts.Voters, LostAfter: voters.DefaultLostAfter}, opts.Log.Named("keys"))
 	return h, nil
 }
 
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -82,7 +82,7 @@
 	group := pool.New().WithContext(ctx).WithCancelOnError()
 	group.Go(l.replica.Run)
 	group.Go(l.decide)
-	group.Go(voters.New(l.replica, l.spares, l.opts.Voters, l.opts.Log).Run)
+	group.Go(voters.New(l.replica, l.spares, voters.Policy{Wanted: l.opts.Voters, LostAfter: voters.DefaultLostAfter}, l.opts.Log).Run)
 	return group.Wait()
 }
 
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -176,7 +176,7 @@
 				spares = append(spares, voters.Spare{ID: n.ID})
 			}
 		}
-		if next, why := voters.Next(status, spares, 3, c.Now); why != "" {
+		if next, why := voters.Next(status, spares, voters.Policy{Wanted: 3, LostAfter: voters.DefaultLostAfter}, c.Now); why != "" {
 			_, _, _ = leader.Raft.ProposeMembers(c.Now, next)
 		}
 	}
--- /dev/null
+++ b/registry/registry.go
@@ -0,0 +1,270 @@
+// Package registry knows the engines that have registered themselves.
+//
+// Engines are soft state: each sends a heartbeat to one control host every
+// second or so, and nothing of it is written to disk. Control hosts and
+// gateways each hold a Table. A control host fills its own by Beat and Leave,
+// and every host merges what the control hosts that it follows announce. Only
+// changes travel: Since gives what is new after a cursor.
+//
+// Every start of an engine is a new incarnation with an ID of its own, and its
+// heartbeats carry a rising sequence. The higher sequence of an incarnation
+// holds, so that a heartbeat which arrives late changes nothing, and an
+// incarnation that has left never comes back.
+package registry
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Phase is where an engine stands between its start and its end.
+type Phase uint8
+
+// The phases. A later one never gives way to an earlier one of the same
+// sequence.
+const (
+	Ready    Phase = iota
+	Silent         // no heartbeat for a while: it may have ended
+	Draining       // it finishes what it has and wants nothing new
+	Left           // it has ended or is about to
+)
+
+// String gives the word used in logs.
+func (p Phase) String() string {
+	return [...]string{"ready", "silent", "draining", "left"}[p]
+}
+
+// Engine is what is known of one incarnation of an engine. Times are those of
+// this process's steady clock.
+type Engine struct {
+	ID         string // of the incarnation
+	Service    string
+	Address    string // IP and port
+	DataCentre string
+	Slots      int // requests that it runs side by side
+	Sequence   int64
+	Phase      Phase
+	ColdUntil  time.Time // it bears few requests until then
+	GoneAt     time.Time // when it will be taken away, zero where not known
+	Source     string    // incarnation of the control host that hears it
+	Heard      time.Time // when that was last known to hear it
+	Began      time.Time // when it was first known here
+}
+
+// IsCold tells whether the engine bears only few requests.
+func (e Engine) IsCold(now time.Time) bool { return now.Before(e.ColdUntil) }
+
+// Timing of the forgetting.
+const (
+	// silentBeats is how many heartbeats may be missed.
+	silentBeats = 3.5
+	// keepLeft is how long an ended incarnation is remembered, so that late
+	// heartbeats don't bring it back. They come seconds late.
+	keepLeft = 60 * time.Second
+	// coldShift is how far the end of a cold period may move between two
+	// heartbeats without being announced.
+	coldShift = 250 * time.Millisecond
+)
+
+// Table is safe for concurrent use. New makes one.
+type Table struct {
+	source    string
+	heartbeat time.Duration
+	clock     func() time.Time
+
+	mu      sync.Mutex
+	engines map[string]*entry
+	changes uint64
+	changed chan struct{}
+}
+
+type entry struct {
+	Engine
+	change uint64 // number of its last change here
+}
+
+// New makes an empty table. source names this process's life; heartbeat is
+// how often engines register.
+func New(source string, heartbeat time.Duration, clock func() time.Time) *Table {
+	return &Table{source: source, heartbeat: heartbeat, clock: clock, engines: make(map[string]*entry), changed: make(chan struct{})}
+}
+
+// Changed gives a channel that is closed with the next change.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+// Number counts the changes so far.
+func (t *Table) Number() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changes
+}
+
+// Beat takes a heartbeat that an engine sent to this host. It tells whether
+// anything changed that others need to know.
+func (t *Table) Beat(e Engine) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e.Source, e.Heard = t.source, t.clock()
+	return t.put(e)
+}
+
+// Leave notes that an engine has said its goodbye to this host.
+func (t *Table) Leave(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock()
+	e := Engine{ID: id}
+	if known, ok := t.engines[id]; ok {
+		e = known.Engine
+	}
+	e.Phase, e.Source, e.Heard = Left, t.source, now
+	return t.put(e)
+}
+
+// Merge takes what another host announced. Engines must be in the terms of
+// this process's clock.
+func (t *Table) Merge(engines []Engine) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range engines {
+		t.put(e)
+	}
+}
+
+// put takes over what is newer. The lock is held.
+func (t *Table) put(e Engine) bool {
+	known, ok := t.engines[e.ID]
+	if !ok {
+		e.Began = t.clock()
+		known = &entry{Engine: e}
+		t.engines[e.ID] = known
+		t.supersede(e)
+		t.note(known)
+		return true
+	}
+	if !newer(known.Engine, e) {
+		return false
+	}
+	old := known.Engine
+	e.Began = old.Began
+	known.Engine = e
+	if sameNews(old, e) {
+		return false
+	}
+	t.note(known)
+	return true
+}
+
+// newer tells whether e says more than what is known. Of one sequence, only a
+// later phase does, or a fresh heartbeat after a silence.
+func newer(known, e Engine) bool {
+	switch {
+	case known.Phase == Left:
+		return false
+	case e.Phase == Left:
+		return true
+	case e.Sequence != known.Sequence:
+		return e.Sequence > known.Sequence
+	default:
+		return e.Phase > known.Phase
+	}
+}
+
+// sameNews tells whether two states of an engine are alike to other hosts.
+func sameNews(a, b Engine) bool {
+	shift := a.ColdUntil.Sub(b.ColdUntil).Abs()
+	bothWarm := !b.IsCold(b.Heard) && !a.IsCold(b.Heard)
+	return a.Phase == b.Phase && a.Source == b.Source && a.Address == b.Address && a.Slots == b.Slots &&
+		a.GoneAt.IsZero() == b.GoneAt.IsZero() && (bothWarm || shift < coldShift)
+}
+
+// supersede marks the earlier owners of an engine's address as ended: an
+// address is given away only after its engine's end.
+func (t *Table) supersede(e Engine) {
+	for _, other := range t.engines {
+		if other.ID != e.ID && other.Address == e.Address && other.Phase != Left && other.Phase != Silent {
+			other.Phase = Silent
+			t.note(other)
+		}
+	}
+}
+
+func (t *Table) note(e *entry) {
+	t.changes++
+	e.change = t.changes
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// Confirm notes that the control host of that life is in touch, so that every
+// engine that it hears counts as heard now.
+func (t *Table) Confirm(source string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock()
+	for _, e := range t.engines {
+		if e.Source == source && e.Phase != Silent {
+			e.Heard = now
+		}
+	}
+}
+
+// Expire marks engines that this host should hear and doesn't as silent, and
+// forgets what ended long ago. It gives the engines that fell silent.
+func (t *Table) Expire() []Engine {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock()
+	patience := time.Duration(silentBeats * float64(t.heartbeat))
+	var silent []Engine
+	for id, e := range t.engines {
+		age := now.Sub(e.Heard)
+		switch {
+		case e.Phase == Ready && e.Source == t.source && age > patience:
+			e.Phase = Silent
+			t.note(e)
+			silent = append(silent, e.Engine)
+		case age > keepLeft:
+			delete(t.engines, id)
+		}
+	}
+	return silent
+}
+
+// Since gives the engines that changed after the number, of the data centres
+// that wanted allows, and the number up to which they are given.
+func (t *Table) Since(number uint64, wanted func(dataCentre string) bool) ([]Engine, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Engine
+	for _, e := range t.engines {
+		if e.change > number && (e.DataCentre == "" || wanted(e.DataCentre)) {
+			out = append(out, e.Engine)
+		}
+	}
+	slices.SortFunc(out, func(a, b Engine) int { return strings.Compare(a.ID, b.ID) })
+	return out, t.changes
+}
+
+// Get gives the engine of that ID.
+func (t *Table) Get(id string) (Engine, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.engines[id]
+	if !ok {
+		return Engine{}, false
+	}
+	return e.Engine, true
+}
+
+// All gives every engine that has not been forgotten, in the order of IDs.
+func (t *Table) All() []Engine {
+	out, _ := t.Since(0, func(string) bool { return true })
+	return out
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -53,6 +53,7 @@
 type Call struct {
 	Method  string
 	URL     string
+	Host    string // the Host header; "" for the URL's
 	Header  http.Header
 	Body    io.Reader // nil for none
 	Length  int64     // of Body; -1 if unknown
@@ -62,6 +63,10 @@
 	// Fresh asks for a connection of its own, for a call that may not be
 	// repeated.
 	Fresh bool
+	// Judge looks at the head of the answer, and gives a *Failure where it
+	// can't be passed on. Nil is the judgement of the product's own protocol
+	// towards engines, which also sets HeaderAttempt.
+	Judge func(*http.Response) error
 }
 
 // Client sends calls. New makes one.
@@ -79,15 +84,32 @@
 // Open streams are many, so it is small.
 const bufferSize = 1 << 10
 
+// Options shapes a Client. Zero fields take the defaults.
+type Options struct {
+	// AnswerTime bounds the wait for the first byte of an answer; 0 leaves it
+	// to the call's context.
+	AnswerTime time.Duration
+	// IdleTime is how long an idle connection is kept. It should be shorter
+	// than the engines keep theirs, so that none is used as it closes.
+	IdleTime time.Duration
+	// IdlePerHost bounds the idle connections to one address.
+	IdlePerHost int
+}
+
 // New makes a client whose connections are opened by dialer.
-// answerTime bounds the wait for the first byte of an answer.
-func New(dialer Dialer, answerTime time.Duration) *Client {
+func New(dialer Dialer, opts Options) *Client {
+	if opts.IdleTime == 0 {
+		opts.IdleTime = idleTime
+	}
+	if opts.IdlePerHost == 0 {
+		opts.IdlePerHost = idlePerHost
+	}
 	kept := &http.Transport{
 		DialContext:           dialer.DialContext,
-		MaxIdleConnsPerHost:   idlePerHost,
-		IdleConnTimeout:       idleTime,
-		ResponseHeaderTimeout: answerTime,
-		ExpectContinueTimeout: answerTime,
+		MaxIdleConnsPerHost:   opts.IdlePerHost,
+		IdleConnTimeout:       opts.IdleTime,
+		ResponseHeaderTimeout: opts.AnswerTime,
+		ExpectContinueTimeout: opts.AnswerTime,
 		ReadBufferSize:        bufferSize,
 		WriteBufferSize:       bufferSize,
 		DisableCompression:    true,
@@ -97,6 +119,7 @@
 	return &Client{kept: kept, fresh: fresh}
 }
 
+// Defaults of Options.
 const (
 	idlePerHost = 64
 	idleTime    = 90 * time.Second
@@ -109,21 +132,34 @@
 }
 
 // Send makes the attempt and gives the answer, headers read and body open.
-// The error is always a *Failure. Ending ctx cancels the engine's work.
+// The error is a *Failure, or what the call's Judge gave. Ending ctx cancels the engine's work.
 func (c *Client) Send(ctx context.Context, call Call) (*http.Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	// A body that net/http knows nothing of can't be sent a second time by it,
+	// and neither can a request that has none but isn't known to have none.
 	body := call.Body
-	if body != nil {
+	switch {
+	case body != nil:
 		body = opaque{body}
+	case call.Judge != nil:
+		body = opaque{http.NoBody}
 	}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.Method, call.URL, body)
 	if err != nil {
 		return nil, &Failure{NotRun: true, cause: errors.Annotate(err, "request")}
 	}
 	req.Header = call.Header
-	req.Header.Set(HeaderAttempt, call.Attempt)
-	if body != nil {
+	if call.Host != "" {
+		req.Host = call.Host
+	}
+	if _, given := req.Header["User-Agent"]; !given {
+		req.Header["User-Agent"] = nil // else net/http names itself
+	}
+	if call.Judge == nil {
+		req.Header.Set(HeaderAttempt, call.Attempt)
+	}
+	if call.Body != nil {
 		req.ContentLength = call.Length
 	}
 	transport := c.fresh
@@ -134,13 +170,22 @@
 	if err != nil {
 		return nil, &Failure{NotRun: !connected.Load(), cause: errors.Annotatef(err, "send to %s", req.URL.Host)}
 	}
-	if err := checkAnswer(call, resp); err != nil {
+	judge := call.Judge
+	if judge == nil {
+		judge = func(resp *http.Response) error { return checkAnswer(call, resp) }
+	}
+	if err := judge(resp); err != nil {
 		resp.Body.Close()
 		return nil, err
 	}
 	return resp, nil
 }
 
+// NewFailure makes the failure of an attempt, for a Judge.
+func NewFailure(notRun, shed bool, retryAfter time.Duration, cause error) *Failure {
+	return &Failure{NotRun: notRun, Shed: shed, RetryAfter: retryAfter, cause: cause}
+}
+
 // opaque hides the concrete reader, so that net/http can't rewind the body.
 type opaque struct{ io.Reader }
 
@@ -183,7 +228,7 @@
 // bounds each wait for the caller; look may be nil. It gives the number of
 // bytes passed on; an error of the caller's side is a *CallerError.
 func Copy(w http.ResponseWriter, from io.Reader, slow time.Duration, look Look) (int64, error) {
-	out := &patient{w: w, controller: http.NewResponseController(w), slow: slow}
+	out := NewWriter(w, slow)
 	chunk := chunks.Get().(*[chunkSize]byte)
 	defer chunks.Put(chunk)
 	var total int64
@@ -194,7 +239,7 @@
 			n, end = look(chunk[:n])
 		}
 		if n > 0 {
-			if err := out.pass(chunk[:n]); err != nil {
+			if err := out.Pass(chunk[:n]); err != nil {
 				return total, err
 			}
 			total += int64(n)
@@ -209,36 +254,41 @@
 }
 
 // CallerError says that the caller went away or took bytes too slowly.
-type CallerError struct{ cause error }
+type CallerError struct{ Cause error }
 
 // Error implements error.
-func (e *CallerError) Error() string { return "caller: " + e.cause.Error() }
+func (e *CallerError) Error() string { return "caller: " + e.Cause.Error() }
 
 // Unwrap gives the cause.
-func (e *CallerError) Unwrap() error { return e.cause }
+func (e *CallerError) Unwrap() error { return e.Cause }
 
-// patient writes to a caller and bounds each wait for it.
-type patient struct {
+// Writer writes to a caller and bounds each wait for it. NewWriter makes one.
+type Writer struct {
 	w          http.ResponseWriter
 	controller *http.ResponseController
 	slow       time.Duration
 	until      time.Time // the deadline that is set
 }
 
-// pass writes and flushes. The deadline is moved only when a quarter of it has
+// NewWriter makes a writer; slow is the longest wait for the caller.
+func NewWriter(w http.ResponseWriter, slow time.Duration) *Writer {
+	return &Writer{w: w, controller: http.NewResponseController(w), slow: slow}
+}
+
+// Pass writes and flushes; the error is a *CallerError. The deadline is moved only when a quarter of it has
 // gone, since each move costs a timer: a caller so has between three quarters
 // and the whole of the time.
-func (p *patient) pass(data []byte) error {
+func (p *Writer) Pass(data []byte) error {
 	if now := time.Now(); p.until.Sub(now) < p.slow*3/4 {
 		p.until = now.Add(p.slow)
 		// A writer without deadlines, as in tests, is as good.
 		_ = p.controller.SetWriteDeadline(p.until)
 	}
 	if _, err := p.w.Write(data); err != nil {
-		return &CallerError{err}
+		return &CallerError{Cause: err}
 	}
 	if err := p.controller.Flush(); err != nil {
-		return &CallerError{err}
+		return &CallerError{Cause: err}
 	}
 	return nil
 }
--- a/request/refusal.go
+++ b/request/refusal.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // Reason says in one word why a request was not run. It is logged and sent.
@@ -45,6 +47,7 @@
 // OutcomeUnknown says that an engine may have run the request.
 type OutcomeUnknown struct {
 	Message string
+	Late    bool // it was given up because its time was over
 }
 
 var (
@@ -101,3 +104,13 @@
 		return http.StatusServiceUnavailable
 	}
 }
+
+// AsRefusal turns any error into a final answer. What isn't a refusal yet is
+// one whose outcome is unknown.
+func AsRefusal(err error) Refusal {
+	var refusal Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return &OutcomeUnknown{Message: err.Error()}
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -25,22 +25,28 @@
 
 // Parse reads and checks settings from data; name stands in messages.
 func Parse(name string, data []byte) (Settings, error) {
+	return parse(name, data, Settings.withDefaults, (*checker).values)
+}
+
+// parse reads one document into a type of settings and checks its keys and
+// values.
+func parse[T any](name string, data []byte, withDefaults func(T) T, check func(*checker, T)) (T, error) {
+	var s T
 	file, err := parser.ParseBytes(data, 0)
 	if err != nil {
-		return Settings{}, syntaxError(name, err)
+		return s, syntaxError(name, err)
 	}
 	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
-		return Settings{}, &FaultsError{[]Fault{{name, 1, "$", "must hold exactly one document"}}}
+		return s, &FaultsError{[]Fault{{name, 1, "$", "must hold exactly one document"}}}
 	}
 	c := &checker{name: name, root: file.Docs[0].Body}
-	c.unknownKeys(c.root, reflect.TypeFor[Settings](), "$")
-	var s Settings
+	c.unknownKeys(c.root, reflect.TypeFor[T](), "$")
 	if err := yaml.NodeToValue(c.root, &s); err != nil {
 		c.faults = append(c.faults, syntaxError(name, err).Faults...)
-		return Settings{}, c.result()
+		return s, c.result()
 	}
-	s = s.withDefaults()
-	c.values(s)
+	s = withDefaults(s)
+	check(c, s)
 	return s, c.result()
 }
 
@@ -75,6 +81,9 @@
 			c.unknownKeys(value, t.Elem(), fmt.Sprintf("%s[%d]", path, i))
 		}
 	case *ast.MappingNode:
+		if t.Kind() == reflect.Map {
+			return // any key may stand there
+		}
 		for _, value := range n.Values {
 			c.unknownKey(value, t, path)
 		}
--- a/voters/voters.go
+++ b/voters/voters.go
@@ -20,11 +20,22 @@
 	"github.com/linenscale/linenscale/replica"
 )
 
+// Policy says how many voters there should be and when one counts as lost.
+type Policy struct {
+	Wanted    int
+	LostAfter time.Duration // how long a voter must be silent
+	// Standby keeps one spare as a learner, so that a lost voter's place is
+	// taken without waiting for a spare to catch up.
+	Standby bool
+}
+
+// DefaultLostAfter suits hosts whose restarts take seconds: replacing a voter
+// that is about to return costs more than waiting for it.
+const DefaultLostAfter = 15 * time.Second
+
 // Timing of the replacement of voters.
 const (
-	votersEvery = 500 * time.Millisecond
-	// lostAfter is how long a voter must be silent to be replaced.
-	lostAfter = 15 * time.Second
+	votersEvery = 250 * time.Millisecond
 	// memberTime bounds the wait for one change of members.
 	memberTime = 3 * time.Second
 	// caughtUp is how many entries behind a learner may be to get a vote.
@@ -35,14 +46,13 @@
 type Keeper struct {
 	replica *replica.Replica
 	spares  func() []Spare
-	wanted  int
+	policy  Policy
 	log     *zap.Logger
 }
 
-// New makes a keeper. spares lists the replicas that could vote, in any order;
-// wanted is the number of voters.
-func New(r *replica.Replica, spares func() []Spare, wanted int, log *zap.Logger) *Keeper {
-	return &Keeper{r, spares, wanted, log}
+// New makes a keeper. spares lists the replicas that could vote, in any order.
+func New(r *replica.Replica, spares func() []Spare, policy Policy, log *zap.Logger) *Keeper {
+	return &Keeper{r, spares, policy, log}
 }
 
 // Run keeps the voters whenever this replica leads, until ctx ends.
@@ -64,7 +74,7 @@
 func (k *Keeper) step(ctx context.Context, status raft.Status) {
 	spares := k.spares()
 	slices.SortFunc(spares, func(a, b Spare) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	next, why := Next(status, spares, k.wanted, time.Now())
+	next, why := Next(status, spares, k.policy, time.Now())
 	if why == "" {
 		return
 	}
@@ -101,21 +111,25 @@
 
 // Next gives the next step towards the wanted number of voters that
 // answer, and why; why is empty where nothing is to be done.
-func Next(status raft.Status, spares []Spare, wanted int, now time.Time) (next raft.Membership, why string) {
+func Next(status raft.Status, spares []Spare, policy Policy, now time.Time) (next raft.Membership, why string) {
 	members := status.Members
-	lost := lostVoter(status, spares, now)
+	lost := lostVoter(status, spares, policy, now)
+	needed := lost != raft.None || len(members.Voters) < policy.Wanted
 	for _, p := range status.Peers {
-		if slices.Contains(members.Learners, p.ID) && isLost(p, spares, now) {
+		if !slices.Contains(members.Learners, p.ID) {
+			continue
+		}
+		if isLost(p, spares, policy, now) {
 			return members.Without(p.ID), "learner " + string(p.ID) + " is lost"
 		}
-		if slices.Contains(members.Learners, p.ID) && p.Match > 0 && p.Match+caughtUp >= status.Commit && (lost != raft.None || len(members.Voters) < wanted) && len(members.Voters) <= wanted {
+		if needed && len(members.Voters) <= policy.Wanted && p.Match > 0 && p.Match+caughtUp >= status.Commit {
 			return members.WithVoter(p.ID), "learner " + string(p.ID) + " has caught up"
 		}
 	}
-	if lost != raft.None && len(members.Voters) > wanted {
-		return members.Without(lost), "voter " + string(lost) + " is lost"
+	if len(members.Voters) > policy.Wanted {
+		return withoutOne(status, lost)
 	}
-	if (lost != raft.None || len(members.Voters) < wanted) && len(members.Learners) == 0 {
+	if (needed || policy.Standby) && len(members.Learners) == 0 {
 		if spare, ok := pickSpare(members, spares, lost); ok {
 			return members.WithLearner(spare), "a voter is needed beside " + string(lost)
 		}
@@ -123,24 +137,38 @@
 	return raft.Membership{}, ""
 }
 
+// withoutOne takes away the lost voter, or, where the lost one has come back
+// meanwhile, the one that was added last.
+func withoutOne(status raft.Status, lost raft.ID) (next raft.Membership, why string) {
+	if lost != raft.None {
+		return status.Members.Without(lost), "voter " + string(lost) + " is lost"
+	}
+	for _, id := range slices.Backward(status.Members.Voters) {
+		if id != status.ID {
+			return status.Members.Without(id), "there is one voter too many"
+		}
+	}
+	return raft.Membership{}, ""
+}
+
 // lostVoter gives a voter that has been silent too long, or whose host runs
 // under another identity by now.
-func lostVoter(status raft.Status, spares []Spare, now time.Time) raft.ID {
+func lostVoter(status raft.Status, spares []Spare, policy Policy, now time.Time) raft.ID {
 	for _, p := range status.Peers {
-		if status.Members.IsVoter(p.ID) && isLost(p, spares, now) {
+		if status.Members.IsVoter(p.ID) && isLost(p, spares, policy, now) {
 			return p.ID
 		}
 	}
 	return raft.None
 }
 
-func isLost(p raft.PeerStatus, spares []Spare, now time.Time) bool {
+func isLost(p raft.PeerStatus, spares []Spare, policy Policy, now time.Time) bool {
 	for _, s := range spares {
 		if HostOf(s.ID) == HostOf(p.ID) && s.ID != p.ID {
 			return true
 		}
 	}
-	return now.Sub(p.Heard) > lostAfter
+	return now.Sub(p.Heard) > policy.LostAfter
 }
 
 // pickSpare takes a spare, of the lost voter's own region if there is one, so
