Choose engines and regions by expected time, with all gateways' load told

Gateways of a region tell each other their load by datagram ten times a second, regions a digest four times; a prompt's shared parts have a home region and engine by rendezvous hashing.

--- a/controller/service.go
+++ b/controller/service.go
@@ -93,7 +93,6 @@
 		gateways, _ := c.roster.Hosts(roster.RoleGateway)
 		reply.Control, reply.Gateways = follow.HostsOf(append(control, c.ownHost(now)), now), follow.HostsOf(gateways, now)
 	}
-	reply.Regions = c.regions(now)
 	return reply
 }
 
@@ -103,22 +102,6 @@
 	return h
 }
 
-// regions gives the newest word that a gateway of each region has told.
-func (c *Controller) regions(now time.Time) []follow.RegionNews {
-	gateways, _ := c.roster.Hosts(roster.RoleGateway)
-	newest := make(map[string]roster.Host)
-	for _, h := range gateways {
-		if known, ok := newest[h.Region]; len(h.Load) > 0 && (!ok || h.Heard.After(known.Heard)) {
-			newest[h.Region] = h
-		}
-	}
-	out := make([]follow.RegionNews, 0, len(newest))
-	for region, h := range newest {
-		out = append(out, follow.RegionNews{Region: region, Load: h.Load, Age: now.Sub(h.Heard)})
-	}
-	return out
-}
-
 // State gives the ledger's state as it has been applied here.
 func (s *Service) State(_ follow.StateArgs, reply *follow.StateReply) error {
 	state := s.controller.machine.State()
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -238,7 +238,7 @@
 	follower := follow.New(follow.Deps{
 		Self: func() roster.Host {
 			now := self
-			now.Stopping, now.Load = server.Stopping(), dispatcher.Load()
+			now.Stopping = server.Stopping()
 			return now
 		},
 		Seeds: m.seedPeers, Calls: m.calls, Engines: engines,
@@ -250,12 +250,18 @@
 	})
 	client := relay.New(newMemberDialer(engineDial), relay.Options{IdleTime: engineIdle})
 	server = ingress.New(ingress.Deps{
-		Self: self, Dialect: platform.Dialect{}, Dispatcher: dispatcher, Regions: follower.Region, Gateways: follower.Gateways,
+		Self: self, Dialect: platform.Dialect{}, Dispatcher: dispatcher, Gateways: follower.Gateways,
 		Engines: client, Peers: relay.New(newMemberDialer(peerDial), relay.Options{}), Log: m.log, Metrics: m.metrics,
 		Random: rand.Uint64, StopTime: m.settings.StopTime - stopMargin,
 	})
 	group.Go(follower.Run)
 	group.Go(func(ctx context.Context) error { return dispatchDuty(ctx, dispatcher, engines) })
+	words, err := wire.ListenDatagrams[dispatch.Word](m.settings.Peer())
+	if err != nil {
+		return errors.Trace(err)
+	}
+	group.Go(func(ctx context.Context) error { return words.Run(ctx, dispatcher.Hear) })
+	group.Go(func(ctx context.Context) error { return m.tellLoad(ctx, dispatcher, words) })
 	if address := m.settings.Listen.Ready; address != "" {
 		group.Go(func(ctx context.Context) error { return serveHTTP(ctx, address, platform.NewReady(server.Ready)) })
 	}
@@ -283,6 +289,41 @@
 	}
 }
 
+// Timing of what gateways tell each other of their load.
+const (
+	// tellEvery is how often a gateway tells the others of its region, where
+	// they are few.
+	tellEvery = 100 * time.Millisecond
+	// tellPeers is how many others make it tell less often, so that the cost
+	// to each gateway grows no further.
+	tellPeers = 8
+	// tellFarEvery is how often a region tells the others.
+	tellFarEvery = 250 * time.Millisecond
+)
+
+// tellLoad is the duty that tells the other gateways of the region of this
+// one's requests.
+func (m *member) tellLoad(ctx context.Context, d *dispatch.Dispatcher, words *wire.Datagrams[dispatch.Word]) error {
+	var far time.Time
+	for ctx.Err() == nil {
+		to := d.Listeners()
+		if err := words.Send(d.Word(), to); err != nil {
+			m.log.Debug("load not told", zap.Error(err))
+		}
+		if now := time.Now(); now.Sub(far) >= tellFarEvery && d.Speaks() {
+			far = now
+			if err := words.Send(d.RegionWord(), d.FarListeners()); err != nil {
+				m.log.Debug("load not told to other regions", zap.Error(err))
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(tellEvery * time.Duration(1+len(to)/tellPeers)):
+		}
+	}
+	return nil
+}
+
 // serveHTTP serves an address until ctx ends.
 func serveHTTP(ctx context.Context, address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1,6 +1,10 @@
 package dispatch
 
 import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -35,11 +39,17 @@
 	table   *catalog.Table
 	pools   map[string]*pool
 	cleared map[string]time.Time // when a data centre's evacuation ended
+	words   map[string]heard     // of other gateways
+	alike   int                  // gateways of this region that are heard, this one included
+	digests map[string]*digestOf // by region
 }
 
 // New makes a dispatcher that knows no service.
 func New(deps Deps) *Dispatcher {
-	return &Dispatcher{Deps: deps, table: catalog.NewTable(catalog.Catalog{}), pools: make(map[string]*pool), cleared: make(map[string]time.Time)}
+	return &Dispatcher{
+		Deps: deps, table: catalog.NewTable(catalog.Catalog{}), pools: make(map[string]*pool),
+		cleared: make(map[string]time.Time), words: make(map[string]heard), alike: 1, digests: make(map[string]*digestOf),
+	}
 }
 
 // Take takes over a state of the ledger.
@@ -86,6 +96,7 @@
 	for _, p := range d.pools {
 		p.drop(seen, now)
 	}
+	d.addUp(now)
 }
 
 // Ask is what Acquire needs to know of a request.
@@ -106,17 +117,20 @@
 	if !ok {
 		return nil, &request.NotRun{Reason: request.ReasonNoEngine, Message: "service " + ask.Service + " is not declared", RetryAfter: retrySoon}
 	}
-	chosen, why := d.choose(p, ask, now)
+	chosen, best, refused := d.choose(p, ask, now)
 	if chosen == nil {
-		return nil, &request.NotRun{Reason: request.ReasonNoEngine, Message: why, RetryAfter: retrySoon}
+		return nil, &request.NotRun{Reason: request.ReasonNoEngine, Message: "no engine can be used: " + counts(refused), RetryAfter: retrySoon}
 	}
-	return p.grant(d, chosen, ask, why, now), nil
+	return d.grant(p, chosen, ask, best, now), nil
 }
 
 // retrySoon is when to come back where no engine can be used: engines are
 // replaced within a second or two.
 const retrySoon = 400 * time.Millisecond
 
+// whyFailing is the reason not to use an engine that has failed lately.
+const whyFailing = "failing"
+
 // usable tells whether an engine may get the request, and why not.
 func (d *Dispatcher) usable(p *pool, e *engine, now time.Time) (bool, string) {
 	switch {
@@ -129,7 +143,7 @@
 	case e.misdirected:
 		return false, "replaced"
 	case now.Before(e.avoidUntil):
-		return false, "failing"
+		return false, whyFailing
 	case d.isCold(p, e, now) && !d.mayWarm(p, e, now):
 		return false, "cold"
 	default:
@@ -170,56 +184,67 @@
 	return owner == d.Name
 }
 
-// choose gives the engine that is expected to answer first, and why; or nil and
-// why there is none.
-func (d *Dispatcher) choose(p *pool, ask Ask, now time.Time) (*engine, string) {
-	var best *engine
-	var bestScore score
-	refused := make(map[string]int)
+// choose gives the engine that is expected to serve the request best, or nil
+// and how many engines can't be used for which reason. One that failed lately is
+// used where no other can be.
+func (d *Dispatcher) choose(p *pool, ask Ask, now time.Time) (best *engine, bestScore score, refused map[string]int) {
+	refused = make(map[string]int)
+	key := ask.Prompt.affinity()
+	first := d.first(p, key, now)
+	var spare *engine
 	for _, e := range p.ordered {
 		ok, why := d.usable(p, e, now)
-		if ok && contains(ask.Tried, e.ID) {
+		if ok && slices.Contains(ask.Tried, e.ID) {
 			ok, why = false, "tried"
 		}
 		if !ok {
 			refused[why]++
+			if why == whyFailing && (spare == nil || e.avoidUntil.Before(spare.avoidUntil)) {
+				spare = e
+			}
 			continue
 		}
-		if s := p.score(e, ask, now); best == nil || s.less(bestScore) {
+		k := p.knowledge(e, ask, now)
+		k.first = e == first
+		s := expect(k, ask.Prompt)
+		s.silence, s.rank = e.Phase == registry.Silent, rank(ask.ID, e.ID)
+		if best == nil || s.less(bestScore) {
 			best, bestScore = e, s
 		}
 	}
-	if best == nil {
-		return nil, "no engine can be used: " + counts(refused)
+	if best == nil && spare != nil {
+		best, bestScore = spare, expect(p.knowledge(spare, ask, now), ask.Prompt)
 	}
-	return best, bestScore.String()
+	return best, bestScore, refused
 }
 
-// Load tells of the engines of each service, for other regions.
-func (d *Dispatcher) Load() []roster.Load {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.Clock()
-	out := make([]roster.Load, 0, len(d.pools))
-	for _, s := range d.table.Services() {
-		out = append(out, d.load(d.pools[s.Name], now))
+// first gives the engine that is ranked first for a key, of those that can be
+// used; nil where there is no key.
+func (d *Dispatcher) first(p *pool, key string, now time.Time) *engine {
+	if key == "" {
+		return nil
 	}
-	return out
-}
-
-func (d *Dispatcher) load(p *pool, now time.Time) roster.Load {
-	l := roster.Load{Service: p.service.Name}
-	free, slots := 0.0, 0.0
+	var first *engine
+	var highest uint64
 	for _, e := range p.ordered {
-		if ok, _ := d.usable(p, e, now); !ok || d.isCold(p, e, now) {
+		if ok, _ := d.usable(p, e, now); !ok {
 			continue
 		}
-		l.Engines++
-		slots += float64(e.Slots)
-		free += max(0, float64(e.Slots-e.inFlight))
+		if r := rank(key, e.ID); first == nil || r > highest {
+			first, highest = e, r
+		}
+	}
+	return first
+}
+
+// counts gives "2 draining, 1 cold" in the order of the words.
+func counts(refused map[string]int) string {
+	if len(refused) == 0 {
+		return "none is registered"
 	}
-	if slots > 0 {
-		l.Free = free / slots
+	var out []string
+	for _, why := range slices.Sorted(maps.Keys(refused)) {
+		out = append(out, fmt.Sprintf("%d %s", refused[why], why))
 	}
-	return l
+	return strings.Join(out, ", ")
 }
--- /dev/null
+++ b/dispatch/expect.go
@@ -0,0 +1,153 @@
+// This file defines what is expected of an engine for a request: a pure function
+// of what is known.
+
+package dispatch
+
+import (
+	"fmt"
+	"time"
+)
+
+// Load is what requests make an engine do. It adds up over gateways.
+type Load struct {
+	Requests int     // that have not ended
+	Unread   int     // prompt tokens of those that have had no event yet
+	Held     int     // tokens in memory, of prompts and of what they may grow to
+	Reading  float64 // prompt tokens a second, lately
+}
+
+// plus adds two gateways' loads.
+func (l Load) plus(o Load) Load {
+	return Load{l.Requests + o.Requests, l.Unread + o.Unread, l.Held + o.Held, l.Reading + o.Reading}
+}
+
+// Weights of the expectation.
+const (
+	// tokensPerMS is how fast an engine reads a prompt. An engine of two
+	// current accelerators reads 30 to 40 tokens in a millisecond.
+	tokensPerMS = 36.0
+	// stepTime is how long an engine takes for one token of every running
+	// request, while no prompt is read.
+	stepTime = 6 * time.Millisecond
+	// harmShare weighs the delay that reading a prompt causes to each stream
+	// that runs there against the delay of the request itself. Streams bear
+	// pauses, up to a point.
+	harmShare = 0.10
+	// slowShare weighs the time that a stream takes longer, because prompts
+	// are read beside it, against the wait for its first event.
+	slowShare = 0.06
+	// roomShare is how full an engine's memory may get before requests are
+	// put back there: what is expected is not exact.
+	roomShare = 0.85
+	// fullTime is what a full memory costs, for each time over.
+	fullTime = 3 * time.Second
+	// plainTime is how long a request of a service without model holds a
+	// slot, until requests tell.
+	plainTime = 20 * time.Millisecond
+	// modelTime is the same for a request to a model.
+	modelTime = 2 * time.Second
+	// failTime is what a failed request costs: its caller has to come back.
+	failTime = 3 * time.Second
+	// guessKept is the share of the shared parts that the engine ranked first
+	// is believed to keep, where this gateway hasn't sent them anywhere.
+	guessKept = 0.95
+)
+
+// knowledge is what is known of one engine when a request comes.
+type knowledge struct {
+	load    Load
+	slots   int
+	room    int     // tokens of memory; 0 for an engine without model
+	kept    int     // tokens of the prompt believed kept
+	failing float64 // share of requests that failed lately
+	slow    float64 // times longer than its peers
+	first   bool    // ranked first for the prompt's shared parts
+}
+
+// score is the expectation for one engine; the lowest is chosen.
+type score struct {
+	wait    time.Duration // until the answer begins
+	cost    time.Duration // wait, and what the choice costs otherwise
+	kept    int
+	load    Load
+	rank    uint64
+	silence bool // not heard lately: used only where nothing else can be
+}
+
+func (s score) less(o score) bool {
+	if s.silence != o.silence {
+		return !s.silence
+	}
+	if s.cost != o.cost {
+		return s.cost < o.cost
+	}
+	return s.rank > o.rank
+}
+
+// String is what the log shows.
+func (s score) String() string {
+	return fmt.Sprintf("wait=%v cost=%v kept=%d requests=%d unread=%d held=%d silent=%t",
+		s.wait.Round(time.Millisecond), s.cost.Round(time.Millisecond), s.kept, s.load.Requests, s.load.Unread, s.load.Held, s.silence)
+}
+
+// reading gives how long an engine reads so many tokens.
+func reading(tokens float64) time.Duration {
+	return time.Duration(tokens / tokensPerMS * float64(time.Millisecond))
+}
+
+// expect gives the expectation for a request.
+func expect(k knowledge, p Prompt) score {
+	s := score{kept: k.kept, load: k.load}
+	over := float64(k.load.Requests+1-k.slots) / float64(max(1, k.slots))
+	if k.room == 0 {
+		s.wait = time.Duration(max(0, over) * float64(plainTime))
+		crowd := time.Duration(float64(k.load.Requests) / float64(max(1, k.slots)) * float64(plainTime))
+		s.cost = s.wait + crowd
+	} else {
+		s.kept = max(s.kept, k.guess(p))
+		unread := float64(p.TokensIn - s.kept)
+		s.wait = reading(float64(k.load.Unread)+unread) + time.Duration(max(0, over)*float64(modelTime))
+		s.cost = s.wait + k.harm(unread) + k.slowness(p) + k.fullness(p)
+	}
+	s.cost += time.Duration(k.failing * float64(failTime))
+	if k.slow > 1 {
+		s.cost = time.Duration(float64(s.cost) * k.slow)
+	}
+	return s
+}
+
+// guess gives the tokens that the engine may keep by other gateways' requests.
+func (k knowledge) guess(p Prompt) int {
+	if !k.first {
+		return 0
+	}
+	n := 0
+	for _, part := range p.shared() {
+		n += part.Tokens
+	}
+	return int(guessKept * float64(n))
+}
+
+// harm is what the reading of the prompt costs the streams that run there.
+func (k knowledge) harm(unread float64) time.Duration {
+	return time.Duration(harmShare * float64(k.load.Requests) * float64(reading(unread)))
+}
+
+// slowness is how much longer the stream takes because of other prompts.
+func (k knowledge) slowness(p Prompt) time.Duration {
+	busy := min(k.load.Reading/(tokensPerMS*1000), maxBusy)
+	return time.Duration(slowShare * float64(p.TokensOut) * float64(stepTime) * busy / (1 - busy))
+}
+
+// maxBusy bounds the share of its time that an engine reads prompts, in the
+// estimate of what that does to streams.
+const maxBusy = 0.9
+
+// fullness is what it costs if the memory doesn't hold the request.
+func (k knowledge) fullness(p Prompt) time.Duration {
+	over := float64(k.load.Held+p.TokensIn+p.TokensOut) - roomShare*float64(k.room)
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration((0.2 + over/float64(k.room)) * float64(fullTime))
+}
--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -13,7 +13,7 @@
 type Prompt struct {
 	Model     string
 	TokensIn  int
-	TokensOut int // the most
+	TokensOut int // expected
 	Parts     []Part
 }
 
--- /dev/null
+++ b/dispatch/regions.go
@@ -0,0 +1,253 @@
+// This file defines what gateways of one region tell those of the others, and
+// the choice of region.
+
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/linenscale/linenscale/roster"
+)
+
+// Digest is what one region's gateways know of its engines of one service.
+type Digest struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Engines int // that can take requests and aren't cold
+	Slots   int // of one engine
+	Room    int // of one engine's memory, in tokens
+	Mean    DigestLoad
+	Least   DigestLoad // of the engine that does least
+	Failing float64    // share of requests that failed lately, of all engines
+}
+
+// DigestLoad is the load of one engine.
+type DigestLoad struct {
+	_        struct{} `cbor:",toarray"`
+	Requests int
+	Unread   int
+	Held     int
+	Reading  int
+}
+
+func digestLoad(l Load) DigestLoad {
+	return DigestLoad{Requests: l.Requests, Unread: l.Unread, Held: l.Held, Reading: int(l.Reading)}
+}
+
+func (l DigestLoad) load() Load {
+	return Load{Requests: l.Requests, Unread: l.Unread, Held: l.Held, Reading: float64(l.Reading)}
+}
+
+const (
+	// speakers is how many gateways of a region tell the others: two, so that
+	// the loss of one isn't felt.
+	speakers = 2
+	// digestLife is how old a region's word may be to count: it comes several
+	// times within it.
+	digestLife = 1500 * time.Millisecond
+	// RoundTrip is assumed between regions.
+	roundTrip = 160 * time.Millisecond
+	// awayTime is what it costs beside the trip to send a request to another
+	// region: the bytes cross a slow network that costs money.
+	awayTime = 60 * time.Millisecond
+	// againTime is what it costs, beside the reading itself, to read a token
+	// that another engine keeps: the engine's time is lost to all others.
+	againTime = 0.06 // milliseconds for each token
+)
+
+// digestOf is another region's word.
+type digestOf struct {
+	at       time.Time
+	services map[string]Digest
+	sent     map[string]Load // by service: what this gateway has sent there since
+}
+
+// Speaks tells whether this gateway tells the other regions of this one.
+func (d *Dispatcher) Speaks() bool {
+	mine := rank(d.Region, d.Name)
+	higher := 0
+	for _, h := range d.Peers() {
+		if h.Region == d.Region && h.Name != d.Name && !h.Stopping && rank(d.Region, h.Name) > mine {
+			higher++
+		}
+	}
+	return higher < speakers
+}
+
+// FarListeners gives the addresses of the gateways of other regions.
+func (d *Dispatcher) FarListeners() []string {
+	var out []string
+	for _, h := range d.Peers() {
+		if h.Region != d.Region && h.Role == roster.RoleGateway {
+			out = append(out, h.Peer)
+		}
+	}
+	return out
+}
+
+// RegionWord gives what this gateway tells the other regions.
+func (d *Dispatcher) RegionWord() Word {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock()
+	w := Word{Gateway: d.Name, Region: d.Region}
+	for _, s := range d.table.Services() {
+		if p, ok := d.pools[s.Name]; ok {
+			w.Digests = append(w.Digests, d.digest(p, now))
+		}
+	}
+	return w
+}
+
+func (d *Dispatcher) digest(p *pool, now time.Time) Digest {
+	g := Digest{Service: p.service.Name}
+	if p.service.Model != nil {
+		g.Room = p.service.Model.CacheTokens
+	}
+	var sum, least Load
+	for _, e := range p.ordered {
+		if ok, _ := d.usable(p, e, now); !ok || d.isCold(p, e, now) {
+			continue
+		}
+		load := e.load(now)
+		if g.Engines == 0 || load.Unread < least.Unread || (load.Unread == least.Unread && load.Requests < least.Requests) {
+			least = load
+		}
+		g.Engines++
+		g.Slots = e.Slots
+		sum = sum.plus(load)
+		g.Failing += e.failing.value(now)
+	}
+	if n := g.Engines; n > 0 {
+		g.Mean, g.Least, g.Failing = digestLoad(sum.over(n)), digestLoad(least), g.Failing/float64(n)
+	}
+	return g
+}
+
+// over gives the load of one engine where n share it.
+func (l Load) over(n int) Load {
+	return Load{l.Requests / n, l.Unread / n, l.Held / n, l.Reading / float64(n)}
+}
+
+// hearRegion takes another region's word. The lock is held.
+func (d *Dispatcher) hearRegion(w Word, now time.Time) {
+	g := &digestOf{at: now, services: make(map[string]Digest, len(w.Digests)), sent: make(map[string]Load)}
+	for _, one := range w.Digests {
+		g.services[one.Service] = one
+	}
+	d.digests[w.Region] = g
+}
+
+// Place says where a request should run.
+type Place struct {
+	Region string
+	Here   time.Duration // expected cost in this region; negative where it can't run here
+	There  time.Duration // expected cost in Region
+	Home   bool          // Region is where the prompt's shared parts are kept
+}
+
+// ChooseRegion gives the region for a request: this one, or another that is
+// expected to serve it better, the trip and the reading of the prompt counted.
+// reachable lists the other regions that have a gateway.
+func (d *Dispatcher) ChooseRegion(ask Ask, here bool, reachable []string) Place {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock()
+	p, ok := d.pools[ask.Service]
+	if !ok {
+		return Place{Region: d.Region, Here: -1}
+	}
+	home := d.homeRegion(p, ask.Prompt.affinity(), here, reachable, now)
+	best := Place{Region: d.Region, Here: -1, Home: home == d.Region}
+	if here {
+		if e, s, _ := d.choose(p, ask, now); e != nil {
+			best.Here = s.cost + again(ask.Prompt, s.kept, home)
+		}
+	}
+	best.There = best.Here
+	for _, region := range reachable {
+		cost, ok := d.costIn(region, p, ask.Prompt, region == home, now)
+		if ok && (best.There < 0 || cost < best.There) {
+			best.Region, best.There, best.Home = region, cost, region == home
+		}
+	}
+	return best
+}
+
+// Sent notes that this gateway has sent a request to another region, so that
+// the next one sees it before the region's own word tells of it.
+func (d *Dispatcher) Sent(region string, ask Ask) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if g, ok := d.digests[region]; ok {
+		g.sent[ask.Service] = g.sent[ask.Service].plus(Load{Requests: 1, Unread: ask.Prompt.TokensIn, Held: ask.Prompt.TokensIn + ask.Prompt.TokensOut})
+	}
+}
+
+// again is what it costs to read parts here that are kept elsewhere.
+func again(p Prompt, kept int, home string) time.Duration {
+	if home == "" {
+		return 0
+	}
+	shared := 0
+	for _, part := range p.shared() {
+		shared += part.Tokens
+	}
+	return time.Duration(againTime * float64(max(0, shared-kept)) * float64(time.Millisecond))
+}
+
+// costIn gives the expected cost of a request in another region.
+func (d *Dispatcher) costIn(region string, p *pool, prompt Prompt, isHome bool, now time.Time) (time.Duration, bool) {
+	g, ok := d.digests[region]
+	if !ok || now.Sub(g.at) > digestLife {
+		return 0, false
+	}
+	digest, ok := g.services[p.service.Name]
+	if !ok || digest.Engines == 0 {
+		return 0, false
+	}
+	// All gateways of this region do as this one does.
+	sent := g.sent[p.service.Name]
+	sent.Requests, sent.Unread, sent.Held = sent.Requests*d.alike, sent.Unread*d.alike, sent.Held*d.alike
+	load := digest.Least.load()
+	if prompt.affinity() != "" && isHome {
+		load = digest.Mean.load()
+	}
+	k := knowledge{load: load.plus(sent.over(digest.Engines)), slots: digest.Slots, room: digest.Room, first: isHome, failing: digest.Failing}
+	s := expect(k, prompt)
+	cost := s.cost + roundTrip + awayTime
+	if !isHome && prompt.affinity() != "" {
+		cost += again(prompt, s.kept, region)
+	}
+	return cost, true
+}
+
+// homeRegion gives the region where a prompt's shared parts are kept: the one
+// ranked first, by weighted rendezvous hashing, of those where the request may
+// run; "" where the prompt has none. A region counts by its engines.
+func (d *Dispatcher) homeRegion(p *pool, key string, here bool, reachable []string, now time.Time) string {
+	if key == "" {
+		return ""
+	}
+	home, highest := "", math.Inf(-1)
+	consider := func(region string, engines int) {
+		if engines == 0 {
+			return
+		}
+		u := (float64(rank(key, region)>>11) + 0.5) / (1 << 53)
+		if w := -float64(engines) / math.Log(u); w > highest {
+			home, highest = region, w
+		}
+	}
+	if here {
+		consider(d.Region, d.digest(p, now).Engines)
+	}
+	for _, region := range slices.Sorted(slices.Values(reachable)) {
+		if g, ok := d.digests[region]; ok && now.Sub(g.at) <= digestLife {
+			consider(region, g.services[p.service.Name].Engines)
+		}
+	}
+	return home
+}
--- /dev/null
+++ b/dispatch/ticket.go
@@ -0,0 +1,130 @@
+// This file defines tickets and what their ends teach.
+
+package dispatch
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Ticket is the right to send one request to one engine.
+type Ticket struct {
+	Engine  string // incarnation
+	Address string
+	Why     string // it was chosen
+	Cold    bool
+
+	dispatcher *Dispatcher
+	pool       *pool
+	engine     *engine
+	began      time.Time
+	load       Load // that the request adds
+}
+
+// grant gives a ticket for an engine. The dispatcher's lock is held.
+func (d *Dispatcher) grant(p *pool, e *engine, ask Ask, s score, now time.Time) *Ticket {
+	t := &Ticket{
+		Engine: e.ID, Address: e.Address, Why: s.String(), Cold: d.isCold(p, e, now),
+		dispatcher: d, pool: p, engine: e, began: now, load: Load{Requests: 1},
+	}
+	if p.service.Model != nil {
+		t.load.Unread = max(0, ask.Prompt.TokensIn-s.kept)
+		t.load.Held = ask.Prompt.TokensIn + ask.Prompt.TokensOut
+		e.read.add(float64(t.load.Unread), now)
+		e.kept.note(ask.Prompt, now)
+	}
+	e.own = e.own.plus(t.load)
+	if t.Cold {
+		e.warmNext = now.Add(time.Duration(float64(time.Second) / p.service.ColdRate))
+	}
+	return t
+}
+
+// take takes a load away.
+func (l Load) minus(o Load) Load {
+	return l.plus(Load{-o.Requests, -o.Unread, -o.Held, -o.Reading})
+}
+
+// Begun notes the first byte of the answer: the prompt has been read.
+func (t *Ticket) Begun() {
+	d := t.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t.engine.sign = d.Clock()
+	t.engine.own.Unread -= t.load.Unread
+	t.load.Unread = 0
+}
+
+// Outcome says how a ticket ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Answered    Outcome = iota
+	Failed              // broken, wrong or no answer, or the engine's own failure
+	Unreached           // no connection could be opened
+	Shed                // the engine refused for load
+	Misdirected         // another incarnation answered
+	Abandoned           // the caller went away: says nothing of the engine
+)
+
+// String gives the word used in logs.
+func (o Outcome) String() string {
+	return [...]string{"answered", "failed", "unreached", "shed", "misdirected", "abandoned"}[o]
+}
+
+const (
+	// avoidBase is how long an engine is avoided that couldn't be connected
+	// to; it doubles with each time in a row up to avoidMost.
+	avoidBase = 300 * time.Millisecond
+	avoidMost = 4 * time.Second
+	// shedTime is how long an engine is avoided that refused for load.
+	shedTime = 150 * time.Millisecond
+)
+
+// Done gives the ticket back. It must be called exactly once.
+func (t *Ticket) Done(outcome Outcome) {
+	d := t.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock()
+	e := t.engine
+	e.own = e.own.minus(t.load)
+	switch outcome {
+	case Answered:
+		e.failing.note(false, now)
+		e.unreached = 0
+		e.sign = now
+	case Failed:
+		e.failing.note(true, now)
+	case Unreached:
+		e.unreached++
+		e.avoidUntil = now.Add(min(avoidBase<<min(e.unreached-1, 10), avoidMost))
+		d.Log.Warn("engine avoided", zap.String("engine", e.ID), zap.String("address", e.Address), zap.Int("unreached", e.unreached), zap.Duration("for", e.avoidUntil.Sub(now)))
+	case Shed:
+		e.avoidUntil = now.Add(shedTime)
+	case Misdirected:
+		e.misdirected = true
+		d.Log.Warn("engine replaced", zap.String("engine", e.ID), zap.String("address", e.Address))
+	case Abandoned:
+	}
+}
+
+// Retry spends one of the sends that the service may get beyond the first of
+// each request, or tells that there is none.
+func (d *Dispatcher) Retry(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p, ok := d.pools[service]
+	return ok && p.budget.Take(d.Clock(), len(d.Peers()))
+}
+
+// First counts a request's first send to a service.
+func (d *Dispatcher) First(service string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p, ok := d.pools[service]; ok {
+		p.budget.First(d.Clock())
+	}
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -71,11 +71,9 @@
 type Follower struct {
 	Deps
 
-	mu      sync.Mutex
-	links   map[string]*link // by peer address
-	state   ledger.State
-	regions map[string]RegionNews // Age counts from at
-	at      map[string]time.Time
+	mu    sync.Mutex
+	links map[string]*link // by peer address
+	state ledger.State
 }
 
 // link is what is known of one control host.
@@ -97,7 +95,7 @@
 
 // New makes a follower.
 func New(deps Deps) *Follower {
-	return &Follower{Deps: deps, links: make(map[string]*link), regions: make(map[string]RegionNews), at: make(map[string]time.Time)}
+	return &Follower{Deps: deps, links: make(map[string]*link)}
 }
 
 // Run follows until ctx ends.
@@ -219,11 +217,6 @@
 	if reply.Roster != args.Roster || reply.Life != args.Life {
 		l.roster, l.control, l.gateways, l.taken = reply.Roster, reply.Control, reply.Gateways, now
 	}
-	for _, r := range reply.Regions {
-		if at, ok := f.at[r.Region]; !ok || now.Add(-r.Age).After(at) {
-			f.regions[r.Region], f.at[r.Region] = r, now.Add(-r.Age)
-		}
-	}
 	return f.worthFetching(l, args.Self.Region, reply.Index, now)
 }
 
@@ -324,15 +317,6 @@
 	})
 }
 
-// Region gives what is known of a region's load and how old the word is; false
-// where nothing is.
-func (f *Follower) Region(region string) ([]roster.Load, time.Duration, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	r, ok := f.regions[region]
-	return r.Load, f.Clock().Sub(f.at[region]), ok
-}
-
 func pause(ctx context.Context, wait time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/follow/messages.go
+++ b/follow/messages.go
@@ -32,7 +32,6 @@
 	Roster   uint64
 	Control  []HostNews // with a new roster: the control hosts
 	Gateways []HostNews // with a new roster: the gateways
-	Regions  []RegionNews
 }
 
 // News tells whether the reply holds anything that the caller didn't know.
@@ -51,17 +50,10 @@
 
 // HostNews is a host with the age of its last word.
 type HostNews struct {
-	Host     roster.Host // without times and load
+	Host     roster.Host // without times
 	HeardAgo time.Duration
 }
 
-// RegionNews is what gateways tell of their region, with the age of the word.
-type RegionNews struct {
-	Region string
-	Load   []roster.Load
-	Age    time.Duration
-}
-
 // StateArgs asks for the ledger's state.
 type StateArgs struct{}
 
@@ -124,7 +116,7 @@
 	out := make([]HostNews, len(hosts))
 	for i, h := range hosts {
 		out[i] = HostNews{Host: h, HeardAgo: now.Sub(h.Heard)}
-		out[i].Host.Heard, out[i].Host.Load = time.Time{}, nil
+		out[i].Host.Heard = time.Time{}
 	}
 	return out
 }
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -84,7 +84,7 @@
 // right to send again. Where every engine has been tried, one may be tried
 // again that failed by itself.
 func (s *Server) acquire(x *exchange, done *progress) (*dispatch.Ticket, error) {
-	ask := dispatch.Ask{ID: x.identity.ID, Service: x.service, Prompt: x.identity.Prompt, Deadline: x.deadline, Tried: done.tried}
+	ask := x.ask(done.tried)
 	ticket, err := s.Dispatcher.Acquire(ask)
 	if err != nil && done.unknown {
 		ask.Tried = nil
@@ -194,7 +194,7 @@
 		return dispatch.Abandoned, false
 	case failure != nil && failure.NotRun:
 		done.unreached++
-		return dispatch.Failed, true
+		return dispatch.Unreached, true
 	default:
 		done.sends++
 		done.unknown = true
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -43,7 +43,6 @@
 	Self       roster.Host
 	Dialect    Dialect
 	Dispatcher *dispatch.Dispatcher
-	Regions    func(region string) ([]roster.Load, time.Duration, bool)
 	Gateways   func() []roster.Host
 	Engines    *relay.Client
 	Peers      *relay.Client // gateways of other regions
--- a/ingress/place.go
+++ b/ingress/place.go
@@ -16,92 +16,91 @@
 	"github.com/linenscale/linenscale/roster"
 )
 
-// place runs the request in this region if it may, and if an engine can be
-// used here; else in another.
+// place runs the request in the region that is expected to serve it best. What
+// was refused as not run may be tried in other regions after that.
 func (s *Server) place(x *exchange) error {
-	if x.fixed || x.permitted(s.Self.Region) {
-		err := s.attempts(x)
-		if err == nil || x.fixed || !elsewhere(err) {
+	if x.fixed {
+		return s.attempts(x)
+	}
+	here := x.permitted(s.Self.Region)
+	if !here {
+		x.tried = append(x.tried, s.Self.Region)
+	}
+	var cause error = &request.NotRun{Reason: request.ReasonNoEngine, Message: "no gateway can be reached of a region where the route may run", RetryAfter: retryRegion}
+	for range maxRegions {
+		region, ok := s.chooseRegion(x, here)
+		if !ok {
+			break
+		}
+		x.tried = append(x.tried, region)
+		err := s.runIn(x, region)
+		if region == s.Self.Region {
+			here = false
+		}
+		if err == nil || !elsewhere(err) {
 			return err
 		}
-		return s.away(x, err)
+		cause = err
 	}
-	return s.away(x, &request.NotRun{Reason: request.ReasonNotPermitted, Message: "the route may not run in " + s.Self.Region})
+	return cause
 }
 
-// elsewhere tells whether a request that was refused here may be tried in
-// another region: nothing of it has run, and it is the engines that lack.
+// maxRegions bounds the regions that are tried for one request.
+const maxRegions = 3
+
+// elsewhere tells whether a request that was refused may be tried in another
+// region: nothing of it has run, and it is the engines that lack.
 func elsewhere(err error) bool {
 	var refusal *request.NotRun
 	return errors.As(err, &refusal) && (refusal.Reason == request.ReasonNoEngine || refusal.Reason == request.ReasonOverload)
 }
 
-// maxHandovers bounds the regions that are tried.
-const maxHandovers = 2
-
-// away hands the request over to a gateway of another region; cause is why it
-// can't run here.
-func (s *Server) away(x *exchange, cause error) error {
-	tried := []string{s.Self.Region}
-	for range maxHandovers {
-		gateway, ok := s.gatewayElsewhere(x, tried)
-		if !ok {
-			break
-		}
-		tried = append(tried, gateway.Region)
-		err := s.handOver(x, gateway)
-		if err == nil || !elsewhere(err) {
-			return err
+// chooseRegion gives the region to try next; false where none is left.
+func (s *Server) chooseRegion(x *exchange, here bool) (string, bool) {
+	var reachable []string
+	for _, h := range s.Gateways() {
+		if s.takes(x, h) && !slices.Contains(reachable, h.Region) {
+			reachable = append(reachable, h.Region)
 		}
-		cause = err
 	}
-	var refusal *request.NotRun
-	if errors.As(cause, &refusal) && refusal.Reason == request.ReasonNotPermitted {
-		return &request.NotRun{Reason: request.ReasonNoEngine, Message: "no gateway can be reached of a region where the route may run", RetryAfter: retryRegion}
+	if !here && len(reachable) == 0 {
+		return "", false
 	}
-	return cause
+	place := s.Dispatcher.ChooseRegion(x.ask(nil), here, reachable)
+	if !here && place.Region == s.Self.Region {
+		// Nothing is known of the others: any is better than none.
+		place.Region = reachable[s.Random()%uint64(len(reachable))]
+	}
+	s.Log.Info("region chosen", x.fields(zap.String("region", place.Region), zap.Duration("here", place.Here), zap.Duration("there", place.There), zap.Bool("home", place.Home))...)
+	return place.Region, true
 }
 
-// retryRegion is when to come back where no region can be reached: cuts last
-// for seconds.
-const retryRegion = time.Second
+// takes tells whether a gateway of another region may get the request.
+func (s *Server) takes(x *exchange, h roster.Host) bool {
+	return h.Region != s.Self.Region && !slices.Contains(x.tried, h.Region) && x.permitted(h.Region) && !h.Stopping && h.Handover != ""
+}
 
-// gatewayElsewhere draws a gateway of the best other region.
-func (s *Server) gatewayElsewhere(x *exchange, tried []string) (roster.Host, bool) {
+// runIn runs the request here, or hands it over to a gateway of another region.
+func (s *Server) runIn(x *exchange, region string) error {
+	if region == s.Self.Region {
+		return s.attempts(x)
+	}
 	var all []roster.Host
-	best := -1.0
 	for _, h := range s.Gateways() {
-		if slices.Contains(tried, h.Region) || !x.permitted(h.Region) || h.Stopping || h.Handover == "" {
-			continue
-		}
-		free := s.freeIn(h.Region, x.service)
-		if free > best {
-			best, all = free, all[:0]
-		}
-		if free == best {
+		if h.Region == region && !h.Stopping && h.Handover != "" {
 			all = append(all, h)
 		}
 	}
 	if len(all) == 0 {
-		return roster.Host{}, false
+		return &request.NotRun{Reason: request.ReasonNoEngine, Message: "no gateway of " + region + " can be reached", RetryAfter: retryRegion}
 	}
-	return all[s.Random()%uint64(len(all))], true
+	s.Dispatcher.Sent(region, x.ask(nil))
+	return s.handOver(x, all[s.Random()%uint64(len(all))])
 }
 
-// freeIn gives the share of a region's engines of a service that is free, 0
-// where nothing is known.
-func (s *Server) freeIn(region, service string) float64 {
-	loads, _, ok := s.Regions(region)
-	if !ok {
-		return 0
-	}
-	for _, l := range loads {
-		if l.Service == service {
-			return l.Free
-		}
-	}
-	return 0
-}
+// retryRegion is when to come back where no region can be reached: cuts last
+// for seconds.
+const retryRegion = time.Second
 
 // handOver sends the request to a gateway of another region.
 func (s *Server) handOver(x *exchange, gateway roster.Host) error {
--- a/ingress/receive.go
+++ b/ingress/receive.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/linenscale/linenscale/catalog"
+	"github.com/linenscale/linenscale/dispatch"
 	"github.com/linenscale/linenscale/request"
 )
 
@@ -29,8 +30,9 @@
 	body     []byte
 	began    time.Time
 	deadline time.Time
-	fixed    bool // handed over: it stays here
-	started  bool // the caller has had the head of an answer
+	fixed    bool     // handed over: it stays here
+	tried    []string // regions
+	started  bool     // the caller has had the head of an answer
 }
 
 // serve runs the filters. Every way out writes one final answer, or aborts the
@@ -144,6 +146,11 @@
 	return bytes.NewReader(x.body)
 }
 
+// ask gives what the choice of an engine needs to know.
+func (x *exchange) ask(tried []string) dispatch.Ask {
+	return dispatch.Ask{ID: x.identity.ID, Service: x.service, Prompt: x.identity.Prompt, Deadline: x.deadline, Tried: tried}
+}
+
 // permitted tells whether the request may run in a region.
 func (x *exchange) permitted(region string) bool { return x.route.Permits(region) }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -34,18 +34,9 @@
 	Operators  string // of a control host: operators and engines
 	Replica    string // of a control host: its identity in the ledger's log
 	Stopping   bool   // takes nothing new
-	Load       []Load // of a gateway: its region's engines as it sees them
 	Heard      time.Time
 }
 
-// Load is what a gateway tells of the engines of one service in its region.
-type Load struct {
-	Service string
-	Free    float64       // share of capacity that is free, 0 to 1
-	Wait    time.Duration // expected until a new request is begun
-	Engines int           // that can take requests
-}
-
 // Roster is safe for concurrent use. New makes one.
 type Roster struct {
 	clock func() time.Time
