Apply what was known to be committed at the start, without a leader

Cause: after all processes had been killed, gateways answered 503 for 2.3 s, until the control hosts had elected a leader: a replica that starts knows its log, but not how much of it is committed. Ruled out: slow starts (processes are back within 0.1 s) and missing engines (heartbeats come within 1.2 s). The commit index is now marked beside the log.

--- a/raft/node.go
+++ b/raft/node.go
@@ -27,6 +27,9 @@
 	Hard     HardState
 	Snapshot Snapshot
 	Entries  []Entry
+	// Commit is the index up to which the log is known to be committed; it
+	// may be older than the truth.
+	Commit uint64
 }
 
 // progress is what a leader knows of another replica.
@@ -94,7 +97,7 @@
 	n := &Node{opts: opts, now: now, hard: state.Hard, contact: now}
 	n.log.snapshot = state.Snapshot
 	n.log.append(state.Entries...)
-	n.commit = state.Snapshot.Index
+	n.commit = max(state.Snapshot.Index, min(state.Commit, n.log.lastIndex()))
 	n.applied = state.Snapshot.Index
 	n.stable = n.log.lastIndex()
 	n.members, n.membersIndex = n.log.members()
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
 	"github.com/linenscale/linenscale/disk"
@@ -73,6 +74,7 @@
 	ring   chan input
 	ended  chan struct{}
 	status atomic.Pointer[raft.Status]
+	marker *marker
 
 	waiting map[uint64]waiter
 	reads   map[uint64]*read
@@ -151,6 +153,8 @@
 		ring: make(chan input, ringSize), ended: make(chan struct{}),
 		waiting: make(map[uint64]waiter), reads: make(map[uint64]*read),
 	}
+	state.Commit = readMark(opts.Folder)
+	r.marker = newMarker(opts.Folder, opts.Log)
 	r.node = raft.New(raft.Options{
 		ID: opts.ID, Election: opts.Election, Heartbeat: opts.Heartbeat,
 		Random: rand.New(rand.NewPCG(opts.Seed, uint64(len(opts.ID)))),
@@ -163,6 +167,11 @@
 func (r *Replica) Run(ctx context.Context) error {
 	defer close(r.ended)
 	defer r.log.Close()
+	group := pool.New()
+	defer group.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group.Go(func() { r.marker.run(ctx) })
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -252,6 +261,7 @@
 		if err := r.maybeSnapshot(); err != nil {
 			return err
 		}
+		r.marker.note(r.node.Status().Commit)
 	}
 }
 
