Refuse at once what no region can serve in time, and count sends over regions

Ruled out: the window's own count. The number of sends now travels with the hand-over and back; a request is refused where the best region's expected wait is beyond its patience.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -106,6 +106,19 @@
 	Prompt   Prompt
 	Deadline time.Time
 	Tried    []string // engines of earlier attempts
+	// Patience is the longest wait for the answer's beginning for which the
+	// request is admitted; 0 for any.
+	Patience time.Duration
+}
+
+// Overloaded gives the refusal of a request whose answer is expected to begin
+// too late, or nil.
+func (a Ask) Overloaded(wait time.Duration) error {
+	if a.Patience == 0 || wait <= a.Patience {
+		return nil
+	}
+	message := fmt.Sprintf("the answer is expected to begin after %v, and %v is the most", wait.Round(time.Millisecond), a.Patience)
+	return &request.NotRun{Reason: request.ReasonOverload, Message: message, RetryAfter: max(retrySoon, wait-a.Patience/2)}
 }
 
 // Acquire gives a ticket for the best engine. The error is a *request.NotRun.
@@ -121,6 +134,9 @@
 	if chosen == nil {
 		return nil, &request.NotRun{Reason: request.ReasonNoEngine, Message: "no engine can be used: " + counts(refused), RetryAfter: retrySoon}
 	}
+	if err := ask.Overloaded(best.wait); err != nil {
+		return nil, err
+	}
 	return d.grant(p, chosen, ask, best, now), nil
 }
 
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -145,6 +145,7 @@
 	Region string
 	Here   time.Duration // expected cost in this region; negative where it can't run here
 	There  time.Duration // expected cost in Region
+	Wait   time.Duration // expected until the answer begins, the trip counted
 	Home   bool          // Region is where the prompt's shared parts are kept
 }
 
@@ -163,14 +164,14 @@
 	best := Place{Region: d.Region, Here: -1, Home: home == d.Region}
 	if here {
 		if e, s, _ := d.choose(p, ask, now); e != nil {
-			best.Here = s.cost + again(ask.Prompt, s.kept, home)
+			best.Here, best.Wait = s.cost+again(ask.Prompt, s.kept, home), s.wait
 		}
 	}
 	best.There = best.Here
 	for _, region := range reachable {
-		cost, ok := d.costIn(region, p, ask.Prompt, region == home, now)
+		cost, wait, ok := d.costIn(region, p, ask.Prompt, region == home, now)
 		if ok && (best.There < 0 || cost < best.There) {
-			best.Region, best.There, best.Home = region, cost, region == home
+			best.Region, best.There, best.Wait, best.Home = region, cost, wait, region == home
 		}
 	}
 	return best
@@ -198,15 +199,16 @@
 	return time.Duration(againTime * float64(max(0, shared-kept)) * float64(time.Millisecond))
 }
 
-// costIn gives the expected cost of a request in another region.
-func (d *Dispatcher) costIn(region string, p *pool, prompt Prompt, isHome bool, now time.Time) (time.Duration, bool) {
+// costIn gives the expected cost of a request in another region, and the wait
+// until its answer begins.
+func (d *Dispatcher) costIn(region string, p *pool, prompt Prompt, isHome bool, now time.Time) (cost, wait time.Duration, known bool) {
 	g, ok := d.digests[region]
 	if !ok || now.Sub(g.at) > digestLife {
-		return 0, false
+		return 0, 0, false
 	}
 	digest, ok := g.services[p.service.Name]
 	if !ok || digest.Engines == 0 {
-		return 0, false
+		return 0, 0, false
 	}
 	// All gateways of this region do as this one does.
 	sent := g.sent[p.service.Name]
@@ -217,11 +219,11 @@
 	}
 	k := knowledge{load: load.plus(sent.over(digest.Engines)), slots: digest.Slots, room: digest.Room, first: isHome, failing: digest.Failing}
 	s := expect(k, prompt)
-	cost := s.cost + roundTrip + awayTime
+	cost = s.cost + roundTrip + awayTime
 	if !isHome && prompt.affinity() != "" {
 		cost += again(prompt, s.kept, region)
 	}
-	return cost, true
+	return cost, s.wait + roundTrip, true
 }
 
 // homeRegion gives the region where a prompt's shared parts are kept: the one
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -20,9 +20,9 @@
 
 // pass passes an answer on. An error before x.started leaves the caller
 // untouched. begun is called with the first byte of the body; it may be nil.
-func (s *Server) pass(x *exchange, resp *http.Response, done *progress, begun func()) error {
+func (s *Server) pass(x *exchange, resp *http.Response, begun func()) error {
 	if isEventStream(resp) {
-		return s.passEvents(x, resp, done, begun)
+		return s.passEvents(x, resp, begun)
 	}
 	if x.started {
 		return errors.New("the stream was not continued by a stream")
@@ -74,7 +74,7 @@
 
 // passEvents passes a stream on as it arrives, whole events only, so that it
 // can go on at another engine after the last of them.
-func (s *Server) passEvents(x *exchange, resp *http.Response, done *progress, begun func()) error {
+func (s *Server) passEvents(x *exchange, resp *http.Response, begun func()) error {
 	var cut events
 	chunk := make([]byte, chunkBytes)
 	out := relay.NewWriter(x.w, writeTime)
@@ -95,7 +95,7 @@
 			if err := out.Pass(whole); err != nil {
 				return err
 			}
-			done.lastEvent = cut.last(done.lastEvent)
+			x.done.lastEvent = cut.last(x.done.lastEvent)
 		}
 		if err == io.EOF {
 			return nil
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -31,7 +31,8 @@
 // attempts sends the request until it is answered or given up. A nil error
 // means that an answer has been written.
 func (s *Server) attempts(x *exchange) error {
-	done := &progress{lastEvent: x.identity.LastEvent}
+	done := &x.done
+	done.tried, done.unreached = nil, 0
 	for {
 		again, err := s.attempt(x, done)
 		if err == nil {
@@ -123,7 +124,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	return s.pass(x, resp, done, ticket.Begun)
+	return s.pass(x, resp, ticket.Begun)
 }
 
 // misdirected says that another engine has the address by now.
--- a/ingress/place.go
+++ b/ingress/place.go
@@ -6,6 +6,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -28,16 +29,19 @@
 	}
 	var cause error = &request.NotRun{Reason: request.ReasonNoEngine, Message: "no gateway can be reached of a region where the route may run", RetryAfter: retryRegion}
 	for range maxRegions {
-		region, ok := s.chooseRegion(x, here)
+		region, ok, err := s.chooseRegion(x, here)
+		if err != nil {
+			return err
+		}
 		if !ok {
 			break
 		}
 		x.tried = append(x.tried, region)
-		err := s.runIn(x, region)
+		err = s.runIn(x, region)
 		if region == s.Self.Region {
 			here = false
 		}
-		if err == nil || !elsewhere(err) {
+		if err == nil || !elsewhere(err) || x.done.sends >= x.route.Attempts {
 			return err
 		}
 		cause = err
@@ -55,8 +59,9 @@
 	return errors.As(err, &refusal) && (refusal.Reason == request.ReasonNoEngine || refusal.Reason == request.ReasonOverload)
 }
 
-// chooseRegion gives the region to try next; false where none is left.
-func (s *Server) chooseRegion(x *exchange, here bool) (string, bool) {
+// chooseRegion gives the region to try next; false where none is left. The error
+// is a refusal where even the best is overloaded.
+func (s *Server) chooseRegion(x *exchange, here bool) (region string, ok bool, err error) {
 	var reachable []string
 	for _, h := range s.Gateways() {
 		if s.takes(x, h) && !slices.Contains(reachable, h.Region) {
@@ -64,15 +69,15 @@
 		}
 	}
 	if !here && len(reachable) == 0 {
-		return "", false
+		return "", false, nil
 	}
 	place := s.Dispatcher.ChooseRegion(x.ask(nil), here, reachable)
 	if !here && place.Region == s.Self.Region {
 		// Nothing is known of the others: any is better than none.
 		place.Region = reachable[s.Random()%uint64(len(reachable))]
 	}
-	s.Log.Info("region chosen", x.fields(zap.String("region", place.Region), zap.Duration("here", place.Here), zap.Duration("there", place.There), zap.Bool("home", place.Home))...)
-	return place.Region, true
+	s.Log.Info("region chosen", x.fields(zap.String("region", place.Region), zap.Duration("here", place.Here), zap.Duration("there", place.There), zap.Duration("wait", place.Wait), zap.Bool("home", place.Home))...)
+	return place.Region, true, x.ask(nil).Overloaded(place.Wait)
 }
 
 // takes tells whether a gateway of another region may get the request.
@@ -106,18 +111,19 @@
 func (s *Server) handOver(x *exchange, gateway roster.Host) error {
 	s.Log.Info("handed over", x.fields(zap.String("gateway", gateway.Name), zap.String("region", gateway.Region), zap.Duration("remaining", time.Until(x.deadline)))...)
 	header := relay.Forwardable(x.r.Header)
-	sent := request.Request{ID: x.identity.ID, Deadline: x.deadline}.WithVisit(s.Self.Name)
+	sent := request.Request{ID: x.identity.ID, Deadline: x.deadline, Sends: x.done.sends}.WithVisit(s.Self.Name)
 	sent.SetHandover(header, time.Now(), uint64(x.rules.table.Version()))
 	resp, err := s.Peers.Send(x.r.Context(), relay.Call{
 		Method: x.r.Method, URL: "http://" + gateway.Handover + x.r.URL.RequestURI(), Host: x.r.Host,
 		Header: header, Body: x.reader(), Length: int64(len(x.body)),
-		Echoes: true, Fresh: !x.route.Repeatable(), Judge: judgePeer,
+		Echoes: true, Fresh: !x.route.Repeatable(),
+		Judge: func(resp *http.Response) error { return x.judgePeer(resp) },
 	})
 	if err != nil {
 		return s.handOverFailed(x, gateway, err)
 	}
 	defer resp.Body.Close()
-	if err := s.pass(x, resp, &progress{}, nil); err != nil {
+	if err := s.pass(x, resp, nil); err != nil {
 		return s.handOverFailed(x, gateway, err)
 	}
 	return nil
@@ -137,7 +143,10 @@
 }
 
 // judgePeer turns another gateway's refusal back into one of this one's.
-func judgePeer(resp *http.Response) error {
+func (x *exchange) judgePeer(resp *http.Response) error {
+	if sends, err := strconv.Atoi(resp.Header.Get(request.HeaderSends)); err == nil {
+		x.done.sends = max(x.done.sends, sends)
+	}
 	switch resp.Header.Get(request.HeaderOutcome) {
 	case "":
 		return nil
--- a/ingress/receive.go
+++ b/ingress/receive.go
@@ -33,6 +33,7 @@
 	fixed    bool     // handed over: it stays here
 	tried    []string // regions
 	started  bool     // the caller has had the head of an answer
+	done     progress
 }
 
 // serve runs the filters. Every way out writes one final answer, or aborts the
@@ -60,6 +61,7 @@
 func (s *Server) receive(x *exchange) error {
 	remaining := time.Duration(0)
 	if x.fixed {
+		x.done.sends = request.TakeSends(x.r.Header)
 		var err error
 		if _, remaining, err = request.TakeHandover(x.r.Header); err != nil {
 			return err
@@ -72,6 +74,7 @@
 	if x.fixed {
 		x.identity.Remaining = remaining
 	}
+	x.done.lastEvent = x.identity.LastEvent
 	if err := s.match(x); err != nil {
 		return err
 	}
@@ -148,9 +151,26 @@
 
 // ask gives what the choice of an engine needs to know.
 func (x *exchange) ask(tried []string) dispatch.Ask {
-	return dispatch.Ask{ID: x.identity.ID, Service: x.service, Prompt: x.identity.Prompt, Deadline: x.deadline, Tried: tried}
+	return dispatch.Ask{
+		ID: x.identity.ID, Service: x.service, Prompt: x.identity.Prompt, Deadline: x.deadline, Tried: tried,
+		Patience: patience(x.route),
+	}
 }
 
+// patience is the longest wait for an answer's beginning that a request is
+// admitted for. The most urgent ones may wait for all of the route's target;
+// others leave them room.
+func patience(r catalog.Route) time.Duration {
+	if r.Priority == 0 {
+		return r.Target
+	}
+	return time.Duration(lessUrgent * float64(r.Target))
+}
+
+// lessUrgent is the share of its target that a request may wait which is not
+// of the most urgent kind.
+const lessUrgent = 0.7
+
 // permitted tells whether the request may run in a region.
 func (x *exchange) permitted(region string) bool { return x.route.Permits(region) }
 
--- a/request/handover.go
+++ b/request/handover.go
@@ -19,8 +19,13 @@
 	headerPath      = handoverPrefix + "Path"      // entry hosts so far, comma separated
 	headerRemaining = handoverPrefix + "Remaining" // milliseconds until the deadline
 	headerRevision  = handoverPrefix + "Revision"  // the configuration the sender permitted under
+	headerSends     = handoverPrefix + "Sends"     // sends to engines so far
 )
 
+// HeaderSends is set on an entry host's refusal of a request that was handed
+// over: how often it has been sent to engines by now.
+const HeaderSends = "Linenscale-Sends"
+
 // MaxHandovers is how often a request may go from one entry host to another.
 const MaxHandovers = 1
 
@@ -40,6 +45,19 @@
 	header.Set(headerRemaining, strconv.FormatInt(r.Deadline.Sub(now).Milliseconds(), 10))
 	header.Set(headerRevision, strconv.FormatUint(revision, 10))
 	header.Set(HeaderRequestID, r.ID)
+	if r.Sends > 0 {
+		header.Set(headerSends, strconv.Itoa(r.Sends))
+	}
+}
+
+// TakeSends gives how often a request that was handed over has been sent to
+// engines before. It must be called before TakeHandover removes the headers.
+func TakeSends(header http.Header) int {
+	sends, err := strconv.Atoi(header.Get(headerSends))
+	if err != nil {
+		return 0 // none is said: it has not been sent
+	}
+	return max(0, sends)
 }
 
 // TakeHandover reads and removes the hand-over headers. It gives the path so
--- a/request/request.go
+++ b/request/request.go
@@ -68,6 +68,7 @@
 	Model       string   // known only once the body has been read
 	Path        []string // entry hosts that have had the request, first one first
 	Repeatable  bool     // may be run more than once
+	Sends       int      // to engines, before it was handed over
 	PrefixChain []uint64 // hashes of the growing prefixes of the prompt
 }
 
