Believe shared parts kept only in their home region, and weigh reading them again

Cause: each region's first-ranked engine was believed to keep every prompt's shared parts, so that the same parts were read in three regions. Ruled out: engines that forget (at most two thirds of their memory is used).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -109,6 +109,8 @@
 	// Patience is the longest wait for the answer's beginning for which the
 	// request is admitted; 0 for any.
 	Patience time.Duration
+	// Permitted tells whether the request may run in a region; nil for all.
+	Permitted func(region string) bool
 }
 
 // Overloaded gives the refusal of a request whose answer is expected to begin
@@ -205,8 +207,7 @@
 // used where no other can be.
 func (d *Dispatcher) choose(p *pool, ask Ask, now time.Time) (best *engine, bestScore score, refused map[string]int) {
 	refused = make(map[string]int)
-	key := ask.Prompt.affinity()
-	first := d.first(p, key, now)
+	first := d.first(p, ask, now)
 	var spare *engine
 	for _, e := range p.ordered {
 		ok, why := d.usable(p, e, now)
@@ -234,10 +235,12 @@
 	return best, bestScore, refused
 }
 
-// first gives the engine that is ranked first for a key, of those that can be
-// used; nil where there is no key.
-func (d *Dispatcher) first(p *pool, key string, now time.Time) *engine {
-	if key == "" {
+// first gives the engine that keeps the prompt's shared parts, as all gateways
+// agree: where this region is their home, the one ranked first of those that can
+// be used; nil elsewhere.
+func (d *Dispatcher) first(p *pool, ask Ask, now time.Time) *engine {
+	key := ask.Prompt.Affinity()
+	if key == "" || d.homeRegion(p, ask, now) != d.Region {
 		return nil
 	}
 	var first *engine
--- a/dispatch/expect.go
+++ b/dispatch/expect.go
@@ -48,6 +48,10 @@
 	modelTime = 2 * time.Second
 	// failTime is what a failed request costs: its caller has to come back.
 	failTime = 3 * time.Second
+	// againTime is what it costs, beside the reading itself, to read a token of
+	// a shared part that another engine keeps: the time of the engine is lost to
+	// all others. In milliseconds.
+	againTime = 0.08
 	// guessKept is the share of the shared parts that the engine ranked first
 	// is believed to keep, where this gateway hasn't sent them anywhere.
 	guessKept = 0.95
@@ -107,7 +111,7 @@
 		s.kept = max(s.kept, k.guess(p))
 		unread := float64(p.TokensIn - s.kept)
 		s.wait = reading(float64(k.load.Unread)+unread) + time.Duration(max(0, over)*float64(modelTime))
-		s.cost = s.wait + k.harm(unread) + k.slowness(p) + k.fullness(p)
+		s.cost = s.wait + again(p, s.kept) + k.harm(unread) + k.slowness(p) + k.fullness(p)
 	}
 	s.cost += time.Duration(k.failing * float64(failTime))
 	if k.slow > 1 {
@@ -116,16 +120,17 @@
 	return s
 }
 
+// again is what it costs to read shared parts that are kept elsewhere.
+func again(p Prompt, kept int) time.Duration {
+	return time.Duration(againTime * float64(max(0, p.sharedTokens()-kept)) * float64(time.Millisecond))
+}
+
 // guess gives the tokens that the engine may keep by other gateways' requests.
 func (k knowledge) guess(p Prompt) int {
 	if !k.first {
 		return 0
 	}
-	n := 0
-	for _, part := range p.shared() {
-		n += part.Tokens
-	}
-	return int(guessKept * float64(n))
+	return int(guessKept * float64(p.sharedTokens()))
 }
 
 // harm is what the reading of the prompt costs the streams that run there.
--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -32,9 +32,18 @@
 	return p.Parts[:len(p.Parts)-1]
 }
 
-// affinity gives the key by which gateways agree on an engine: the deepest
+// sharedTokens counts the tokens of the shared parts.
+func (p Prompt) sharedTokens() int {
+	n := 0
+	for _, part := range p.shared() {
+		n += part.Tokens
+	}
+	return n
+}
+
+// Affinity gives the key by which gateways agree on an engine: the deepest
 // shared part, which stands for all before it.
-func (p Prompt) affinity() string {
+func (p Prompt) Affinity() string {
 	if shared := p.shared(); len(shared) > 0 {
 		return shared[len(shared)-1].ID
 	}
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -5,7 +5,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/linenscale/linenscale/roster"
@@ -52,9 +51,6 @@
 	// awayTime is what it costs beside the trip to send a request to another
 	// region: the bytes cross a slow network that costs money.
 	awayTime = 60 * time.Millisecond
-	// againTime is what it costs, beside the reading itself, to read a token
-	// that another engine keeps: the engine's time is lost to all others.
-	againTime = 0.06 // milliseconds for each token
 )
 
 // digestOf is another region's word.
@@ -151,7 +147,8 @@
 
 // ChooseRegion gives the region for a request: this one, or another that is
 // expected to serve it better, the trip and the reading of the prompt counted.
-// reachable lists the other regions that have a gateway.
+// here tells whether this region is one of the choices; reachable lists the
+// others that have a gateway.
 func (d *Dispatcher) ChooseRegion(ask Ask, here bool, reachable []string) Place {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -160,11 +157,11 @@
 	if !ok {
 		return Place{Region: d.Region, Here: -1}
 	}
-	home := d.homeRegion(p, ask.Prompt.affinity(), here, reachable, now)
+	home := d.homeRegion(p, ask, now)
 	best := Place{Region: d.Region, Here: -1, Home: home == d.Region}
 	if here {
 		if e, s, _ := d.choose(p, ask, now); e != nil {
-			best.Here, best.Wait = s.cost+again(ask.Prompt, s.kept, home), s.wait
+			best.Here, best.Wait = s.cost, s.wait
 		}
 	}
 	best.There = best.Here
@@ -187,18 +184,6 @@
 	}
 }
 
-// again is what it costs to read parts here that are kept elsewhere.
-func again(p Prompt, kept int, home string) time.Duration {
-	if home == "" {
-		return 0
-	}
-	shared := 0
-	for _, part := range p.shared() {
-		shared += part.Tokens
-	}
-	return time.Duration(againTime * float64(max(0, shared-kept)) * float64(time.Millisecond))
-}
-
 // costIn gives the expected cost of a request in another region, and the wait
 // until its answer begins.
 func (d *Dispatcher) costIn(region string, p *pool, prompt Prompt, isHome bool, now time.Time) (cost, wait time.Duration, known bool) {
@@ -214,28 +199,26 @@
 	sent := g.sent[p.service.Name]
 	sent.Requests, sent.Unread, sent.Held = sent.Requests*d.alike, sent.Unread*d.alike, sent.Held*d.alike
 	load := digest.Least.load()
-	if prompt.affinity() != "" && isHome {
+	if prompt.Affinity() != "" && isHome {
 		load = digest.Mean.load()
 	}
 	k := knowledge{load: load.plus(sent.over(digest.Engines)), slots: digest.Slots, room: digest.Room, first: isHome, failing: digest.Failing}
 	s := expect(k, prompt)
 	cost = s.cost + roundTrip + awayTime
-	if !isHome && prompt.affinity() != "" {
-		cost += again(prompt, s.kept, region)
-	}
 	return cost, s.wait + roundTrip, true
 }
 
 // homeRegion gives the region where a prompt's shared parts are kept: the one
 // ranked first, by weighted rendezvous hashing, of those where the request may
 // run; "" where the prompt has none. A region counts by its engines.
-func (d *Dispatcher) homeRegion(p *pool, key string, here bool, reachable []string, now time.Time) string {
+func (d *Dispatcher) homeRegion(p *pool, ask Ask, now time.Time) string {
+	key := ask.Prompt.Affinity()
 	if key == "" {
 		return ""
 	}
 	home, highest := "", math.Inf(-1)
 	consider := func(region string, engines int) {
-		if engines == 0 {
+		if engines == 0 || (ask.Permitted != nil && !ask.Permitted(region)) {
 			return
 		}
 		u := (float64(rank(key, region)>>11) + 0.5) / (1 << 53)
@@ -243,11 +226,9 @@
 			home, highest = region, w
 		}
 	}
-	if here {
-		consider(d.Region, d.digest(p, now).Engines)
-	}
-	for _, region := range slices.Sorted(slices.Values(reachable)) {
-		if g, ok := d.digests[region]; ok && now.Sub(g.at) <= digestLife {
+	consider(d.Region, d.digest(p, now).Engines)
+	for region, g := range d.digests {
+		if now.Sub(g.at) <= digestLife {
 			consider(region, g.services[p.service.Name].Engines)
 		}
 	}
--- a/ingress/receive.go
+++ b/ingress/receive.go
@@ -153,7 +153,7 @@
 func (x *exchange) ask(tried []string) dispatch.Ask {
 	return dispatch.Ask{
 		ID: x.identity.ID, Service: x.service, Prompt: x.identity.Prompt, Deadline: x.deadline, Tried: tried,
-		Patience: patience(x.route),
+		Patience: patience(x.route), Permitted: x.permitted,
 	}
 }
 
