Look at a sample of the engines, and tell hosts as changes

Ruled out: prompts that cross regions (66 MB of it). Gateways look at a random sample beside the engine that keeps the parts; the roster travels as changes.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -142,6 +142,7 @@
 	group.Go(c.follower.Run)
 	group.Go(voters.New(c.replica, c.spares, voters.Policy{Wanted: c.Voters, LostAfter: voterSilence, Standby: true}, c.Log).Run)
 	group.Go(c.tidy)
+	c.roster.Hear(c.self())
 	return group.Wait()
 }
 
@@ -165,8 +166,8 @@
 
 // spares lists the control hosts that could vote.
 func (c *Controller) spares() []voters.Spare {
-	hosts, _ := c.roster.Hosts(roster.RoleControl)
-	out := []voters.Spare{{ID: c.Replica, Region: c.Self.Region}}
+	hosts := c.roster.Hosts(roster.RoleControl)
+	var out []voters.Spare
 	for _, h := range hosts {
 		if h.Replica != "" && !h.Stopping {
 			out = append(out, voters.Spare{ID: raft.ID(h.Replica), Region: h.Region})
@@ -194,6 +195,7 @@
 			return nil
 		case <-ticker.C:
 		}
+		c.roster.Hear(c.self())
 		for _, h := range c.roster.Expire(hostSilence) {
 			c.Log.Warn("host silent", zap.String("host", h.Name), zap.String("role", string(h.Role)), zap.Duration("silent_for", c.Clock().Sub(h.Heard)))
 		}
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -65,7 +65,7 @@
 	if region == "" || region == c.Self.Region {
 		return ""
 	}
-	hosts, _ := c.roster.Hosts(roster.RoleControl)
+	hosts := c.roster.Hosts(roster.RoleControl)
 	for _, h := range hosts {
 		if h.Region == region && !h.Stopping {
 			return h.Operators
@@ -79,7 +79,7 @@
 // requests for the name may run, else all others. Gateways of the caller's own
 // data centre come first.
 func (c *Controller) Entries(name, region, dataCentre string) []string {
-	gateways, _ := c.roster.Hosts(roster.RoleGateway)
+	gateways := c.roster.Hosts(roster.RoleGateway)
 	gateways = slices.DeleteFunc(gateways, func(h roster.Host) bool { return h.Stopping || h.Callers == "" })
 	homes, bound := c.homes(name)
 	choices := []func(roster.Host) bool{
--- a/controller/service.go
+++ b/controller/service.go
@@ -58,10 +58,9 @@
 type news struct{ roster, engines, ledger <-chan struct{} }
 
 func (c *Controller) news() news {
-	_, changed := c.roster.Changed()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return news{changed, c.engines.Changed(), c.changed}
+	return news{c.roster.Changed(), c.engines.Changed(), c.changed}
 }
 
 // noteTold notes what a gateway has confirmed by asking for more.
@@ -87,21 +86,13 @@
 	}
 	engines, number := c.engines.Since(args.Engines, wanted)
 	reply.Engines, reply.Number = follow.NewsOf(engines, now), number
-	control, version := c.roster.Hosts(roster.RoleControl)
-	reply.Roster = version
-	if version != args.Roster {
-		gateways, _ := c.roster.Hosts(roster.RoleGateway)
-		reply.Control, reply.Gateways = follow.HostsOf(append(control, c.ownHost(now)), now), follow.HostsOf(gateways, now)
+	reply.Hosts, reply.Gone, reply.Roster = c.roster.Since(args.Roster)
+	for i := range reply.Hosts {
+		reply.Hosts[i].Heard = time.Time{}
 	}
 	return reply
 }
 
-func (c *Controller) ownHost(now time.Time) roster.Host {
-	h := c.self()
-	h.Heard = now
-	return h
-}
-
 // State gives the ledger's state as it has been applied here.
 func (s *Service) State(_ follow.StateArgs, reply *follow.StateReply) error {
 	state := s.controller.machine.State()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -202,31 +203,35 @@
 	return owner == d.Name
 }
 
+// sampled is how many engines are looked at beside the one that keeps the
+// prompt's shared parts: this many, and one more for each sampleShare that there
+// are. Gateways know of each other's requests a moment late; if each took the
+// least loaded of all, they would all take the same one (Mitzenmacher, "The
+// power of two choices in randomized load balancing", 2001).
+const (
+	sampled     = 3
+	sampleShare = 16
+)
+
 // choose gives the engine that is expected to serve the request best, or nil
 // and how many engines can't be used for which reason. One that failed lately is
 // used where no other can be.
 func (d *Dispatcher) choose(p *pool, ask Ask, now time.Time) (best *engine, bestScore score, refused map[string]int) {
-	refused = make(map[string]int)
-	first := d.first(p, ask, now)
-	var spare *engine
-	for _, e := range p.ordered {
-		ok, why := d.usable(p, e, now)
-		if ok && slices.Contains(ask.Tried, e.ID) {
-			ok, why = false, "tried"
-		}
-		if !ok {
-			refused[why]++
-			if why == whyFailing && (spare == nil || e.avoidUntil.Before(spare.avoidUntil)) {
-				spare = e
-			}
+	usable, spare, refused := d.candidates(p, ask, now)
+	first := d.first(usable, p, ask, now)
+	looked := sampled + len(usable)/sampleShare
+	slices.SortFunc(usable, func(a, b candidate) int { return cmp.Compare(b.rank, a.rank) })
+	for i, c := range usable {
+		known := c.engine == first || p.keeps(c.engine, ask.Prompt, now)
+		if i >= looked && !known && best != nil {
 			continue
 		}
-		k := p.knowledge(e, ask, now)
-		k.first = e == first
+		k := p.knowledge(c.engine, ask, now)
+		k.first = c.engine == first
 		s := expect(k, ask.Prompt)
-		s.silence, s.rank = e.Phase == registry.Silent, rank(ask.ID, e.ID)
+		s.silence, s.rank = c.engine.Phase == registry.Silent, c.rank
 		if best == nil || s.less(bestScore) {
-			best, bestScore = e, s
+			best, bestScore = c.engine, s
 		}
 	}
 	if best == nil && spare != nil {
@@ -235,22 +240,49 @@
 	return best, bestScore, refused
 }
 
+// candidate is an engine that can be used, with its rank for this request.
+type candidate struct {
+	engine *engine
+	rank   uint64
+}
+
+// candidates gives the engines that can be used; of those that failed lately,
+// the one to use where no other can be; and how many can't be used for which
+// reason.
+func (d *Dispatcher) candidates(p *pool, ask Ask, now time.Time) (usable []candidate, spare *engine, refused map[string]int) {
+	for _, e := range p.ordered {
+		ok, why := d.usable(p, e, now)
+		if ok && slices.Contains(ask.Tried, e.ID) {
+			ok, why = false, "tried"
+		}
+		if ok {
+			usable = append(usable, candidate{e, rank(ask.ID, e.ID)})
+			continue
+		}
+		if refused == nil {
+			refused = make(map[string]int)
+		}
+		refused[why]++
+		if why == whyFailing && (spare == nil || e.avoidUntil.Before(spare.avoidUntil)) {
+			spare = e
+		}
+	}
+	return usable, spare, refused
+}
+
 // first gives the engine that keeps the prompt's shared parts, as all gateways
 // agree: where this region is their home, the one ranked first of those that can
 // be used; nil elsewhere.
-func (d *Dispatcher) first(p *pool, ask Ask, now time.Time) *engine {
+func (d *Dispatcher) first(usable []candidate, p *pool, ask Ask, now time.Time) *engine {
 	key := ask.Prompt.Affinity()
 	if key == "" || d.homeRegion(p, ask, now) != d.Region {
 		return nil
 	}
 	var first *engine
 	var highest uint64
-	for _, e := range p.ordered {
-		if ok, _ := d.usable(p, e, now); !ok {
-			continue
-		}
-		if r := rank(key, e.ID); first == nil || r > highest {
-			first, highest = e, r
+	for _, c := range usable {
+		if r := rank(key, c.engine.ID); first == nil || r > highest {
+			first, highest = c.engine, r
 		}
 	}
 	return first
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -71,6 +71,12 @@
 	}
 }
 
+// keeps tells whether an engine is known to keep all shared parts of a prompt.
+func (p *pool) keeps(e *engine, prompt Prompt, now time.Time) bool {
+	shared := prompt.sharedTokens()
+	return shared > 0 && e.kept.tokens(prompt, now) >= shared
+}
+
 // knowledge gives what the expectation of an engine rests on.
 func (p *pool) knowledge(e *engine, ask Ask, now time.Time) knowledge {
 	k := knowledge{load: e.load(now), slots: e.Slots, failing: e.failing.value(now)}
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -45,7 +45,7 @@
 	speakers = 2
 	// digestLife is how old a region's word may be to count: it comes several
 	// times within it.
-	digestLife = 1500 * time.Millisecond
+	digestLife = 800 * time.Millisecond
 	// RoundTrip is assumed between regions.
 	roundTrip = 160 * time.Millisecond
 	// awayTime is what it costs beside the trip to send a request to another
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -16,6 +16,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -86,11 +87,9 @@
 	life     string
 	number   uint64
 	roster   uint64
-	gateways []HostNews
-	control  []HostNews
-	taken    time.Time // when the roster was taken
-	ahead    time.Time // since when it has had a newer state
-	down     bool      // its loss has been logged
+	hosts    map[string]roster.Host // by name
+	ahead    time.Time              // since when it has had a newer state
+	down     bool                   // its loss has been logged
 }
 
 // New makes a follower.
@@ -151,8 +150,10 @@
 		out[seed] = roster.Host{}
 	}
 	for _, l := range f.links {
-		for _, h := range l.control {
-			out[h.Host.Peer] = h.Host
+		for _, h := range l.hosts {
+			if h.Role == roster.RoleControl {
+				out[h.Peer] = h
+			}
 		}
 	}
 	return out
@@ -214,12 +215,25 @@
 		f.Log.Info("control host in touch", zap.String("address", l.address), zap.String("life", reply.Life), zap.Uint64("index", reply.Index))
 	}
 	l.down, l.answered, l.life, l.number = false, now, reply.Life, reply.Number
-	if reply.Roster != args.Roster || reply.Life != args.Life {
-		l.roster, l.control, l.gateways, l.taken = reply.Roster, reply.Control, reply.Gateways, now
-	}
+	l.takeHosts(reply, reply.Life != args.Life)
 	return f.worthFetching(l, args.Self.Region, reply.Index, now)
 }
 
+// takeHosts takes over which hosts the control host hears. A control host that
+// has started anew tells all of them.
+func (l *link) takeHosts(reply SyncReply, anew bool) {
+	if anew || l.hosts == nil {
+		l.hosts = make(map[string]roster.Host)
+	}
+	for _, h := range reply.Hosts {
+		l.hosts[h.Name] = h
+	}
+	for _, name := range reply.Gone {
+		delete(l.hosts, name)
+	}
+	l.roster = reply.Roster
+}
+
 // worthFetching tells whether to fetch the state from a control host that has a
 // newer one: at once from one of this region, from a far one only where no near
 // one brings it.
@@ -288,33 +302,25 @@
 	return n
 }
 
-// Gateways gives the gateways that the control hosts in touch name, each once,
-// with the newest word of it, in the order of their names.
+// Gateways gives the gateways that the control hosts name, each once, in the
+// order of their names. Where two control hosts tell different things of one,
+// the one that is in touch, or was last, counts.
 func (f *Follower) Gateways() []roster.Host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.Clock()
 	newest := make(map[string]roster.Host)
 	for _, l := range f.links {
-		for _, n := range l.gateways {
-			h := n.Host
-			h.Heard = l.taken.Add(-n.HeardAgo)
-			if now.Sub(l.answered) < contactTime {
-				// The roster is told anew with each change, so who stands in
-				// it has been heard until now.
-				h.Heard = now
+		for name, h := range l.hosts {
+			if h.Role != roster.RoleGateway {
+				continue
 			}
-			if known, ok := newest[h.Name]; !ok || h.Heard.After(known.Heard) {
-				newest[h.Name] = h
+			h.Heard = l.answered
+			if known, ok := newest[name]; !ok || h.Heard.After(known.Heard) {
+				newest[name] = h
 			}
 		}
 	}
-	return slices.SortedFunc(maps.Values(newest), func(a, b roster.Host) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	return slices.SortedFunc(maps.Values(newest), func(a, b roster.Host) int { return strings.Compare(a.Name, b.Name) })
 }
 
 func pause(ctx context.Context, wait time.Duration) {
--- a/follow/messages.go
+++ b/follow/messages.go
@@ -19,19 +19,19 @@
 	Life    string        // of the control host that Engines counts for
 	Engines uint64        // number up to which the caller knows its engines
 	Index   uint64        // of the ledger's state that the caller has
-	Roster  uint64        // version that the caller has
+	Roster  uint64        // number up to which the caller knows the hosts
 	Wait    time.Duration // how long to wait for something new
 }
 
 // SyncReply is what a control host knows and the caller doesn't.
 type SyncReply struct {
-	Life     string
-	Index    uint64 // of the ledger's state that can be fetched
-	Engines  []EngineNews
-	Number   uint64 // up to which Engines reaches
-	Roster   uint64
-	Control  []HostNews // with a new roster: the control hosts
-	Gateways []HostNews // with a new roster: the gateways
+	Life    string
+	Index   uint64 // of the ledger's state that can be fetched
+	Engines []EngineNews
+	Number  uint64        // up to which Engines reaches
+	Hosts   []roster.Host // that came or changed, without times
+	Gone    []string      // names of hosts that went
+	Roster  uint64        // up to which Hosts and Gone reach
 }
 
 // News tells whether the reply holds anything that the caller didn't know.
@@ -48,12 +48,6 @@
 	HeardAgo time.Duration
 }
 
-// HostNews is a host with the age of its last word.
-type HostNews struct {
-	Host     roster.Host // without times
-	HeardAgo time.Duration
-}
-
 // StateArgs asks for the ledger's state.
 type StateArgs struct{}
 
@@ -110,13 +104,3 @@
 	}
 	return e
 }
-
-// HostsOf tells of hosts in terms that hold on any host.
-func HostsOf(hosts []roster.Host, now time.Time) []HostNews {
-	out := make([]HostNews, len(hosts))
-	for i, h := range hosts {
-		out[i] = HostNews{Host: h, HeardAgo: now.Sub(h.Heard)}
-		out[i].Host.Heard = time.Time{}
-	}
-	return out
-}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -37,19 +37,29 @@
 	Heard      time.Time
 }
 
+// keepGone is how long it is remembered that a host has gone, so that those who
+// ask for changes hear of it.
+const keepGone = 30 * time.Second
+
 // Roster is safe for concurrent use. New makes one.
 type Roster struct {
 	clock func() time.Time
 
 	mu      sync.Mutex
-	hosts   map[string]Host
-	version uint64
+	hosts   map[string]*entry
+	changes uint64
 	changed chan struct{}
 }
 
+type entry struct {
+	Host
+	gone   bool
+	change uint64 // number of its last change
+}
+
 // New makes an empty roster.
 func New(clock func() time.Time) *Roster {
-	return &Roster{clock: clock, hosts: make(map[string]Host), changed: make(chan struct{})}
+	return &Roster{clock: clock, hosts: make(map[string]*entry), changed: make(chan struct{})}
 }
 
 // Hear notes a host's own word. It tells whether the host is new, or has
@@ -58,62 +68,88 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h.Heard = r.clock()
-	old, known := r.hosts[h.Name]
-	r.hosts[h.Name] = h
-	if known && alike(old, h) {
-		return false
+	known, ok := r.hosts[h.Name]
+	if !ok {
+		known = &entry{gone: true}
+		r.hosts[h.Name] = known
 	}
-	r.note()
-	return !known || old.Life != h.Life
+	old, back := known.Host, known.gone
+	known.Host, known.gone = h, false
+	if back || !alike(old, h) {
+		r.note(known)
+	}
+	return back || old.Life != h.Life
 }
 
 // alike tells whether two words of a host differ only in what changes all the
 // time.
 func alike(a, b Host) bool {
-	return a.Life == b.Life && a.Stopping == b.Stopping && a.Replica == b.Replica && a.Peer == b.Peer
+	a.Heard = b.Heard
+	return a == b
 }
 
-func (r *Roster) note() {
-	r.version++
+func (r *Roster) note(e *entry) {
+	r.changes++
+	e.change = r.changes
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
-// Expire forgets the hosts not heard for the given time, and gives them.
+// Expire takes the hosts off that were not heard for the given time, and gives
+// them.
 func (r *Roster) Expire(after time.Duration) []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock()
 	var gone []Host
-	for name, h := range r.hosts {
-		if now.Sub(h.Heard) > after {
+	for name, e := range r.hosts {
+		age := now.Sub(e.Heard)
+		switch {
+		case !e.gone && age > after:
+			e.gone = true
+			r.note(e)
+			gone = append(gone, e.Host)
+		case e.gone && age > keepGone:
 			delete(r.hosts, name)
-			gone = append(gone, h)
 		}
 	}
-	if len(gone) > 0 {
-		r.note()
-	}
 	return gone
 }
 
-// Changed gives the version and a channel that is closed with the next.
-func (r *Roster) Changed() (uint64, <-chan struct{}) {
+// Changed gives a channel that is closed with the next change.
+func (r *Roster) Changed() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.version, r.changed
+	return r.changed
 }
 
-// Hosts gives the hosts of a role in the order of their names, and the version.
-func (r *Roster) Hosts(role Role) ([]Host, uint64) {
+// Hosts gives the hosts of a role in the order of their names.
+func (r *Roster) Hosts(role Role) []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []Host
-	for _, h := range r.hosts {
-		if h.Role == role {
-			out = append(out, h)
+	for _, e := range r.hosts {
+		if e.Role == role && !e.gone {
+			out = append(out, e.Host)
 		}
 	}
 	slices.SortFunc(out, func(a, b Host) int { return strings.Compare(a.Name, b.Name) })
-	return out, r.version
+	return out
+}
+
+// Since gives the hosts that came or changed after the number, the names of
+// those that went, and the number up to which they are given.
+func (r *Roster) Since(number uint64) (hosts []Host, gone []string, upTo uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, e := range r.hosts {
+		switch {
+		case e.change <= number:
+		case e.gone:
+			gone = append(gone, name)
+		default:
+			hosts = append(hosts, e.Host)
+		}
+	}
+	return hosts, gone, r.changes
 }
