--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,99 @@
+package catalog_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/linenscale/linenscale/catalog"
+)
+
+// TestEveryFaultIsNamed checks the catalogs of testdata/faults.json.
+func TestEveryFaultIsNamed(t *testing.T) {
+	data, err := os.ReadFile("testdata/faults.json")
+	must.NoError(t, err)
+	var cases []struct {
+		Name    string
+		Catalog catalog.Catalog
+		Want    []string
+	}
+	must.NoError(t, json.Unmarshal(data, &cases))
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			err := c.Catalog.Check()
+			if len(c.Want) == 0 {
+				must.NoError(t, err)
+				return
+			}
+			var invalid *catalog.InvalidError
+			must.True(t, errors.As(err, &invalid))
+			must.Eq(t, c.Want, invalid.Faults)
+		})
+	}
+}
+
+func table(routes ...catalog.Route) *catalog.Table {
+	return catalog.NewTable(catalog.Catalog{Version: 1, Routes: routes})
+}
+
+func TestTheLongestPrefixOfTheHostWins(t *testing.T) {
+	found := table(
+		catalog.Route{Name: "all", Host: "a", Prefix: "/"},
+		catalog.Route{Name: "deep", Host: "a", Prefix: "/x/y/"},
+		catalog.Route{Name: "shallow", Host: "a", Prefix: "/x/"},
+		catalog.Route{Name: "other", Host: "b", Prefix: "/x/y/z/"},
+	)
+	for path, want := range map[string]string{"/x/y/z/1": "deep", "/x/yy": "shallow", "/x/": "shallow", "/x": "all", "/": "all"} {
+		r, ok := found.Match("a", path)
+		must.True(t, ok)
+		must.Eq(t, want, r.Name, must.Sprint(path))
+	}
+	_, ok := found.Match("c", "/x/")
+	must.False(t, ok)
+	_, ok = found.Match("b", "/x/y/")
+	must.False(t, ok)
+}
+
+func TestHomesOfAHostAreThoseOfAllItsBoundRoutes(t *testing.T) {
+	found := table(
+		catalog.Route{Host: "a", Prefix: "/1/"},
+		catalog.Route{Host: "a", Prefix: "/2/", Homes: []string{"lagos", "abuja"}},
+		catalog.Route{Host: "a", Prefix: "/3/", Homes: []string{"abuja", "kano"}},
+		catalog.Route{Host: "b", Prefix: "/"},
+	)
+	regions, bound := found.Homes("a")
+	must.True(t, bound)
+	must.Eq(t, []string{"abuja"}, regions)
+	_, bound = found.Homes("b")
+	must.False(t, bound)
+}
+
+// TestRoutesOfOneServiceAreDrawnByWeight draws often and compares with the
+// weights.
+func TestRoutesOfOneServiceAreDrawnByWeight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := rapid.IntRange(0, 20).Draw(t, "a"), rapid.IntRange(1, 20).Draw(t, "b")
+		r := catalog.Route{Backends: []catalog.Backend{{Service: "a", Weight: a}, {Service: "b", Weight: b}}}
+		got := map[string]int{}
+		for random := range uint64(a + b) {
+			got[r.Pick(random)]++
+		}
+		if got["a"] != a || got["b"] != b {
+			t.Fatalf("drew %v of %d and %d", got, a, b)
+		}
+	})
+}
+
+func ExampleTable_Match() {
+	t := catalog.NewTable(catalog.Catalog{Routes: []catalog.Route{
+		{Name: "reviews", Host: "board.example", Prefix: "/drc/", Kind: catalog.KindStream, Resumable: true, Homes: []string{"lagos"}},
+	}})
+	r, ok := t.Match("board.example", "/drc/17")
+	fmt.Println(ok, r.Name, r.Repeatable(), r.Permits("kano"))
+	// Output: true reviews true false
+}
--- a/control/history_test.go
+++ b/control/history_test.go
@@ -154,45 +154,6 @@
 	})
 }
 
-// fault brings about one fault now and then, and mends what is broken.
-func fault(c *simlog.Cluster) {
-	r := c.Random
-	n := c.Nodes[r.IntN(len(c.Nodes))]
-	if leader := c.Leader(); leader != nil && r.Float64() < 0.5 {
-		n = leader
-	}
-	switch r.IntN(8) {
-	case 0:
-		if n.Up {
-			c.Crash(n, r.IntN(200))
-		}
-	case 1, 2:
-		if !n.Up {
-			c.Start(n)
-		}
-	case 3:
-		n.Paused = !n.Paused
-	case 4:
-		n.Paused = false
-	case 5: // silent: it still sends, or still hears
-		c.Isolate(n.Index, r.Float64() < 0.5, true)
-	case 6, 7:
-		c.Isolate(n.Index, false, false)
-	}
-}
-
-// mend starts, wakes and joins everything, so that each history also shows
-// what comes after the faults.
-func mend(c *simlog.Cluster) {
-	for _, n := range c.Nodes {
-		if !n.Up {
-			c.Start(n)
-		}
-		n.Paused = false
-		c.Isolate(n.Index, false, false)
-	}
-}
-
 func newCluster(seed uint64, snapshotEvery uint64) *simlog.Cluster {
 	return simlog.New(simlog.Options{
 		Seed: seed, Voters: 3, Election: 1500 * time.Millisecond, Heartbeat: 250 * time.Millisecond,
@@ -216,10 +177,10 @@
 			}
 			for i := range 12_000 { // a minute
 				if i%200 == 199 {
-					fault(c)
+					c.Disturb()
 				}
 				if i%3000 == 2999 {
-					mend(c)
+					c.Mend()
 				}
 				c.Step()
 				for _, o := range operators {
--- a/disk/memory.go
+++ b/disk/memory.go
@@ -15,6 +15,7 @@
 	mu    sync.Mutex
 	names map[string]*content // as seen now
 	saved map[string]*content // as the last folder sync left them
+	full  bool
 }
 
 type content struct {
@@ -42,6 +43,17 @@
 	}
 }
 
+// ErrFull is the failure of a write to a full folder.
+var ErrFull = errors.New("no space is left")
+
+// SetFull makes every write take only half of its bytes and then fail, as on a
+// disk that is full, or ends that.
+func (m *Memory) SetFull(full bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.full = full
+}
+
 // Lose empties the folder, as when a disk is replaced.
 func (m *Memory) Lose() {
 	m.mu.Lock()
@@ -156,6 +168,11 @@
 func (f *memoryFile) Write(data []byte) (int, error) {
 	f.folder.mu.Lock()
 	defer f.folder.mu.Unlock()
+	if f.folder.full {
+		half := len(data) / 2
+		f.c.data = append(f.c.data, data[:half]...)
+		return half, ErrFull
+	}
 	f.c.data = append(f.c.data, data...)
 	return len(data), nil
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -163,7 +163,7 @@
 func (d *Dispatcher) usable(p *pool, e *engine, now time.Time) (bool, string) {
 	switch {
 	case e.Phase >= registry.Draining:
-		return false, "draining"
+		return false, e.Phase.String()
 	case d.state.IsEvacuated(e.DataCentre):
 		return false, "evacuated"
 	case !e.GoneAt.IsZero() && now.After(e.GoneAt):
--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,375 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"github.com/linenscale/linenscale/catalog"
+	"github.com/linenscale/linenscale/dispatch"
+	"github.com/linenscale/linenscale/ledger"
+	"github.com/linenscale/linenscale/registry"
+	"github.com/linenscale/linenscale/request"
+	"github.com/linenscale/linenscale/retry"
+	"github.com/linenscale/linenscale/roster"
+)
+
+// world is one region with some gateways before the same engines.
+type world struct {
+	now      time.Time
+	engines  *registry.Table
+	gateways []*dispatch.Dispatcher
+	hosts    []roster.Host
+	state    ledger.State
+	index    uint64
+}
+
+// services of every world: one with a model, one without.
+var services = []catalog.Service{
+	{Name: "review", ColdRate: 2, Model: &catalog.ModelSpec{Slots: 16, CacheTokens: 100_000}},
+	{Name: "portal"},
+}
+
+// newWorld makes so many gateways and review engines, in data centres a and b
+// of one region by turns, and one portal engine.
+func newWorld(gateways, engines int) *world {
+	w := &world{now: time.Unix(1000, 0)}
+	w.engines = registry.New("life", time.Second, w.clock)
+	for i := range engines {
+		w.beat(registry.Engine{ID: fmt.Sprintf("i-%d", i), Service: "review", Slots: 16})
+	}
+	w.beat(registry.Engine{ID: "i-portal", Service: "portal", Slots: 2})
+	for i := range gateways {
+		name := fmt.Sprintf("g%d", i)
+		w.hosts = append(w.hosts, roster.Host{Name: name, Role: roster.RoleGateway, Region: "lagos", Peer: "10.0.0." + fmt.Sprint(i) + ":1"})
+		w.gateways = append(w.gateways, dispatch.New(dispatch.Deps{
+			Name: name, Region: "lagos", Regions: map[string]string{"a": "lagos", "b": "lagos", "c": "kano"}, Engines: w.engines,
+			Peers: func() []roster.Host { return w.hosts }, Budget: retry.Policy{Share: 0.2, Extra: 10, Window: 10 * time.Second},
+			Log: zap.NewNop(), Clock: w.clock,
+		}))
+	}
+	w.declare()
+	return w
+}
+
+func (w *world) clock() time.Time { return w.now }
+
+func (w *world) pass(d time.Duration) {
+	w.now = w.now.Add(d)
+	w.tick()
+}
+
+func (w *world) tick() {
+	for _, g := range w.gateways {
+		g.Tick()
+	}
+}
+
+// beat registers an engine; what isn't given has defaults.
+func (w *world) beat(e registry.Engine) {
+	known, _ := w.engines.Get(e.ID)
+	e.Sequence = known.Sequence + 1
+	if e.Service == "" {
+		e.Service, e.Slots = known.Service, known.Slots
+	}
+	if e.DataCentre == "" {
+		e.DataCentre = []string{"a", "b"}[int(e.ID[len(e.ID)-1])%2]
+	}
+	e.Address = "10.1.0.1:" + e.ID
+	w.engines.Beat(e)
+	w.tick()
+}
+
+// declare gives the gateways the services, with these data centres evacuated.
+func (w *world) declare(evacuated ...string) {
+	w.index++
+	w.state = ledger.State{Index: w.index, Catalog: catalog.Catalog{Version: 1, Services: services}, Evacuated: evacuated}
+	for _, g := range w.gateways {
+		g.Take(w.state, catalog.NewTable(w.state.Catalog))
+	}
+}
+
+// tell brings every gateway's word to all others.
+func (w *world) tell() {
+	for _, from := range w.gateways {
+		word := from.Word()
+		for _, to := range w.gateways {
+			if to != from {
+				to.Hear(word)
+			}
+		}
+	}
+}
+
+// long is the ask of a long review with that shared part.
+func long(id, part string) dispatch.Ask {
+	return dispatch.Ask{ID: id, Service: "review", Prompt: dispatch.Prompt{
+		TokensIn: 9000, TokensOut: 50,
+		Parts: []dispatch.Part{{ID: "system", Tokens: 2500}, {ID: part, Tokens: 3500}, {ID: "own-" + id, Tokens: 3000}},
+	}}
+}
+
+func acquire(t *testing.T, g *dispatch.Dispatcher, ask dispatch.Ask) *dispatch.Ticket {
+	t.Helper()
+	ticket, err := g.Acquire(ask)
+	must.NoError(t, err)
+	return ticket
+}
+
+func notRun(t *testing.T, err error) *request.NotRun {
+	t.Helper()
+	var refusal *request.NotRun
+	must.True(t, errors.As(err, &refusal), must.Sprint(err))
+	return refusal
+}
+
+func TestEnginesThatMayNotBeUsedGetNothing(t *testing.T) {
+	cases := map[string]struct {
+		change func(w *world)
+		then   time.Duration
+	}{
+		"draining":   {func(w *world) { w.beat(registry.Engine{ID: "i-0", Phase: registry.Draining}) }, 0},
+		"left":       {func(w *world) { w.engines.Leave("i-0"); w.tick() }, 0},
+		"evacuated":  {func(w *world) { w.declare("a") }, 0},
+		"taken away": {func(w *world) { w.beat(registry.Engine{ID: "i-0", GoneAt: w.now.Add(time.Second)}) }, 2 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(1, 1) // i-0 stands in data centre a
+			acquire(t, w.gateways[0], long("r0", "p")).Done(dispatch.Answered)
+			c.change(w)
+			w.pass(c.then)
+			_, err := w.gateways[0].Acquire(long("r1", "p"))
+			refusal := notRun(t, err)
+			must.Eq(t, request.ReasonNoEngine, refusal.Reason)
+			must.StrContains(t, refusal.Message, name)
+			must.Positive(t, refusal.RetryAfter)
+		})
+	}
+}
+
+func TestAReplacedEngineGetsNothing(t *testing.T) {
+	w := newWorld(1, 1)
+	acquire(t, w.gateways[0], long("r0", "p")).Done(dispatch.Misdirected)
+	_, err := w.gateways[0].Acquire(long("r1", "p"))
+	must.StrContains(t, notRun(t, err).Message, "replaced")
+}
+
+// TestColdEnginesGetLittleFromAllGatewaysTogether counts what a cold engine gets
+// from many gateways, and what it gets right after an evacuation.
+func TestColdEnginesGetLittleFromAllGatewaysTogether(t *testing.T) {
+	cases := map[string]func(w *world){
+		"from its start": func(w *world) { w.beat(registry.Engine{ID: "i-0", ColdUntil: w.now.Add(2500 * time.Millisecond)}) },
+		"after an evacuation": func(w *world) {
+			w.declare("a")
+			w.pass(time.Second)
+			w.declare()
+		},
+	}
+	for name, begin := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(9, 1)
+			begin(w)
+			got := 0
+			for i := range 100 { // two seconds
+				for j, g := range w.gateways {
+					if ticket, err := g.Acquire(long(fmt.Sprint(i, j), "p")); err == nil {
+						must.True(t, ticket.Cold)
+						got++
+					}
+				}
+				w.pass(20 * time.Millisecond)
+			}
+			must.Between(t, 1, got, 5, must.Sprint("2 a second, and one at the start"))
+			w.pass(2 * time.Second)
+			must.False(t, acquire(t, w.gateways[0], long("after", "p")).Cold)
+		})
+	}
+}
+
+// TestGatewaysAgreeOnWhoKeepsAPart sends prompts with the same shared parts
+// through gateways that tell each other nothing of prompts.
+func TestGatewaysAgreeOnWhoKeepsAPart(t *testing.T) {
+	w := newWorld(4, 8)
+	for part := range 12 {
+		used := map[string]bool{}
+		for i := range 8 {
+			ticket := acquire(t, w.gateways[i%4], long(fmt.Sprint(part, i), fmt.Sprint("part", part)))
+			used[ticket.Engine] = true
+			ticket.Done(dispatch.Answered)
+			w.pass(100 * time.Millisecond)
+		}
+		must.MapLen(t, 1, used)
+	}
+}
+
+// TestALoadedKeeperIsPassedOver lets the engine that keeps a part be busy for
+// longer than another needs to read it.
+func TestALoadedKeeperIsPassedOver(t *testing.T) {
+	w := newWorld(1, 4)
+	g := w.gateways[0]
+	keeper := acquire(t, g, long("r0", "p"))
+	for i := range 20 {
+		if ticket := acquire(t, g, long(fmt.Sprint("more", i), "p")); ticket.Engine != keeper.Engine {
+			return
+		}
+	}
+	t.Fatal("one engine got 21 long prompts at once")
+}
+
+func TestOtherGatewaysLoadCounts(t *testing.T) {
+	w := newWorld(2, 2)
+	busy := acquire(t, w.gateways[0], long("r0", "p"))
+	for i := range 6 {
+		acquire(t, w.gateways[0], long(fmt.Sprint(i), "p"))
+	}
+	w.tell()
+	ticket := acquire(t, w.gateways[1], dispatch.Ask{ID: "x", Service: "review", Prompt: dispatch.Prompt{TokensIn: 600, TokensOut: 300}})
+	must.NotEq(t, busy.Engine, ticket.Engine)
+	must.Positive(t, len(w.gateways[0].Word().Engines))
+
+	// A gateway that has fallen silent counts for nothing after a while.
+	for i := range 2 {
+		w.beat(registry.Engine{ID: fmt.Sprint("i-", i)})
+	}
+	w.pass(2 * time.Second)
+	used := map[string]bool{}
+	for i := range 30 {
+		ticket := acquire(t, w.gateways[1], dispatch.Ask{ID: fmt.Sprint("y", i), Service: "review", Prompt: dispatch.Prompt{TokensIn: 600, TokensOut: 300}})
+		used[ticket.Engine] = true
+		ticket.Done(dispatch.Answered)
+	}
+	must.MapLen(t, 2, used)
+}
+
+func TestWhatWouldComeTooLateIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(1, 1)
+	g := w.gateways[0]
+	patient, hasty := long("p", "p"), long("h", "p")
+	patient.Patience, hasty.Patience = 3*time.Second, 700*time.Millisecond
+	for i := range 8 {
+		acquire(t, g, long(fmt.Sprint(i), fmt.Sprint("part", i)))
+	}
+	_, err := g.Acquire(hasty)
+	refusal := notRun(t, err)
+	must.Eq(t, request.ReasonOverload, refusal.Reason)
+	must.Between(t, 400*time.Millisecond, refusal.RetryAfter, 3*time.Second)
+	acquire(t, g, patient)
+}
+
+func TestAnEngineThatCantBeReachedIsTheLastResort(t *testing.T) {
+	w := newWorld(1, 2)
+	g := w.gateways[0]
+	failed := acquire(t, g, long("r0", "p"))
+	failed.Done(dispatch.Unreached)
+	for i := range 5 {
+		ticket := acquire(t, g, long(fmt.Sprint(i), "p"))
+		must.NotEq(t, failed.Engine, ticket.Engine)
+		ticket.Done(dispatch.Answered)
+	}
+	other := acquire(t, g, long("r1", "p"))
+	ask := long("r2", "p")
+	ask.Tried = []string{other.Engine}
+	must.Eq(t, failed.Engine, acquire(t, g, ask).Engine)
+}
+
+func TestRetriesStayWithinTheirBudget(t *testing.T) {
+	w := newWorld(1, 1)
+	g := w.gateways[0]
+	for range 20 {
+		g.First("review")
+	}
+	granted := 0
+	for range 50 {
+		if g.Retry("review") {
+			granted++
+		}
+	}
+	must.Between(t, 5, granted, 14, must.Sprint("a fifth of 20, and 10"))
+	must.False(t, g.Retry("unknown"))
+}
+
+// far gives a word of another region whose engines have so many unread tokens.
+func far(region string, engines, unread int) dispatch.Word {
+	load := dispatch.DigestLoad{Requests: unread / 9000, Unread: unread, Held: unread}
+	return dispatch.Word{Gateway: "far", Region: region, Digests: []dispatch.Digest{{Service: "review", Engines: engines, Slots: 16, Room: 100_000, Mean: load, Least: load}}}
+}
+
+func plain(id string) dispatch.Ask {
+	return dispatch.Ask{ID: id, Service: "review", Prompt: dispatch.Prompt{TokensIn: 9000, TokensOut: 50}}
+}
+
+func TestARequestGoesAwayOnlyWhereThatIsFaster(t *testing.T) {
+	w := newWorld(1, 1)
+	g := w.gateways[0]
+	g.Hear(far("kano", 4, 0))
+	must.Eq(t, "lagos", g.ChooseRegion(plain("r"), true, []string{"kano"}).Region)
+	for i := range 6 {
+		acquire(t, g, plain(fmt.Sprint(i)))
+	}
+	must.Eq(t, "kano", g.ChooseRegion(plain("r"), true, []string{"kano"}).Region)
+	must.Eq(t, "lagos", g.ChooseRegion(plain("r"), true, nil).Region, must.Sprint("no gateway there"))
+	g.Hear(far("kano", 4, 200_000))
+	must.Eq(t, "lagos", g.ChooseRegion(plain("r"), true, []string{"kano"}).Region, must.Sprint("busy there too"))
+	g.Hear(far("kano", 0, 0))
+	must.Eq(t, "lagos", g.ChooseRegion(plain("r"), true, []string{"kano"}).Region, must.Sprint("no engines there"))
+	g.Hear(far("kano", 4, 0))
+	w.pass(2 * time.Second)
+	must.Eq(t, "lagos", g.ChooseRegion(plain("r"), true, []string{"kano"}).Region, must.Sprint("the word is old"))
+}
+
+func TestWhatWasSentAwayCountsUntilTheNextWord(t *testing.T) {
+	w := newWorld(1, 1)
+	g := w.gateways[0]
+	for i := range 6 {
+		acquire(t, g, plain(fmt.Sprint(i)))
+	}
+	g.Hear(far("kano", 1, 0))
+	sent := 0
+	for g.ChooseRegion(plain("r"), true, []string{"kano"}).Region == "kano" {
+		g.Sent("kano", plain("r"))
+		sent++
+		must.Less(t, 20, sent, must.Sprint("everything goes away"))
+	}
+	must.Positive(t, sent)
+	g.Hear(far("kano", 1, 0))
+	must.Eq(t, "kano", g.ChooseRegion(plain("r"), true, []string{"kano"}).Region)
+}
+
+// TestPartsHaveOneHomeRegion asks two regions' gateways for many parts: they
+// agree on the home of each, and only of permitted regions.
+func TestPartsHaveOneHomeRegion(t *testing.T) {
+	w := newWorld(1, 4)
+	g := w.gateways[0]
+	g.Hear(far("kano", 4, 0))
+	homes := map[string]int{}
+	for i := range 200 {
+		ask := long(fmt.Sprint(i), fmt.Sprint("part", i))
+		place := g.ChooseRegion(ask, true, []string{"kano"})
+		must.True(t, place.Home)
+		homes[place.Region]++
+		ask.Permitted = func(region string) bool { return region == "lagos" }
+		must.True(t, g.ChooseRegion(ask, true, nil).Home)
+	}
+	must.Between(t, 70, homes["kano"], 130)
+}
+
+func TestSomeGatewaysSpeakForTheirRegion(t *testing.T) {
+	w := newWorld(5, 3)
+	speak := 0
+	for _, g := range w.gateways {
+		if g.Speaks() {
+			speak++
+			word := g.RegionWord()
+			must.Eq(t, "lagos", word.Region)
+			must.Eq(t, 3, word.Digests[0].Engines)
+		}
+		must.SliceLen(t, 4, g.Listeners())
+		must.SliceEmpty(t, g.FarListeners())
+	}
+	must.Eq(t, 2, speak)
+}
--- /dev/null
+++ b/ingress/ingress_test.go
@@ -0,0 +1,408 @@
+package ingress_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+
+	"github.com/linenscale/linenscale/catalog"
+	"github.com/linenscale/linenscale/dispatch"
+	"github.com/linenscale/linenscale/ingress"
+	"github.com/linenscale/linenscale/ledger"
+	"github.com/linenscale/linenscale/platform"
+	"github.com/linenscale/linenscale/platform/platformtest"
+	"github.com/linenscale/linenscale/registry"
+	"github.com/linenscale/linenscale/relay"
+	"github.com/linenscale/linenscale/retry"
+	"github.com/linenscale/linenscale/roster"
+	"github.com/linenscale/linenscale/telemetry"
+)
+
+// routes of every test: one of each kind.
+var testCatalog = catalog.Catalog{
+	Version: 1,
+	Routes: []catalog.Route{
+		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: catalog.KindSafe, Timeout: time.Second, Target: 500 * time.Millisecond, Attempts: 2, Backends: []catalog.Backend{{Service: "portal", Weight: 1}}},
+		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: catalog.KindUnsafe, Timeout: time.Second, Target: 500 * time.Millisecond, Attempts: 1, Backends: []catalog.Backend{{Service: "portal", Weight: 1}}},
+		{Name: "unsafe2", Host: "h", Prefix: "/unsafe2/", Kind: catalog.KindUnsafe, Timeout: time.Second, Target: 500 * time.Millisecond, Attempts: 2, Backends: []catalog.Backend{{Service: "portal", Weight: 1}}},
+		{Name: "review", Host: "h", Prefix: "/review/", Kind: catalog.KindStream, Resumable: true, Timeout: time.Second, Target: time.Second, Attempts: 2, Backends: []catalog.Backend{{Service: "model", Weight: 1}}},
+		{Name: "chat", Host: "h", Prefix: "/chat/", Kind: catalog.KindStream, Timeout: time.Second, Target: time.Second, Attempts: 1, Backends: []catalog.Backend{{Service: "model", Weight: 1}}},
+		{Name: "home", Host: "h", Prefix: "/home/", Kind: catalog.KindSafe, Timeout: time.Second, Target: time.Second, Attempts: 2, Homes: []string{"kano"}, Backends: []catalog.Backend{{Service: "portal", Weight: 1}}},
+		{Name: "empty", Host: "h", Prefix: "/empty/", Kind: catalog.KindSafe, Timeout: time.Second, Target: time.Second, Attempts: 2, Backends: []catalog.Backend{{Service: "nobody", Weight: 1}}},
+	},
+	Services: []catalog.Service{{Name: "portal"}, {Name: "model", Model: &catalog.ModelSpec{Slots: 8, CacheTokens: 100_000}}, {Name: "nobody"}},
+	Limits:   catalog.Limits{BodyBytes: 1000},
+}
+
+// gateway is one gateway with its own view of engines.
+type gateway struct {
+	server   *ingress.Server
+	engines  *registry.Table
+	callers  *httptest.Server
+	handover *httptest.Server
+	peers    []roster.Host
+}
+
+func newGateway(t *testing.T, name, region string) *gateway {
+	t.Helper()
+	g := &gateway{engines: registry.New("life", time.Minute, time.Now)}
+	metrics, err := telemetry.NewMetrics()
+	must.NoError(t, err)
+	self := roster.Host{Name: name, Role: roster.RoleGateway, Region: region}
+	dispatcher := dispatch.New(dispatch.Deps{
+		Name: name, Region: region, Regions: map[string]string{"a": "lagos", "b": "kano"}, Engines: g.engines,
+		Peers: func() []roster.Host { return g.peers }, Budget: retry.Policy{Share: 0.2, Extra: 100, Window: 10 * time.Second},
+		Log: zap.NewNop(), Clock: time.Now,
+	})
+	dialer := &net.Dialer{Timeout: 300 * time.Millisecond}
+	g.server = ingress.New(ingress.Deps{
+		Self: self, Dialect: platform.Dialect{}, Dispatcher: dispatcher, Gateways: func() []roster.Host { return g.peers },
+		Engines: relay.New(dialer, relay.Options{}), Peers: relay.New(dialer, relay.Options{}), Log: zap.NewNop(), Metrics: metrics,
+		Random: func() uint64 { return 1 }, StopTime: time.Second,
+	})
+	g.callers, g.handover = httptest.NewServer(g.server.CallersHandler()), httptest.NewServer(g.server.HandoverHandler())
+	t.Cleanup(g.callers.Close)
+	t.Cleanup(g.handover.Close)
+	return g
+}
+
+// declare gives the gateway the catalog, and its dispatcher the engines.
+func (g *gateway) declare() {
+	g.server.Take(ledger.State{Index: 1, Catalog: testCatalog})
+}
+
+func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+
+// start starts an engine and registers it with the gateway.
+func (g *gateway) start(t *testing.T, service, dataCentre string) *platformtest.Engine {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	group := pool.New()
+	e, err := platformtest.StartEngine(ctx, group, "127.0.0.1:0", platformtest.EngineOptions{Service: service, DataCentre: dataCentre})
+	must.NoError(t, err)
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	g.engines.Beat(registry.Engine{ID: e.ID, Service: service, Address: e.Address(), DataCentre: dataCentre, Slots: 8, Sequence: 1})
+	g.server.Dispatcher.Tick()
+	return e
+}
+
+// setUp gives a gateway with two engines of each service.
+func setUp(t *testing.T) (*gateway, []*platformtest.Engine) {
+	t.Helper()
+	g := newGateway(t, "g1", "lagos")
+	g.declare()
+	var engines []*platformtest.Engine
+	for range 2 {
+		engines = append(engines, g.start(t, "portal", "a"), g.start(t, "model", "a"))
+	}
+	return g, engines
+}
+
+func do(t *testing.T, g *gateway, r platformtest.Request) platformtest.Result {
+	t.Helper()
+	var c platformtest.Caller
+	r.Host = "h"
+	result, err := c.Do(context.Background(), address(g.callers), r)
+	must.NoError(t, err)
+	return result
+}
+
+// runs counts how often all engines together ran a request, and arrivals.
+func runs(engines []*platformtest.Engine, id string) (ran, arrived int) {
+	for _, e := range engines {
+		ran += e.Runs()[id]
+		for _, a := range e.Arrivals() {
+			if a.Request == id {
+				arrived++
+			}
+		}
+	}
+	return ran, arrived
+}
+
+// breakAll makes the next n requests go wrong, whichever engines they reach.
+func breakAll(engines []*platformtest.Engine, f platformtest.Fault, n int) {
+	plan := platformtest.NewFaultPlan(f, n)
+	for _, e := range engines {
+		e.SetFaults(plan)
+	}
+}
+
+func stream(to int) string {
+	all := ""
+	for n := 1; n <= to; n++ {
+		all += platformtest.Event(n)
+	}
+	return all
+}
+
+func TestAnswersArePassedOnUnchanged(t *testing.T) {
+	g, engines := setUp(t)
+	plain := do(t, g, platformtest.Request{Path: "/safe/1?q=%2F", Method: http.MethodGet})
+	must.Eq(t, http.StatusOK, plain.Status)
+	must.Eq(t, platformtest.Answer(plain.Engine, plain.ID), plain.Body)
+	events := do(t, g, platformtest.Request{Path: "/chat/1", Model: true, Body: "a prompt"})
+	must.True(t, events.Whole)
+	must.Eq(t, stream(5), events.Body)
+	for _, e := range engines {
+		for _, a := range e.Arrivals() {
+			must.True(t, a.Path == "/safe/1?q=%2F" || a.Body == "a prompt")
+		}
+	}
+}
+
+func TestWhatOnlyTheSystemSetsIsTakenOff(t *testing.T) {
+	g, engines := setUp(t)
+	forged := http.Header{"X-Linenscale-Hold": {"h1"}, "Kv-From": {"10.0.0.1:1/x"}, "X-Linenscale-Target-Instance": {"i-other"}, "X-Other": {"kept"}, "Linenscale-Handover-Path": {"g9"}}
+	result := do(t, g, platformtest.Request{Path: "/safe/1", Header: forged})
+	must.Eq(t, http.StatusOK, result.Status)
+	for _, e := range engines {
+		for _, a := range e.Arrivals() {
+			must.Eq(t, "", a.Header.Get("X-Linenscale-Hold")+a.Header.Get("Kv-From")+a.Header.Get("Linenscale-Handover-Path"))
+			must.Eq(t, e.ID, a.Header.Get("X-Linenscale-Target-Instance"))
+			must.Eq(t, "kept", a.Header.Get("X-Other"))
+		}
+	}
+}
+
+// TestFaultsOfEngines breaks the first engine that is asked, and looks at the
+// answer and at how often the request ran.
+func TestFaultsOfEngines(t *testing.T) {
+	cases := []struct {
+		fault  platformtest.Fault
+		path   string
+		model  bool
+		status int
+		ran    int
+		whole  bool
+	}{
+		{platformtest.FaultError, "/safe/1", false, 200, 2, true},
+		{platformtest.FaultError, "/unsafe/1", false, 500, 1, true},
+		{platformtest.FaultShed, "/safe/1", false, 200, 1, true},
+		{platformtest.FaultShed, "/unsafe/1", false, 503, 0, true},
+		{platformtest.FaultShed, "/unsafe2/1", false, 200, 1, true},
+		{platformtest.FaultReset, "/safe/1", false, 200, 2, true},
+		{platformtest.FaultReset, "/unsafe/1", false, 502, 1, true},
+		{platformtest.FaultReset, "/unsafe2/1", false, 502, 1, true},
+		{platformtest.FaultCut, "/safe/1", false, 200, 2, true},
+		{platformtest.FaultCut, "/unsafe2/1", false, 502, 1, true},
+		{platformtest.FaultCrossed, "/safe/1", false, 200, 2, true},
+		{platformtest.FaultCrossed, "/unsafe2/1", false, 502, 1, true},
+		{platformtest.FaultNoLen, "/unsafe/1", false, 200, 1, true},
+		{platformtest.FaultNoLenRS, "/safe/1", false, 200, 2, true},
+		{platformtest.FaultNoLenRS, "/unsafe2/1", false, 502, 1, true},
+		{platformtest.FaultReset, "/chat/1", true, 502, 1, true},
+		{platformtest.FaultCut, "/chat/1", true, 200, 1, false},
+		{platformtest.FaultError, "/review/1", true, 200, 2, true},
+		{platformtest.FaultCut, "/review/1", true, 200, 2, true},
+		{platformtest.FaultCrossed, "/review/1", true, 200, 2, true},
+	}
+	for _, c := range cases {
+		t.Run(string(c.fault)+strings.ReplaceAll(c.path, "/", "-"), func(t *testing.T) {
+			g, engines := setUp(t)
+			// Only the first engine that is asked does wrong.
+			breakAll(engines, c.fault, 1)
+			result := do(t, g, platformtest.Request{Path: c.path, Model: c.model, Body: "x"})
+			must.Eq(t, c.status, result.Status)
+			must.Eq(t, c.whole, result.Whole)
+			ran, _ := runs(engines, result.ID)
+			must.Eq(t, c.ran, ran)
+			if c.model && c.status == 200 && c.whole {
+				must.Eq(t, stream(5), result.Body)
+			}
+			if c.status == http.StatusServiceUnavailable {
+				must.Positive(t, result.RetryAfter)
+			}
+		})
+	}
+}
+
+// TestABrokenStreamIsVisiblyBroken breaks every engine: what arrives is whole
+// events from the start, without a clean end.
+func TestABrokenStreamIsVisiblyBroken(t *testing.T) {
+	g, engines := setUp(t)
+	breakAll(engines, platformtest.FaultCut, -1)
+	result := do(t, g, platformtest.Request{Path: "/review/1", Model: true})
+	must.False(t, result.Whole)
+	must.True(t, strings.HasPrefix(stream(5), result.Body), must.Sprint(result.Body))
+	must.StrHasSuffix(t, "\n\n", result.Body)
+	ran, _ := runs(engines, result.ID)
+	must.Eq(t, 2, ran, must.Sprint("the route allows two engines"))
+}
+
+func TestASilentEngineIsGivenUpAtTheRoutesTimeout(t *testing.T) {
+	g, engines := setUp(t)
+	breakAll(engines, platformtest.FaultSilent, -1)
+	result := do(t, g, platformtest.Request{Path: "/unsafe/1", Deadline: 10 * time.Second})
+	must.Eq(t, http.StatusGatewayTimeout, result.Status)
+	must.False(t, result.Promised())
+	ran, _ := runs(engines, result.ID)
+	must.Eq(t, 1, ran)
+}
+
+func TestRefusalsThatAreNoEngines(t *testing.T) {
+	g, engines := setUp(t)
+	must.Eq(t, http.StatusNotFound, do(t, g, platformtest.Request{Path: "/none/"}).Status)
+	must.Eq(t, http.StatusRequestEntityTooLarge, do(t, g, platformtest.Request{Path: "/safe/", Body: strings.Repeat("x", 1001)}).Status)
+	empty := do(t, g, platformtest.Request{Path: "/empty/"})
+	must.True(t, empty.Promised())
+	must.Positive(t, empty.RetryAfter)
+	young := newGateway(t, "g2", "lagos")
+	must.True(t, do(t, young, platformtest.Request{Path: "/none/"}).Promised(), must.Sprint("a gateway without a catalog refuses nothing for good"))
+	must.False(t, young.server.Ready())
+	must.True(t, g.server.Ready())
+	for _, e := range engines {
+		must.SliceEmpty(t, e.Arrivals())
+	}
+}
+
+func TestACallerWhoLeavesEndsTheEnginesWork(t *testing.T) {
+	g, engines := setUp(t)
+	breakAll(engines, platformtest.FaultSilent, -1)
+	ctx, cancel := context.WithCancel(context.Background())
+	group := pool.New()
+	group.Go(func() {
+		var c platformtest.Caller
+		_, err := c.Do(ctx, address(g.callers), platformtest.Request{Host: "h", Path: "/chat/1", Model: true, Deadline: 20 * time.Second})
+		must.Error(t, err)
+	})
+	eventually(t, "the engine runs it", func() bool { return g.inFlight(engines) == 1 })
+	cancel()
+	group.Wait()
+	// An engine that is told nothing more would work on until the deadline.
+	eventually(t, "the engine has stopped", func() bool { return g.idle(engines) })
+}
+
+func (g *gateway) inFlight(engines []*platformtest.Engine) int {
+	n := 0
+	for _, e := range engines {
+		n += len(e.Arrivals())
+	}
+	return n
+}
+
+func (g *gateway) idle(engines []*platformtest.Engine) bool {
+	for _, e := range engines {
+		if e.Busy() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 500 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("%s: not within 5 s", what)
+}
+
+// twoRegions gives a gateway in lagos without engines and one in kano with.
+func twoRegions(t *testing.T) (lagos, kano *gateway, engines []*platformtest.Engine) {
+	t.Helper()
+	lagos, kano = newGateway(t, "g1", "lagos"), newGateway(t, "g2", "kano")
+	lagos.peers = []roster.Host{{Name: "g2", Role: roster.RoleGateway, Region: "kano", Handover: address(kano.handover)}}
+	kano.peers = []roster.Host{{Name: "g1", Role: roster.RoleGateway, Region: "lagos", Handover: address(lagos.handover)}}
+	lagos.declare()
+	kano.declare()
+	for range 2 {
+		engines = append(engines, kano.start(t, "portal", "b"), kano.start(t, "model", "b"))
+	}
+	return lagos, kano, engines
+}
+
+func TestARequestIsHandedOverWhereNothingCanServeIt(t *testing.T) {
+	lagos, _, engines := twoRegions(t)
+	for _, path := range []string{"/safe/1", "/unsafe/1", "/home/1"} {
+		result := do(t, lagos, platformtest.Request{Path: path, Body: "x"})
+		must.Eq(t, http.StatusOK, result.Status)
+		must.Eq(t, platformtest.Answer(result.Engine, result.ID), result.Body)
+	}
+	result := do(t, lagos, platformtest.Request{Path: "/review/1", Model: true})
+	must.Eq(t, stream(5), result.Body)
+	must.True(t, result.Whole)
+	for _, e := range engines {
+		for _, a := range e.Arrivals() {
+			for name := range a.Header {
+				must.StrNotContains(t, name, "Handover")
+			}
+		}
+	}
+}
+
+// TestABoundRequestStaysAtHome has engines in lagos only: a request bound to
+// kano is refused as not run, and reaches none of them.
+func TestABoundRequestStaysAtHome(t *testing.T) {
+	g, engines := setUp(t)
+	result := do(t, g, platformtest.Request{Path: "/home/1"})
+	must.True(t, result.Promised())
+	_, arrived := runs(engines, result.ID)
+	must.Eq(t, 0, arrived)
+}
+
+// TestSendsCountOverRegions lets every engine refuse: a route of two attempts
+// reaches two engines, wherever they stand, and one of one attempt reaches one.
+func TestSendsCountOverRegions(t *testing.T) {
+	lagos, kano, engines := twoRegions(t)
+	lagos.peers = append(lagos.peers, roster.Host{Name: "g1", Role: roster.RoleGateway, Region: "lagos"})
+	here := []*platformtest.Engine{lagos.start(t, "portal", "a"), lagos.start(t, "portal", "a")}
+	engines = append(engines, here...)
+	breakAll(engines, platformtest.FaultShed, -1)
+	for path, want := range map[string]int{"/safe/1": 2, "/unsafe/1": 1, "/unsafe2/1": 2} {
+		result := do(t, lagos, platformtest.Request{Path: path})
+		must.True(t, result.Promised(), must.Sprint(path, result.Status))
+		_, arrived := runs(engines, result.ID)
+		must.Eq(t, want, arrived, must.Sprint(path))
+	}
+	_ = kano
+}
+
+// TestNothingCirclesBetweenGateways gives two gateways no engines at all.
+func TestNothingCirclesBetweenGateways(t *testing.T) {
+	lagos, kano := newGateway(t, "g1", "lagos"), newGateway(t, "g2", "kano")
+	lagos.peers = []roster.Host{{Name: "g2", Role: roster.RoleGateway, Region: "kano", Handover: address(kano.handover)}}
+	kano.peers = []roster.Host{{Name: "g1", Role: roster.RoleGateway, Region: "lagos", Handover: address(lagos.handover)}}
+	lagos.declare()
+	kano.declare()
+	must.True(t, do(t, lagos, platformtest.Request{Path: "/safe/1"}).Promised())
+}
+
+// TestAStoppingGatewayFinishesWhatItHas stops a gateway while a stream runs.
+func TestAStoppingGatewayFinishesWhatItHas(t *testing.T) {
+	g, _ := setUp(t)
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	handover, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	group := pool.New()
+	group.Go(func() { _ = g.server.Run(ctx, callers, handover) })
+	var c platformtest.Caller
+	done := make(chan platformtest.Result, 1)
+	group.Go(func() {
+		result, err := c.Do(context.Background(), callers.Addr().String(), platformtest.Request{Host: "h", Path: "/chat/1", Model: true})
+		must.NoError(t, err)
+		done <- result
+	})
+	cancel()
+	group.Wait()
+	result := <-done
+	must.Eq(t, stream(5), result.Body)
+	must.True(t, result.Whole)
+	must.False(t, g.server.Ready())
+}
--- a/ingress/receive.go
+++ b/ingress/receive.go
@@ -61,7 +61,9 @@
 // receive identifies the request, finds its route and reads its body.
 func (s *Server) receive(x *exchange) error {
 	remaining := time.Duration(0)
-	if x.fixed {
+	if !x.fixed {
+		request.DropHandover(x.r.Header)
+	} else {
 		x.done.sends = request.TakeSends(x.r.Header)
 		var err error
 		if _, remaining, err = request.TakeHandover(x.r.Header); err != nil {
--- a/internal/simlog/simlog.go
+++ b/internal/simlog/simlog.go
@@ -67,6 +67,7 @@
 	reads   map[uint64]*Read
 	nextID  uint64
 	lives   int
+	mark    uint64 // commit index that was marked beside the log
 }
 
 type pending struct {
@@ -121,6 +122,7 @@
 		must(n.Machine.Restore(state.Snapshot.Data))
 	}
 	n.log = log
+	state.Commit = n.mark
 	n.waiting, n.reads = map[uint64]pending{}, map[uint64]*Read{}
 	n.Raft = raft.New(raft.Options{
 		ID: n.ID, Election: c.Opts.Election, Heartbeat: c.Opts.Heartbeat,
@@ -153,6 +155,7 @@
 func (c *Cluster) LoseDisk(n *Node) {
 	c.Crash(n, 0)
 	n.folder.Lose()
+	n.mark = 0
 	n.lives++
 	n.ID = id(n.Index, n.lives)
 }
@@ -169,6 +172,45 @@
 	}
 }
 
+// Disturb brings about one fault, or mends one.
+func (c *Cluster) Disturb() {
+	r := c.Random
+	n := c.Nodes[r.IntN(len(c.Nodes))]
+	if leader := c.Leader(); leader != nil && r.Float64() < 0.5 {
+		n = leader
+	}
+	switch r.IntN(8) {
+	case 0:
+		if n.Up {
+			c.Crash(n, r.IntN(200))
+		}
+	case 1, 2:
+		if !n.Up {
+			c.Start(n)
+		}
+	case 3:
+		n.Paused = !n.Paused
+	case 4:
+		n.Paused = false
+	case 5: // silent: it still sends, or still hears
+		c.Isolate(n.Index, r.Float64() < 0.5, true)
+	case 6, 7:
+		c.Isolate(n.Index, false, false)
+	}
+}
+
+// Mend starts, wakes and joins everything, so that a history also shows what
+// comes after the faults.
+func (c *Cluster) Mend() {
+	for _, n := range c.Nodes {
+		if !n.Up {
+			c.Start(n)
+		}
+		n.Paused = false
+		c.Isolate(n.Index, false, false)
+	}
+}
+
 // Leader gives the replica that leads in the highest term, or nil.
 func (c *Cluster) Leader() *Node {
 	var best *Node
@@ -248,9 +290,16 @@
 		n.Raft.Done(ready)
 		c.finishReads(n, ready.Reads)
 		c.snapshot(n)
+		if c.Random.Float64() < markShare {
+			n.mark = n.Raft.Status().Commit
+		}
 	}
 }
 
+// markShare is how often a commit index is marked in time; the other times a
+// crash finds an older one.
+const markShare = 0.5
+
 func (c *Cluster) apply(n *Node, entries []raft.Entry) {
 	for _, e := range entries {
 		var result any
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,195 @@
+package ledger_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/juju/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/linenscale/linenscale/catalog"
+	"github.com/linenscale/linenscale/internal/simlog"
+	"github.com/linenscale/linenscale/ledger"
+	"github.com/linenscale/linenscale/raft"
+)
+
+func newMachine() *ledger.Machine { return ledger.New(func(ledger.State) {}) }
+
+func apply(t *testing.T, m *ledger.Machine, index uint64, c ledger.Command) ledger.Result {
+	t.Helper()
+	data, err := ledger.Encode(c)
+	must.NoError(t, err)
+	result, ok := m.Apply(index, data).(ledger.Result)
+	must.True(t, ok)
+	return result
+}
+
+func put(version int64, source string) ledger.PutCatalog {
+	return ledger.PutCatalog{Catalog: catalog.Catalog{Version: version}, Source: []byte(source)}
+}
+
+func TestTheHighestVersionHolds(t *testing.T) {
+	m := newMachine()
+	must.True(t, apply(t, m, 1, put(5, "five")).Changed)
+	for _, resent := range []ledger.PutCatalog{put(5, "five"), put(5, "another five"), put(4, "four")} {
+		result := apply(t, m, 2, resent)
+		must.False(t, result.Changed)
+		must.Eq(t, 5, result.Version)
+	}
+	must.Eq(t, "five", string(m.State().Source))
+	must.Eq(t, 1, m.State().Index, must.Sprint("what changes nothing has no index"))
+	must.True(t, apply(t, m, 3, put(9, "nine")).Changed)
+	must.Eq(t, "nine", string(m.State().Source))
+}
+
+func TestEvacuationsAreASet(t *testing.T) {
+	m := newMachine()
+	must.True(t, apply(t, m, 1, ledger.SetEvacuation{DataCentre: "b", On: true}).Changed)
+	must.False(t, apply(t, m, 2, ledger.SetEvacuation{DataCentre: "b", On: true}).Changed)
+	must.True(t, apply(t, m, 3, ledger.SetEvacuation{DataCentre: "a", On: true}).Changed)
+	must.Eq(t, []string{"a", "b"}, m.State().Evacuated)
+	must.True(t, apply(t, m, 4, ledger.SetEvacuation{DataCentre: "b", On: false}).Changed)
+	must.False(t, apply(t, m, 5, ledger.SetEvacuation{DataCentre: "b", On: false}).Changed)
+	must.True(t, m.State().IsEvacuated("a"))
+	must.False(t, m.State().IsEvacuated("b"))
+}
+
+func TestSnapshotHoldsEverything(t *testing.T) {
+	m := newMachine()
+	apply(t, m, 1, put(5, "five"))
+	apply(t, m, 2, ledger.SetEvacuation{DataCentre: "a", On: true})
+	data, err := m.Snapshot()
+	must.NoError(t, err)
+	again := newMachine()
+	must.NoError(t, again.Restore(data))
+	must.Eq(t, m.State(), again.State())
+}
+
+func TestACommandThatCantBeReadIsAnError(t *testing.T) {
+	_, isError := newMachine().Apply(1, []byte("no command")).(error)
+	must.True(t, isError)
+}
+
+// The operations of a history: a catalog that is put, and a read of the version.
+type (
+	input struct {
+		put     bool
+		version int64
+	}
+	output struct {
+		known   bool // false: no answer came
+		version int64
+	}
+)
+
+// model is what one copy of the ledger would do.
+var model = porcupine.Model{
+	Init: func() any { return int64(0) },
+	Step: func(state, in, out any) (bool, any) {
+		held, i, o := state.(int64), in.(input), out.(output)
+		if !i.put {
+			return !o.known || o.version == held, held
+		}
+		return true, max(held, i.version)
+	},
+}
+
+// TestHistoriesAreLinearizable puts and reads catalogs while replicas crash,
+// lose messages and are cut off: once a put is answered, every later read shows
+// it or a higher version.
+func TestHistoriesAreLinearizable(t *testing.T) {
+	for seed := range uint64(12) {
+		c := simlog.New(simlog.Options{
+			Seed: seed, Voters: 3, Election: time.Second, Heartbeat: 250 * time.Millisecond,
+			Delay: 80 * time.Millisecond, Loss: 0.03, SnapshotEvery: 8,
+			New: func() simlog.Machine { return newMachine() },
+		})
+		h := &history{cluster: c}
+		for range 150 {
+			if c.Random.Float64() < 0.1 {
+				c.Disturb()
+			}
+			h.operate()
+			c.Run(time.Duration(c.Random.IntN(400)) * time.Millisecond)
+		}
+		c.Mend()
+		c.Run(10 * time.Second)
+		h.operate()
+		c.Run(5 * time.Second)
+		must.True(t, porcupine.CheckOperations(model, h.ops), must.Sprintf("seed %d", seed))
+		must.Greater(t, 20, len(h.ops), must.Sprintf("seed %d: too few operations were answered", seed))
+	}
+}
+
+// history calls a cluster and notes the calls that were answered, and those
+// puts that may have been taken.
+type history struct {
+	cluster *simlog.Cluster
+	version int64
+	client  int
+	ops     []porcupine.Operation
+}
+
+// operate puts a catalog at one replica and reads at another.
+func (h *history) operate() {
+	c := h.cluster
+	h.version += 1 + c.Random.Int64N(3)
+	h.put(h.node(), h.version)
+	if c.Random.Float64() < 0.3 { // an older one is sent again
+		h.put(h.node(), max(1, h.version-1))
+	}
+	h.read(h.node())
+}
+
+// node gives the leader more often than another replica, which may take itself
+// for the leader.
+func (h *history) node() *simlog.Node {
+	c := h.cluster
+	if leader := c.Leader(); leader != nil && c.Random.Float64() < 0.7 {
+		return leader
+	}
+	return c.Nodes[c.Random.IntN(len(c.Nodes))]
+}
+
+func (h *history) put(n *simlog.Node, version int64) {
+	data, err := ledger.Encode(put(version, ""))
+	if err != nil || !n.Up || n.Paused {
+		return
+	}
+	op := h.begin(input{put: true, version: version})
+	h.cluster.Propose(n, data, func(_ any, err error) {
+		switch {
+		case err == nil:
+			h.end(op, output{known: true})
+		case errors.Is(err, raft.ErrNotLeader):
+			// Nothing was proposed, or another entry took its place.
+		default: // it may be taken at any later time
+			op.Output, op.Return = output{}, math.MaxInt64
+			h.ops = append(h.ops, op)
+		}
+	})
+}
+
+func (h *history) read(n *simlog.Node) {
+	if !n.Up || n.Paused {
+		return
+	}
+	op := h.begin(input{})
+	h.cluster.Read(n, func(ok bool) {
+		if ok {
+			h.end(op, output{known: true, version: n.Machine.(*ledger.Machine).State().Catalog.Version})
+		}
+	})
+}
+
+func (h *history) begin(in input) porcupine.Operation {
+	h.client++
+	return porcupine.Operation{ClientId: h.client, Input: in, Call: h.cluster.Now.UnixNano()}
+}
+
+func (h *history) end(op porcupine.Operation, out output) {
+	op.Output, op.Return = out, h.cluster.Now.UnixNano()
+	h.ops = append(h.ops, op)
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -184,7 +184,7 @@
 			r.take(in)
 			r.takeMore()
 		}
-		if err := r.work(); err != nil {
+		if err := r.work(ctx); err != nil {
 			return errors.Annotate(err, "replica")
 		}
 	}
@@ -242,14 +242,14 @@
 }
 
 // work does what the node asks, until there is nothing left.
-func (r *Replica) work() error {
+func (r *Replica) work(ctx context.Context) error {
 	for {
 		ready := r.node.Ready()
 		if ready.Empty() {
 			r.publish()
 			return nil
 		}
-		if err := r.persist(ready); err != nil {
+		if err := r.persistPatiently(ctx, ready); err != nil {
 			return err
 		}
 		for _, e := range ready.Messages {
@@ -265,13 +265,43 @@
 	}
 }
 
+// diskPause is the wait before a write is tried again that the disk refused.
+const diskPause = 100 * time.Millisecond
+
+// persistPatiently tries until the disk takes what must be durable. Meanwhile
+// this replica sends nothing, so that the others take it for gone and find
+// another leader.
+func (r *Replica) persistPatiently(ctx context.Context, ready raft.Ready) error {
+	failures := 0
+	for {
+		err := r.persist(ready)
+		if err == nil {
+			if failures > 0 {
+				r.opts.Log.Info("disk takes writes again", zap.Int("failures", failures))
+			}
+			return nil
+		}
+		if failures++; failures == 1 {
+			r.opts.Log.Error("disk refuses writes", zap.String("cause", err.Error()))
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Trace(err)
+		case <-time.After(diskPause):
+		}
+	}
+}
+
 func (r *Replica) persist(ready raft.Ready) error {
 	if ready.Install != nil {
+		if err := r.log.Replace(raft.State{Hard: r.node.Hard(), Snapshot: *ready.Install, Entries: r.node.Entries()}); err != nil {
+			return errors.Trace(err)
+		}
 		if err := r.opts.Machine.Restore(ready.Install.Data); err != nil {
 			return errors.Annotate(err, "restore a snapshot from the leader")
 		}
 		r.failAllWaiting()
-		return r.log.Replace(raft.State{Hard: r.node.Hard(), Snapshot: *ready.Install, Entries: r.node.Entries()})
+		return nil
 	}
 	return r.log.Save(ready.Hard, ready.Entries)
 }
@@ -343,7 +373,11 @@
 		return nil
 	}
 	r.opts.Log.Debug("snapshot", zap.Uint64("index", snapshot.Index), zap.Int("bytes", len(data)))
-	return r.log.Replace(raft.State{Hard: r.node.Hard(), Snapshot: snapshot, Entries: r.node.Entries()})
+	if err := r.log.Replace(raft.State{Hard: r.node.Hard(), Snapshot: snapshot, Entries: r.node.Entries()}); err != nil {
+		// The log stays as long as it was; the next snapshot is tried later.
+		r.opts.Log.Warn("snapshot not written", zap.String("cause", err.Error()))
+	}
+	return nil
 }
 
 // publish lets Status see the newest state, and logs changes of role.
--- /dev/null
+++ b/replica/replica_test.go
@@ -0,0 +1,130 @@
+package replica_test
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+
+	"github.com/linenscale/linenscale/disk"
+	"github.com/linenscale/linenscale/raft"
+	"github.com/linenscale/linenscale/replica"
+)
+
+// counter is a machine that counts commands.
+type counter struct{ applied atomic.Int64 }
+
+func (c *counter) Apply(uint64, []byte) any { return c.applied.Add(1) }
+
+func (c *counter) Snapshot() ([]byte, error) {
+	return []byte(strconv.FormatInt(c.applied.Load(), 10)), nil
+}
+
+func (c *counter) Restore(data []byte) error {
+	n, err := strconv.ParseInt(string(data), 10, 64)
+	c.applied.Store(n)
+	return err
+}
+
+// run opens and runs a replica until the returned function is called.
+func run(t *testing.T, id raft.ID, folder disk.Folder) (*replica.Replica, *counter, func()) {
+	t.Helper()
+	machine := &counter{}
+	r, err := replica.Open(replica.Options{
+		ID: id, Election: 100 * time.Millisecond, Heartbeat: 25 * time.Millisecond, Folder: folder, Machine: machine,
+		Send: func(raft.Envelope) {}, SnapshotEvery: 1000, Log: zap.NewNop(), Seed: 1,
+	})
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	group := pool.New()
+	group.Go(func() { _ = r.Run(ctx) })
+	return r, machine, func() {
+		cancel()
+		group.Wait()
+	}
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 500 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("%s: not within 5 s", what)
+}
+
+// propose proposes until a leader has been found.
+func propose(t *testing.T, r *replica.Replica) {
+	t.Helper()
+	eventually(t, "proposal", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := r.Propose(ctx, []byte("x"))
+		return err == nil
+	})
+}
+
+// TestCommittedIsAppliedWithoutALeader restarts a voter of a log whose other
+// voters are gone: what it knew to be committed is applied, with no leader.
+func TestCommittedIsAppliedWithoutALeader(t *testing.T) {
+	folder := disk.NewMemory()
+	must.NoError(t, replica.Form(folder, []raft.ID{"a#1"}))
+	r, _, stop := run(t, "a#1", folder)
+	for range 5 {
+		propose(t, r)
+	}
+	eventually(t, "mark", func() bool {
+		names, err := folder.Names()
+		return err == nil && len(names) >= 2
+	})
+	time.Sleep(300 * time.Millisecond) // a mark is written a moment after the commit
+	stop()
+	folder.Crash(0)
+
+	// Opened as a replica that has no vote, it can't lead.
+	_, machine, stop := run(t, "b#1", folder)
+	defer stop()
+	eventually(t, "committed entries applied", func() bool { return machine.applied.Load() == 5 })
+}
+
+// TestTornMarkIsIgnored starts with marks that were written in part.
+func TestTornMarkIsIgnored(t *testing.T) {
+	folder := disk.NewMemory()
+	must.NoError(t, replica.Form(folder, []raft.ID{"a#1"}))
+	for _, name := range []string{"commit-a", "commit-b"} {
+		file, err := folder.Create(name)
+		must.NoError(t, err)
+		_, err = file.Write([]byte{9, 0, 0, 0, 0, 0, 0, 0, 1, 2, 3})
+		must.NoError(t, err)
+	}
+	r, _, stop := run(t, "a#1", folder)
+	defer stop()
+	propose(t, r)
+}
+
+// TestFullDiskIsWaitedOut proposes while the disk refuses writes: the replica
+// goes on once it takes them again.
+func TestFullDiskIsWaitedOut(t *testing.T) {
+	folder := disk.NewMemory()
+	must.NoError(t, replica.Form(folder, []raft.ID{"a#1"}))
+	r, machine, stop := run(t, "a#1", folder)
+	defer stop()
+	propose(t, r)
+	folder.SetFull(true)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err := r.Propose(ctx, []byte("y"))
+	must.Error(t, err)
+	must.Eq(t, 1, machine.applied.Load())
+	folder.SetFull(false)
+	propose(t, r)
+	eventually(t, "both applied", func() bool { return machine.applied.Load() >= 2 })
+}
--- a/request/handover.go
+++ b/request/handover.go
@@ -39,6 +39,16 @@
 	return ""
 }
 
+// DropHandover takes off the headers that only entry hosts may send, where a
+// caller sent them.
+func DropHandover(header http.Header) {
+	for name := range header {
+		if strings.HasPrefix(http.CanonicalHeaderKey(name), handoverPrefix) {
+			header.Del(name)
+		}
+	}
+}
+
 // SetHandover writes the hand-over headers for the next entry host.
 func (r Request) SetHandover(header http.Header, now time.Time, revision uint64) {
 	header.Set(headerPath, strings.Join(r.Path, ","))
@@ -72,11 +82,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	for name := range header {
-		if strings.HasPrefix(http.CanonicalHeaderKey(name), handoverPrefix) {
-			header.Del(name)
-		}
-	}
+	DropHandover(header)
 	if pathText == "" {
 		return nil, 0, BadRequestf("header %s is missing from a hand-over", headerPath)
 	}
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -158,6 +158,11 @@
 	file   disk.File
 	name   string
 	number uint64
+	size   int64 // of what is known to be whole in the file, in bytes
+	torn   bool  // a record was written in part: it must be cut off first
+	// unnamed is set while the name of the file may not be durable: until it
+	// is, nothing may be saved there.
+	unnamed bool
 }
 
 // Open reads the log of a folder, repairs a torn end and opens it for writing.
@@ -218,6 +223,7 @@
 	if l.file, err = l.folder.Append(l.name); err != nil {
 		return nil, raft.State{}, errors.Trace(err)
 	}
+	l.size = int64(size)
 	return l, state, l.removeOld(names)
 }
 
@@ -233,7 +239,8 @@
 }
 
 // Save makes a hard state and entries durable. Entries replace all from the
-// first's index on. hard may be nil.
+// first's index on. hard may be nil. After an error nothing has been saved, and
+// Save may be called again with the same.
 func (l *Log) Save(hard *raft.HardState, entries []raft.Entry) error {
 	if hard == nil && len(entries) == 0 {
 		return nil
@@ -242,10 +249,34 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if err := l.syncName(); err != nil {
+		return errors.Annotate(err, "sync the folder of the log")
+	}
+	if err := l.cutTorn(); err != nil {
+		return errors.Annotate(err, "cut off what was written in part")
+	}
+	l.torn = true
 	if _, err := l.file.Write(data); err != nil {
 		return errors.Annotate(err, "write the log")
 	}
-	return errors.Annotate(l.file.Sync(), "sync the log")
+	if err := l.file.Sync(); err != nil {
+		return errors.Annotate(err, "sync the log")
+	}
+	l.torn = false
+	l.size += int64(len(data))
+	return nil
+}
+
+// cutTorn cuts off a record that a full or faulty disk took in part.
+func (l *Log) cutTorn() error {
+	if !l.torn {
+		return nil
+	}
+	if err := l.folder.Truncate(l.name, l.size); err != nil {
+		return errors.Trace(err)
+	}
+	l.torn = false
+	return nil
 }
 
 // Replace makes a new file of a whole state, and takes away the old one.
@@ -255,13 +286,12 @@
 		return errors.Trace(err)
 	}
 	old := l.file
-	if err := l.replace(state); err != nil {
-		return err
+	err = l.replace(state)
+	if l.file != old && old != nil {
+		_ = old.Close() // it is replaced: nothing is written there any more
 	}
-	if old != nil {
-		if err := old.Close(); err != nil {
-			return errors.Trace(err)
-		}
+	if err != nil {
+		return err
 	}
 	return l.removeOld(names)
 }
@@ -286,11 +316,21 @@
 	if err := l.folder.Rename(name+temporary, name); err != nil {
 		return errors.Trace(err)
 	}
+	l.file, l.name = file, name
+	l.size, l.torn, l.unnamed = int64(len(data)), false, true
+	l.number++
+	return l.syncName()
+}
+
+// syncName makes the name of the file durable, if that is still to be done.
+func (l *Log) syncName() error {
+	if !l.unnamed {
+		return nil
+	}
 	if err := l.folder.Sync(); err != nil {
 		return errors.Trace(err)
 	}
-	l.file, l.name = file, name
-	l.number++
+	l.unnamed = false
 	return nil
 }
 
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -78,6 +78,26 @@
 	}
 }
 
+// TestFullDiskLosesNothing saves while the disk takes only parts of records, and
+// saves again once it takes all.
+func TestFullDiskLosesNothing(t *testing.T) {
+	folder := disk.NewMemory()
+	log, _ := open(t, folder)
+	must.NoError(t, log.Save(nil, []raft.Entry{entry(1, 1)}))
+	folder.SetFull(true)
+	for range 3 {
+		must.ErrorIs(t, log.Save(nil, []raft.Entry{entry(2, 1)}), disk.ErrFull)
+	}
+	snapshot := raft.State{Snapshot: raft.Snapshot{Index: 1, Term: 1, Data: []byte("state")}}
+	must.ErrorIs(t, log.Replace(snapshot), disk.ErrFull)
+	folder.SetFull(false)
+	must.NoError(t, log.Save(nil, []raft.Entry{entry(2, 1)}))
+	must.NoError(t, log.Save(nil, []raft.Entry{entry(3, 1)}))
+	folder.Crash(0)
+	_, state := open(t, folder)
+	must.Eq(t, []raft.Entry{entry(1, 1), entry(2, 1), entry(3, 1)}, state.Entries)
+}
+
 func FuzzDecode(f *testing.F) {
 	folder := disk.NewMemory()
 	log, _, err := wal.Open(folder)
