--- a/daemon/dial.go
+++ b/daemon/dial.go
@@ -28,17 +28,25 @@
 	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true}
 }
 
-// newMemberDialer opens connections that break by themselves when what is sent
-// stays unacknowledged: behind a cut, nothing else ever tells.
-func newMemberDialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, Control: func(_, _ string, raw syscall.RawConn) error {
-		var failed error
-		err := raw.Control(func(fd uintptr) {
-			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
-		})
-		if err != nil {
-			return err
-		}
-		return failed
-	}}
+// newMemberDialer opens connections from the host's own IP number, that break by
+// themselves when what is sent stays unacknowledged: behind a cut, nothing else
+// ever tells.
+func newMemberDialer(m settings.Member, timeout time.Duration) *net.Dialer {
+	own := m.IP
+	if m.Bind != "" {
+		own = m.Bind
+	}
+	return &net.Dialer{
+		Timeout: timeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(own)},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var failed error
+			err := raw.Control(func(fd uintptr) {
+				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return failed
+		},
+	}
 }
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -55,9 +55,6 @@
 	unacknowledged = 1200 * time.Millisecond
 	// engineIdle is how long an idle connection to an engine is kept.
 	engineIdle = 2 * time.Second
-	// metricsPort serves metrics, at every address of the host. The number is
-	// that of the OpenTelemetry exporter for Prometheus.
-	metricsPort = ":9464"
 )
 
 // member is one running process.
@@ -83,7 +80,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	dialer := newMemberDialer(peerDial)
+	dialer := newMemberDialer(s, peerDial)
 	m := &member{
 		path: path, settings: s, life: uuid.NewString(), metrics: metrics,
 		log:   log.With(zap.String("host", s.Name)),
@@ -99,7 +96,7 @@
 	defer stopBelow()
 	group := pool.New().WithContext(below).WithCancelOnError()
 	group.Go(func(ctx context.Context) error { return m.reloads(ctx, reload) })
-	group.Go(func(ctx context.Context) error { return serveHTTP(ctx, metricsPort, metrics.Handler()) })
+	m.serve(group, s.Listen.Metrics, metrics.Handler())
 	if s.Role == roster.RoleControl {
 		err = m.control(ctx, below, group, stopBelow)
 	} else {
@@ -159,7 +156,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	sender := wire.NewSender[raft.Envelope](newMemberDialer(peerDial), follow.Service+".Deliver")
+	sender := wire.NewSender[raft.Envelope](newMemberDialer(m.settings, peerDial), follow.Service+".Deliver")
 	c, err := controller.New(controller.Deps{
 		Self: m.self(), Replica: id, Folder: folder, Voters: m.settings.Voters(), Regions: m.settings.Regions,
 		Heartbeat: m.settings.Heartbeat, Seeds: m.seedPeers, Calls: m.calls, Commands: m.commands,
@@ -173,19 +170,15 @@
 	if err := server.Register(follow.Service, controller.NewService(below, c)); err != nil {
 		return errors.Trace(err)
 	}
-	listener, err := net.Listen("tcp", m.settings.Peer())
+	listener, err := m.listen(m.settings.Peer())
 	if err != nil {
 		return errors.Trace(err)
 	}
 	group.Go(func(ctx context.Context) error { return server.Serve(ctx, listener) })
 	group.Go(sender.Run)
 	group.Go(c.Run)
-	group.Go(func(ctx context.Context) error {
-		return serveHTTP(ctx, m.settings.Listen.Operators, platform.NewOperators(c, m.log))
-	})
-	if address := m.settings.Listen.Directory; address != "" {
-		group.Go(func(ctx context.Context) error { return serveHTTP(ctx, address, platform.NewDirectory(c)) })
-	}
+	m.serve(group, m.settings.Listen.Operators, platform.NewOperators(c, m.log))
+	m.serve(group, m.settings.Listen.Directory, platform.NewDirectory(c))
 	group.Go(func(context.Context) error {
 		defer stopBelow()
 		<-ctx.Done()
@@ -221,11 +214,11 @@
 
 // gateway runs a gateway.
 func (m *member) gateway(ctx context.Context, group *pool.ContextPool, stopBelow func()) error {
-	callers, err := net.Listen("tcp", m.settings.Listen.Callers)
+	callers, err := m.listen(m.settings.Listen.Callers)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	handover, err := net.Listen("tcp", m.settings.Handover())
+	handover, err := m.listen(m.settings.Handover())
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -247,23 +240,21 @@
 		Name: self.Name, Region: self.Region, Regions: m.settings.Regions, Engines: engines, Peers: follower.Gateways,
 		Budget: retry.Policy(m.settings.Retries), Log: m.log, Clock: time.Now,
 	})
-	client := relay.New(newMemberDialer(engineDial), relay.Options{IdleTime: engineIdle})
+	client := relay.New(newMemberDialer(m.settings, engineDial), relay.Options{IdleTime: engineIdle})
 	server = ingress.New(ingress.Deps{
 		Self: self, Dialect: platform.Dialect{}, Dispatcher: dispatcher, Gateways: follower.Gateways,
-		Engines: client, Peers: relay.New(newMemberDialer(peerDial), relay.Options{}), Log: m.log, Metrics: m.metrics,
+		Engines: client, Peers: relay.New(newMemberDialer(m.settings, peerDial), relay.Options{}), Log: m.log, Metrics: m.metrics,
 		Random: rand.Uint64, StopTime: m.settings.StopTime - stopMargin,
 	})
 	group.Go(follower.Run)
 	group.Go(func(ctx context.Context) error { return dispatchDuty(ctx, dispatcher, engines) })
-	words, err := wire.ListenDatagrams[dispatch.Word](m.settings.Peer())
+	words, err := wire.ListenDatagrams[dispatch.Word](m.settings.Bound(m.settings.Peer()))
 	if err != nil {
 		return errors.Trace(err)
 	}
 	group.Go(func(ctx context.Context) error { return words.Run(ctx, dispatcher.Hear) })
 	group.Go(func(ctx context.Context) error { return m.tellLoad(ctx, dispatcher, words) })
-	if address := m.settings.Listen.Ready; address != "" {
-		group.Go(func(ctx context.Context) error { return serveHTTP(ctx, address, platform.NewReady(server.Ready)) })
-	}
+	m.serve(group, m.settings.Listen.Ready, platform.NewReady(server.Ready))
 	group.Go(func(context.Context) error {
 		defer stopBelow()
 		return server.Run(ctx, callers, handover)
@@ -323,19 +314,30 @@
 	return nil
 }
 
-// serveHTTP serves an address until ctx ends.
-func serveHTTP(ctx context.Context, address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTime}
-	stop := context.AfterFunc(ctx, func() { server.Close() })
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Annotatef(err, "serve %s", address)
+// listen opens an address that others know.
+func (m *member) listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", m.settings.Bound(address))
+	return listener, errors.Trace(err)
+}
+
+// serve starts the duty that serves an address, if there is one.
+func (m *member) serve(group *pool.ContextPool, address string, handler http.Handler) {
+	if address == "" {
+		return
 	}
-	return nil
+	group.Go(func(ctx context.Context) error {
+		listener, err := m.listen(address)
+		if err != nil {
+			return err
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTime}
+		stop := context.AfterFunc(ctx, func() { server.Close() })
+		defer stop()
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Annotatef(err, "serve %s", address)
+		}
+		return nil
+	})
 }
 
 // readHeaderTime bounds the reading of the head of an operator's, an engine's
--- /dev/null
+++ b/daemon/member_test.go
@@ -0,0 +1,277 @@
+package daemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+
+	"github.com/linenscale/linenscale/daemon"
+	"github.com/linenscale/linenscale/platform/platformtest"
+	"github.com/linenscale/linenscale/roster"
+	"github.com/linenscale/linenscale/settings"
+)
+
+// dataCentres of the deployment under test, each in a region of its own.
+var dataCentres = map[string]string{"ikeja": "lagos", "wuse": "abuja", "nassarawa": "kano"}
+
+// deployment is a small system of real processes' parts, run in this process:
+// a control host and a gateway for each data centre.
+type deployment struct {
+	t     *testing.T
+	dir   string
+	seeds []string
+	hosts map[string]*runningHost
+
+	caller   platformtest.Caller
+	operator platformtest.Operator
+	version  int64
+}
+
+type runningHost struct {
+	settings settings.Member
+	cancel   context.CancelFunc
+	group    *pool.ErrorPool
+}
+
+// memberNet is the loopback network of the deployment: 127.7.0.0/16.
+const memberNet = "127.7."
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{t: t, dir: t.TempDir(), hosts: make(map[string]*runningHost)}
+	centres := []string{"ikeja", "wuse", "nassarawa"}
+	for i := range centres {
+		d.seeds = append(d.seeds, fmt.Sprintf("%s%d.1:8146", memberNet, i))
+	}
+	for i, centre := range centres {
+		d.start(d.member(fmt.Sprintf("core-%s", centre), centre, fmt.Sprintf("%s%d.1", memberNet, i), roster.RoleControl), true)
+		d.start(d.member(fmt.Sprintf("front-%s", centre), centre, fmt.Sprintf("%s%d.2", memberNet, i), roster.RoleGateway), true)
+	}
+	t.Cleanup(d.stopAll)
+	return d
+}
+
+func (d *deployment) member(name, centre, ip string, role roster.Role) settings.Member {
+	m := settings.Member{
+		Name: name, Role: role, Region: dataCentres[centre], DataCentre: centre, IP: ip, Ports: []int{7660, 7675},
+		Seeds: d.seeds, Regions: dataCentres, Losses: 1, Heartbeat: 200 * time.Millisecond, StopTime: 4 * time.Second,
+		Listen: settings.Listen{Metrics: ip + ":9464"},
+	}
+	if role == roster.RoleControl {
+		m.DataDir = filepath.Join(d.dir, name)
+		m.Listen.Operators, m.Listen.Directory = ip+":8146", ip+":8143"
+		return m
+	}
+	m.Listen.Callers, m.Listen.Ready = ip+":8144", ip+":8140"
+	return m
+}
+
+func (d *deployment) start(m settings.Member, first bool) {
+	d.t.Helper()
+	m.FirstStart = first
+	data, err := yaml.Marshal(m)
+	must.NoError(d.t, err)
+	path := filepath.Join(d.dir, m.Name+".yaml")
+	must.NoError(d.t, os.WriteFile(path, data, 0o600))
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &runningHost{settings: m, cancel: cancel, group: pool.New().WithErrors()}
+	h.group.Go(func() error { return daemon.RunMember(ctx, path, make(chan struct{}), zap.NewNop()) })
+	d.hosts[m.Name] = h
+}
+
+// stop ends a host as SIGTERM does.
+func (d *deployment) stop(name string) {
+	d.t.Helper()
+	h := d.hosts[name]
+	delete(d.hosts, name)
+	h.cancel()
+	must.NoError(d.t, h.group.Wait())
+}
+
+func (d *deployment) stopAll() {
+	for _, h := range d.hosts {
+		h.cancel()
+	}
+	for _, h := range d.hosts {
+		_ = h.group.Wait()
+	}
+}
+
+// engine starts an engine that registers with all control hosts.
+func (d *deployment) engine(service, centre string, cold time.Duration) *platformtest.Engine {
+	d.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	group := pool.New()
+	e, err := platformtest.StartEngine(ctx, group, "127.0.0.1:0", platformtest.EngineOptions{Service: service, DataCentre: centre, Cold: cold})
+	must.NoError(d.t, err)
+	control := slices.Clone(d.seeds)
+	group.Go(func() { e.Register(ctx, control) })
+	d.t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	return e
+}
+
+// declare puts a declaration with those routes, to any host, until it is
+// accepted.
+func (d *deployment) declare(routes ...platformtest.Route) {
+	d.t.Helper()
+	d.version += 3
+	body, err := json.Marshal(platformtest.Declaration{ConfigVersion: d.version, Routes: routes, Services: []platformtest.Service{
+		{Name: "portal"}, {Name: "model", ColdPerS: 2, Engine: &platformtest.ModelEngine{Slots: 8, KvTokens: 100_000}},
+	}})
+	must.NoError(d.t, err)
+	d.eventually("accepted", func() bool {
+		status, err := d.operator.Put(context.Background(), d.seeds[int(d.version)%len(d.seeds)], body)
+		return err == nil && status == http.StatusOK
+	})
+}
+
+func (d *deployment) eventually(what string, holds func() bool) {
+	d.t.Helper()
+	for until := time.Now().Add(30 * time.Second); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	d.t.Fatalf("%s: not within 30 s", what)
+}
+
+// ask sends one request through the gateway of a data centre.
+func (d *deployment) ask(centre, path string, model bool) platformtest.Result {
+	d.t.Helper()
+	result, err := d.caller.Do(context.Background(), d.hosts["front-"+centre].settings.Listen.Callers, platformtest.Request{Host: "h", Path: path, Model: model})
+	if err != nil {
+		return platformtest.Result{}
+	}
+	return result
+}
+
+// served waits until a data centre's gateway serves a path.
+func (d *deployment) served(centre, path string, model bool) platformtest.Result {
+	d.t.Helper()
+	var result platformtest.Result
+	d.eventually("served", func() bool {
+		result = d.ask(centre, path, model)
+		return result.Status == http.StatusOK && result.Whole
+	})
+	return result
+}
+
+var (
+	portalRoute = platformtest.Route{Name: "p", Host: "h", PathPrefix: "/p/", Kind: "unsafe", TimeoutMs: 2000, TargetLatencyMs: 500, MaxAttempts: 1, Service: "portal"}
+	modelRoute  = platformtest.Route{Name: "m", Host: "h", PathPrefix: "/m/", Kind: "streaming", TimeoutMs: 2000, TargetLatencyMs: 500, MaxAttempts: 2, Service: "model", Resumable: true}
+	boundRoute  = platformtest.Route{Name: "b", Host: "h", PathPrefix: "/b/", Kind: "safe", TimeoutMs: 2000, TargetLatencyMs: 500, MaxAttempts: 2, Service: "portal", HomeRegions: []string{"abuja"}}
+)
+
+// TestMembersServeADay runs the whole path: hosts find each other by seeds, an
+// operator declares, engines register, drain and end, a region's engines are
+// evacuated, hosts stop and come back, and requests are served meanwhile.
+func TestMembersServeADay(t *testing.T) {
+	d := newDeployment(t)
+	young := d.ask("ikeja", "/p/1", false)
+	must.True(t, young.Status == 0 || young.Promised(), must.Sprint("nothing is declared"))
+	portal := map[string]*platformtest.Engine{}
+	for centre := range dataCentres {
+		portal[centre] = d.engine("portal", centre, 0)
+		d.engine("model", centre, 0)
+	}
+	d.declare(portalRoute, modelRoute, boundRoute)
+	for centre := range dataCentres {
+		must.NotEq(t, "", d.served(centre, "/p/1", false).Engine)
+		must.Eq(t, platformtest.Event(1), d.served(centre, "/m/1", true).Body[:len(platformtest.Event(1))])
+		must.Eq(t, portal["wuse"].ID, d.served(centre, "/b/1", false).Engine, must.Sprint("bound to abuja"))
+	}
+	must.Eq(t, http.StatusNotFound, d.ask("ikeja", "/none/", false).Status)
+
+	t.Log("a change is in force everywhere, and read back anywhere")
+	d.declare(portalRoute, modelRoute)
+	for centre := range dataCentres {
+		d.eventually("the dropped route is gone", func() bool { return d.ask(centre, "/b/1", false).Status == http.StatusNotFound })
+	}
+	for _, seed := range d.seeds {
+		read, status, err := d.operator.Read(context.Background(), seed)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusOK, status)
+		must.Eq(t, d.version, read.ConfigVersion)
+	}
+
+	t.Log("an evacuated region's requests go elsewhere")
+	d.eventually("evacuated", func() bool {
+		status, err := d.operator.Evacuate(context.Background(), d.seeds[2], "ikeja", true)
+		return err == nil && status == http.StatusOK
+	})
+	d.eventually("served elsewhere", func() bool {
+		result := d.ask("ikeja", "/p/1", false)
+		return result.Status == http.StatusOK && result.Engine != portal["ikeja"].ID
+	})
+	d.eventually("taken back", func() bool {
+		status, err := d.operator.Evacuate(context.Background(), d.seeds[1], "ikeja", false)
+		return err == nil && status == http.StatusOK
+	})
+	d.eventually("served at home", func() bool { return d.ask("ikeja", "/p/1", false).Engine == portal["ikeja"].ID })
+
+	t.Log("an engine that drains gets nothing after it was acknowledged")
+	portal["ikeja"].SetDraining()
+	d.eventually("acknowledged", func() bool { return !portal["ikeja"].DrainAcked().IsZero() })
+	for range 10 {
+		must.NotEq(t, portal["ikeja"].ID, d.ask("ikeja", "/p/1", false).Engine)
+	}
+
+	t.Log("the directory names who serves")
+	d.eventually("two regions are named in turn", func() bool {
+		got, err := d.operator.Resolve(context.Background(), d.hosts["core-wuse"].settings.Listen.Directory, "h", "lagos", "ikeja")
+		return err == nil && slices.Equal(got, []string{d.hosts["front-ikeja"].settings.Listen.Callers})
+	})
+	d.stop("front-ikeja")
+	d.eventually("the others are named instead", func() bool {
+		got, err := d.operator.Resolve(context.Background(), d.hosts["core-wuse"].settings.Listen.Directory, "h", "lagos", "ikeja")
+		return err == nil && len(got) == 2
+	})
+	metrics, err := http.Get("http://" + d.hosts["front-wuse"].settings.Listen.Metrics)
+	must.NoError(t, err)
+	defer metrics.Body.Close()
+	text, err := io.ReadAll(metrics.Body)
+	must.NoError(t, err)
+	must.StrContains(t, string(text), "linenscale_requests")
+
+	t.Log("hosts stop and start again in turn, one of them with an empty disk")
+	for i, centre := range []string{"ikeja", "wuse", "nassarawa"} {
+		name := "core-" + centre
+		again := d.hosts[name].settings
+		d.stop(name)
+		if i == 1 {
+			must.NoError(t, os.RemoveAll(again.DataDir))
+		}
+		d.start(again, false)
+		d.declare(portalRoute, modelRoute)
+		d.eventually("it shows the newest", func() bool {
+			read, _, err := d.operator.Read(context.Background(), again.Listen.Operators)
+			return err == nil && read.ConfigVersion == d.version
+		})
+	}
+	d.start(d.member("front-ikeja", "ikeja", memberNet+"0.2", roster.RoleGateway), false)
+	d.served("ikeja", "/p/1", false)
+}
+
+func TestMemberSettingsThatAreWrongAreRefused(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "host.yaml")
+	must.NoError(t, os.WriteFile(path, []byte("name: x\nrole: cook\n"), 0o600))
+	err := daemon.RunMember(context.Background(), path, make(chan struct{}), zap.NewNop())
+	must.ErrorContains(t, err, `must be gateway or control, is "cook"`)
+	must.True(t, strings.Contains(err.Error(), path))
+}
--- a/settings/member.go
+++ b/settings/member.go
@@ -23,6 +23,9 @@
 	DataCentre string      `yaml:"data_centre"`
 	// IP is the number by which other hosts reach this one.
 	IP string `yaml:"ip"`
+	// Bind is the number that it listens on and connects from, where that is
+	// another: behind a router that forwards. Empty for the same.
+	Bind string `yaml:"bind"`
 	// Ports are the first and last port that hosts may use among themselves.
 	// They are the same on all hosts.
 	Ports  []int  `yaml:"ports"`
@@ -55,6 +58,7 @@
 	Ready     string `yaml:"ready"`     // the platform's question whether to send callers here
 	Operators string `yaml:"operators"` // operators and engines
 	Directory string `yaml:"directory"` // which gateways to use
+	Metrics   string `yaml:"metrics"`   // counters and histograms, as text
 }
 
 // Retry bounds the sends beyond the first of each request, of all hosts
@@ -104,6 +108,15 @@
 	wantedPorts
 )
 
+// Bound gives the address to listen on for one that others know.
+func (m Member) Bound(address string) string {
+	_, port, err := net.SplitHostPort(address)
+	if err != nil || m.Bind == "" {
+		return address
+	}
+	return net.JoinHostPort(m.Bind, port)
+}
+
 // Peer is the address of net/rpc between hosts.
 func (m Member) Peer() string { return m.inner(m.IP, peerPort) }
 
@@ -153,6 +166,9 @@
 	if _, err := netip.ParseAddr(m.IP); err != nil {
 		c.fault("$.ip", "must be an IP number, is %q", m.IP)
 	}
+	if _, err := netip.ParseAddr(m.Bind); m.Bind != "" && err != nil {
+		c.fault("$.bind", "must be an IP number, is %q", m.Bind)
+	}
 	if len(m.Ports) != 2 || m.Ports[1]-m.Ports[0] < wantedPorts-1 {
 		c.fault("$.ports", "must be the first and last of at least %d ports", wantedPorts)
 	}
@@ -168,6 +184,7 @@
 		{"$.listen.ready", m.Listen.Ready, false},
 		{"$.listen.operators", m.Listen.Operators, m.Role == roster.RoleControl},
 		{"$.listen.directory", m.Listen.Directory, false},
+		{"$.listen.metrics", m.Listen.Metrics, false},
 	} {
 		if f.value == "" && !f.wanted {
 			continue
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/shoenig/test/must"
@@ -16,9 +17,28 @@
 // comments, # want `text`: each must be found, and none besides; a fault that
 // belongs to a line must name it.
 func TestEveryFaultIsNamedInOneRun(t *testing.T) {
-	data, err := os.ReadFile("testdata/faults.yaml")
-	must.NoError(t, err)
-	_, err = settings.Parse("faults.yaml", data)
+	parsers := map[string]func(name string, data []byte) error{
+		"faults.yaml": func(name string, data []byte) error {
+			_, err := settings.Parse(name, data)
+			return err
+		},
+		"member-faults.yaml": func(name string, data []byte) error {
+			_, err := settings.ParseMember(name, data)
+			return err
+		},
+	}
+	for name, parse := range parsers {
+		t.Run(name, func(t *testing.T) {
+			data, err := os.ReadFile("testdata/" + name)
+			must.NoError(t, err)
+			allNamed(t, data, parse(name, data))
+		})
+	}
+}
+
+// allNamed compares an error with the comments of the file.
+func allNamed(t *testing.T, data []byte, err error) {
+	t.Helper()
 	var faults *settings.FaultsError
 	must.True(t, errors.As(err, &faults))
 	want := regexp.MustCompile("# want `([^`]*)`")
@@ -39,6 +59,20 @@
 	must.SliceLen(t, count, faults.Faults, must.Sprint(err))
 }
 
+func TestAMembersSettingsAreRead(t *testing.T) {
+	m, err := settings.ReadMember("testdata/member.yaml")
+	must.NoError(t, err)
+	must.Eq(t, "10.1.0.35:7660", m.Peer())
+	must.Eq(t, "10.1.0.35:7661", m.Handover())
+	must.Eq(t, []string{"10.1.0.38:7660", "10.2.0.31:7660"}, m.SeedPeers())
+	must.Eq(t, 3, m.Voters())
+	must.Eq(t, 1200*time.Millisecond, m.Heartbeat)
+	must.Eq(t, settings.Retry{Share: 0.2, Extra: 56, Window: 10 * time.Second}, m.Retries)
+	must.Eq(t, "10.1.0.35:1", m.Bound("10.1.0.35:1"))
+	m.Bind = "127.0.0.1"
+	must.Eq(t, "127.0.0.1:1", m.Bound("10.1.0.35:1"))
+}
+
 func TestExamplesAreSound(t *testing.T) {
 	for path, hosts := range map[string]int{"../examples/cooperative/settings.yaml": 9, "../examples/association/settings.yaml": 8} {
 		s, err := settings.Read(path)
@@ -60,5 +94,7 @@
 		_, err := settings.Parse("fuzz", data)
 		var faults *settings.FaultsError
 		must.True(t, err == nil || errors.As(err, &faults))
+		_, err = settings.ParseMember("fuzz", data)
+		must.True(t, err == nil || errors.As(err, &faults))
 	})
 }
