Let gateways tell each other which parts of prompts they sent where

Cause: on the grown site half of the long prompts went to an engine that was not known to keep their parts, though another of the region did: each of 28 gateways knew its own prompts only. Ruled out: engines that forget (memory is half full), and prompts whose home region was passed over (a fifth).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -44,6 +44,8 @@
 	alike   int                  // gateways of this region that are heard, this one included
 	digests map[string]*digestOf // by region
 	byHash  map[uint64]*engine
+	sent    []sent    // parts to tell the other gateways
+	tidied  time.Time // when old parts were last forgotten
 }
 
 // New makes a dispatcher that knows no service.
@@ -83,6 +85,9 @@
 	d.refresh(d.Clock())
 }
 
+// tidyEvery is how often parts that are no longer believed kept are forgotten.
+const tidyEvery = 5 * time.Second
+
 // refresh brings the pools up to date. The lock is held.
 func (d *Dispatcher) refresh(now time.Time) {
 	engines := d.Engines.All()
@@ -95,8 +100,12 @@
 		seen[e.ID] = true
 		p.set(e)
 	}
+	forget := now.Sub(d.tidied) > tidyEvery
+	if forget {
+		d.tidied = now
+	}
 	for _, p := range d.pools {
-		p.drop(seen, now)
+		p.drop(seen, forget, now)
 	}
 	d.index(now)
 	for _, p := range d.pools {
@@ -237,14 +246,14 @@
 		}
 		k := p.knowledge(c.engine, ask, now)
 		k.first = c.engine == first
-		s := expect(k, ask.Prompt)
+		s := expect(k, ask, 0)
 		s.silence, s.rank = c.engine.Phase == registry.Silent, c.rank
 		if best == nil || s.less(bestScore) {
 			best, bestScore = c.engine, s
 		}
 	}
 	if best == nil && spare != nil {
-		best, bestScore = spare, expect(p.knowledge(spare, ask, now), ask.Prompt)
+		best, bestScore = spare, expect(p.knowledge(spare, ask, now), ask, 0)
 	}
 	return best, bestScore, refused
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -207,6 +207,22 @@
 	}
 }
 
+// TestGatewaysTellWhatTheySent lets a gateway send a part to another engine than
+// the one ranked first: once it has told, the others know.
+func TestGatewaysTellWhatTheySent(t *testing.T) {
+	w := newWorld(2, 6)
+	ranked := acquire(t, w.gateways[0], long("r0", "p"))
+	ask := long("r1", "p")
+	ask.Tried = []string{ranked.Engine}
+	other := acquire(t, w.gateways[0], ask)
+	must.NotEq(t, ranked.Engine, other.Engine)
+	other.Done(dispatch.Answered)
+	ask = long("r2", "p")
+	ask.Tried = []string{ranked.Engine}
+	w.tell()
+	must.Eq(t, other.Engine, acquire(t, w.gateways[1], ask).Engine)
+}
+
 // TestALoadedKeeperIsPassedOver lets the engine that keeps a part be busy for
 // longer than another needs to read it.
 func TestALoadedKeeperIsPassedOver(t *testing.T) {
--- a/dispatch/expect.go
+++ b/dispatch/expect.go
@@ -52,6 +52,9 @@
 	// a shared part that another engine keeps: the time of the engine is lost to
 	// all others. In milliseconds.
 	againTime = 0.08
+	// lateTime is what a choice costs by which the answer would begin too late to
+	// be admitted: any other is better.
+	lateTime = 5 * time.Second
 	// guessKept is the share of the shared parts that the engine ranked first
 	// is believed to keep, where this gateway hasn't sent them anywhere.
 	guessKept = 0.95
@@ -73,6 +76,7 @@
 	wait    time.Duration // until the answer begins
 	cost    time.Duration // wait, and what the choice costs otherwise
 	kept    int
+	first   bool
 	load    Load
 	rank    uint64
 	silence bool // not heard lately: used only where nothing else can be
@@ -90,8 +94,8 @@
 
 // String is what the log shows.
 func (s score) String() string {
-	return fmt.Sprintf("wait=%v cost=%v kept=%d requests=%d unread=%d held=%d silent=%t",
-		s.wait.Round(time.Millisecond), s.cost.Round(time.Millisecond), s.kept, s.load.Requests, s.load.Unread, s.load.Held, s.silence)
+	return fmt.Sprintf("wait=%v cost=%v kept=%d first=%t requests=%d unread=%d held=%d silent=%t",
+		s.wait.Round(time.Millisecond), s.cost.Round(time.Millisecond), s.kept, s.first, s.load.Requests, s.load.Unread, s.load.Held, s.silence)
 }
 
 // reading gives how long an engine reads so many tokens.
@@ -99,9 +103,11 @@
 	return time.Duration(tokens / tokensPerMS * float64(time.Millisecond))
 }
 
-// expect gives the expectation for a request.
-func expect(k knowledge, p Prompt) score {
-	s := score{kept: k.kept, load: k.load}
+// expect gives the expectation for a request. trip is the time that it takes
+// beside to get there and back.
+func expect(k knowledge, ask Ask, trip time.Duration) score {
+	p := ask.Prompt
+	s := score{kept: k.kept, first: k.first, load: k.load}
 	over := float64(k.load.Requests+1-k.slots) / float64(max(1, k.slots))
 	if k.room == 0 {
 		s.wait = time.Duration(max(0, over) * float64(plainTime))
@@ -113,7 +119,11 @@
 		s.wait = reading(float64(k.load.Unread)+unread) + time.Duration(max(0, over)*float64(modelTime))
 		s.cost = s.wait + again(p, s.kept) + k.harm(unread) + k.slowness(p) + k.fullness(p)
 	}
-	s.cost += time.Duration(k.failing * float64(failTime))
+	s.wait += trip
+	s.cost += trip + time.Duration(k.failing*float64(failTime))
+	if ask.Patience > 0 && s.wait > ask.Patience {
+		s.cost += lateTime
+	}
 	if k.slow > 1 {
 		s.cost = time.Duration(float64(s.cost) * k.slow)
 	}
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -18,6 +18,7 @@
 type Word struct {
 	Gateway string       `cbor:"1,keyasint"`
 	Engines []EngineLoad `cbor:"2,keyasint,omitempty"`
+	Parts   []SentPart   `cbor:"5,keyasint,omitempty"` // that the gateway has sent lately
 	Region  string       `cbor:"3,keyasint,omitempty"` // set in a word to other regions
 	Digests []Digest     `cbor:"4,keyasint,omitempty"`
 }
@@ -32,6 +33,14 @@
 	Reading  int
 }
 
+// SentPart is a shared part of a prompt that an engine has been sent, both by
+// their hashes.
+type SentPart struct {
+	_      struct{} `cbor:",toarray"`
+	Part   uint32
+	Engine uint64
+}
+
 // wordLife is how long a gateway's word is believed: it comes several times
 // within it.
 const wordLife = time.Second
@@ -47,7 +56,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Clock()
-	w := Word{Gateway: d.Name}
+	w := Word{Gateway: d.Name, Parts: d.recentlySent(now)}
 	for _, p := range d.pools {
 		for _, e := range p.ordered {
 			reading := int(e.read.perSecond(now))
@@ -77,6 +86,11 @@
 	for _, e := range w.Engines {
 		loads[e.Engine] = Load{Requests: e.Requests, Unread: e.Unread, Held: e.Held, Reading: float64(e.Reading)}
 	}
+	for _, p := range w.Parts {
+		if e, ok := d.byHash[p.Engine]; ok {
+			e.kept[p.Part] = now
+		}
+	}
 	d.replace(d.words[w.Gateway].loads, loads)
 	d.words[w.Gateway] = heard{now, loads}
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -62,10 +62,12 @@
 }
 
 // drop forgets the engines that are no longer registered and have nothing of
-// this gateway.
-func (p *pool) drop(seen map[string]bool, now time.Time) {
+// this gateway, and, where asked, the parts that are no longer believed kept.
+func (p *pool) drop(seen map[string]bool, forget bool, now time.Time) {
 	for id, e := range p.engines {
-		e.kept.forget(now)
+		if forget {
+			e.kept.forget(now)
+		}
 		if !seen[id] && e.own.Requests == 0 {
 			delete(p.engines, id)
 			p.ordered = slices.DeleteFunc(p.ordered, func(o *engine) bool { return o == e })
--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -3,6 +3,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,25 +66,29 @@
 // is used less often gives way to other prompts.
 const keepTime = 40 * time.Second
 
-// kept remembers which parts this gateway has sent to one engine, and when.
-type kept map[string]time.Time
+// kept remembers which parts were sent to one engine lately, and when; by hash,
+// as gateways tell each other.
+type kept map[uint32]time.Time
+
+// hashPart gives a part's hash. Two parts that share one cost a wrong guess.
+func hashPart(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
 // note remembers the parts of a prompt.
 func (k kept) note(p Prompt, now time.Time) {
 	for _, part := range p.Parts {
-		k[part.ID] = now
+		k[hashPart(part.ID)] = now
 	}
 }
 
-// tokens gives how many tokens of the prompt's beginning are believed kept.
+// tokens gives how many tokens of the prompt's beginning are believed kept: up to
+// the last part that is, for a part is only kept with all before it.
 func (k kept) tokens(p Prompt, now time.Time) int {
-	n := 0
+	n, total := 0, 0
 	for _, part := range p.Parts {
-		at, ok := k[part.ID]
-		if !ok || now.Sub(at) > keepTime {
-			break
+		total += part.Tokens
+		if at, ok := k[hashPart(part.ID)]; ok && now.Sub(at) <= keepTime {
+			n = total
 		}
-		n += part.Tokens
 	}
 	return n
 }
@@ -96,3 +101,36 @@
 		}
 	}
 }
+
+// sent is a shared part that this gateway has sent to an engine.
+type sent struct {
+	at     time.Time
+	part   uint32
+	engine uint64
+}
+
+const (
+	// sentLife is how long a part that was sent is told to the other gateways:
+	// several words, any of which may be lost.
+	sentLife = 700 * time.Millisecond
+	// leastShared is how many tokens are worth telling of.
+	leastShared = 500
+)
+
+// noteSent remembers the deepest shared part of a prompt to be told. The
+// dispatcher's lock is held.
+func (d *Dispatcher) noteSent(p Prompt, e *engine, now time.Time) {
+	if key := p.Affinity(); key != "" && p.sharedTokens() >= leastShared {
+		d.sent = append(d.sent, sent{now, hashPart(key), e.hash})
+	}
+}
+
+// recentlySent gives the parts to tell, and forgets those told for long enough.
+func (d *Dispatcher) recentlySent(now time.Time) []SentPart {
+	d.sent = slices.DeleteFunc(d.sent, func(s sent) bool { return now.Sub(s.at) > sentLife })
+	out := make([]SentPart, len(d.sent))
+	for i, s := range d.sent {
+		out[i] = SentPart{Part: s.part, Engine: s.engine}
+	}
+	return out
+}
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -166,7 +166,7 @@
 	}
 	best.There = best.Here
 	for _, region := range reachable {
-		cost, wait, ok := d.costIn(region, p, ask.Prompt, region == home, now)
+		cost, wait, ok := d.costIn(region, p, ask, region == home, now)
 		if ok && (best.There < 0 || cost < best.There) {
 			best.Region, best.There, best.Wait, best.Home = region, cost, wait, region == home
 		}
@@ -186,7 +186,7 @@
 
 // costIn gives the expected cost of a request in another region, and the wait
 // until its answer begins.
-func (d *Dispatcher) costIn(region string, p *pool, prompt Prompt, isHome bool, now time.Time) (cost, wait time.Duration, known bool) {
+func (d *Dispatcher) costIn(region string, p *pool, ask Ask, isHome bool, now time.Time) (cost, wait time.Duration, known bool) {
 	g, ok := d.digests[region]
 	if !ok || now.Sub(g.at) > digestLife {
 		return 0, 0, false
@@ -199,13 +199,12 @@
 	sent := g.sent[p.service.Name]
 	sent.Requests, sent.Unread, sent.Held = sent.Requests*d.alike, sent.Unread*d.alike, sent.Held*d.alike
 	load := digest.Least.load()
-	if prompt.Affinity() != "" && isHome {
+	if ask.Prompt.Affinity() != "" && isHome {
 		load = digest.Mean.load()
 	}
 	k := knowledge{load: load.plus(sent.over(digest.Engines)), slots: digest.Slots, room: digest.Room, first: isHome, failing: digest.Failing}
-	s := expect(k, prompt)
-	cost = s.cost + roundTrip + awayTime
-	return cost, s.wait + roundTrip, true
+	s := expect(k, ask, roundTrip)
+	return s.cost + awayTime, s.wait, true
 }
 
 // homeRegion gives the region where a prompt's shared parts are kept: the one
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -34,6 +34,7 @@
 		t.load.Held = ask.Prompt.TokensIn + ask.Prompt.TokensOut
 		e.read.add(float64(t.load.Unread), now)
 		e.kept.note(ask.Prompt, now)
+		d.noteSent(ask.Prompt, e, now)
 	}
 	e.own = e.own.plus(t.load)
 	if t.Cold {
