--- a/ingress/dialect.go
+++ b/ingress/dialect.go
@@ -24,7 +24,6 @@
 	Engine    string        // the incarnation that is meant
 	Remaining time.Duration // after which the engine may stop
 	LastEvent string        // the stream goes on after this event; "" for the caller's own
-	Priority  int           // 0 is the most urgent
 }
 
 // Verdict is what an answer's head says.
