--- /dev/null
+++ b/soak/harm.go
@@ -0,0 +1,247 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/linenscale/linenscale/platform/platformtest"
+)
+
+// wipePause is the least time between two losses of data folders: a second one
+// may come once the first host has had time to vote again.
+const wipePause = 10 * time.Second
+
+// harm is one thing that is done, and how often it is drawn.
+type harm struct {
+	name   string
+	weight int
+	do     func(w *World, r *rand.Rand) string // what it was done to; "" if it can't be done now
+}
+
+// harms are all that can be done.
+var harms = []harm{
+	{"kill gateway", 4, func(w *World, r *rand.Rand) string { return w.restart(pick(r, w.gateways("")), r, syscall.SIGKILL) }},
+	{"stop gateway", 4, func(w *World, r *rand.Rand) string { return w.restart(pick(r, w.gateways("")), r, syscall.SIGTERM) }},
+	{"kill control", 2, func(w *World, r *rand.Rand) string { return w.restart(pick(r, w.controls()), r, syscall.SIGKILL) }},
+	{"stop control", 2, func(w *World, r *rand.Rand) string { return w.restart(pick(r, w.controls()), r, syscall.SIGTERM) }},
+	{"kill all control", 1, func(w *World, r *rand.Rand) string {
+		for _, h := range w.controls() {
+			w.restart(h, r, syscall.SIGKILL)
+		}
+		return "all"
+	}},
+	{"lose data folder", 2, loseFolder},
+	{"pause", 4, func(w *World, r *rand.Rand) string { return w.pauseFor(pick(r, w.Hosts), span(r, 300, 3000)) }},
+	{"reload", 1, func(w *World, r *rand.Rand) string {
+		for _, h := range w.Hosts {
+			h.signal(syscall.SIGHUP)
+		}
+		return "all"
+	}},
+	{"cut off", 4, func(w *World, r *rand.Rand) string {
+		h := pick(r, w.Hosts)
+		w.cut(span(r, 500, 4000), r.IntN(3) > 0, r.IntN(3) > 0, []*Host{h})
+		return h.Name
+	}},
+	{"cut region off", 2, func(w *World, r *rand.Rand) string {
+		region := pick(r, w.Hosts).Region
+		var inside []*Host
+		for _, h := range w.Hosts {
+			if h.Region == region {
+				inside = append(inside, h)
+			}
+		}
+		w.cut(span(r, 500, 4000), true, r.IntN(3) > 0, inside)
+		return region
+	}},
+	{"delay", 3, func(w *World, r *rand.Rand) string {
+		h, delay := pick(r, w.Hosts), span(r, 20, 250)
+		w.each([]*Host{h}, func(from, to string) { w.Net.Set(from, to, Harm{Delay: delay}) })
+		w.after(span(r, 1000, 4000), func() { w.each([]*Host{h}, func(from, to string) { w.Net.Set(from, to, Harm{}) }) })
+		return h.Name
+	}},
+	{"reset", 3, func(w *World, r *rand.Rand) string {
+		h := pick(r, w.Hosts)
+		w.Net.Reset(h.Name)
+		return h.Name
+	}},
+	{"engine goes wrong", 6, func(w *World, r *rand.Rand) string {
+		e := pick(r, w.liveEngines())
+		faults := []platformtest.Fault{
+			platformtest.FaultError, platformtest.FaultShed, platformtest.FaultCut, platformtest.FaultSilent,
+			platformtest.FaultReset, platformtest.FaultCrossed, platformtest.FaultNoLen, platformtest.FaultNoLenRS,
+		}
+		e.SetFaults(platformtest.NewFaultPlan(pick(r, faults), 1+r.IntN(20)))
+		return e.ID
+	}},
+	{"engine crashes", 2, func(w *World, r *rand.Rand) string { return w.replaceEngine(r, 0) }},
+	{"engine drains", 3, func(w *World, r *rand.Rand) string { return w.replaceEngine(r, drainTime+time.Second) }},
+}
+
+func pick[T any](r *rand.Rand, all []T) T { return all[r.IntN(len(all))] }
+
+// span draws a time between two numbers of milliseconds.
+func span(r *rand.Rand, least, most int) time.Duration {
+	return time.Duration(least+r.IntN(most-least)) * time.Millisecond
+}
+
+// draw draws one harm by weight.
+func draw(r *rand.Rand) harm {
+	total := 0
+	for _, h := range harms {
+		total += h.weight
+	}
+	at := r.IntN(total)
+	for _, h := range harms {
+		if at -= h.weight; at < 0 {
+			return h
+		}
+	}
+	return harms[0]
+}
+
+// after does something later, unless the world ends first.
+func (w *World) after(wait time.Duration, do func()) {
+	w.group.Go(func() {
+		select {
+		case <-w.ctx.Done():
+		case <-time.After(wait):
+			do()
+		}
+	})
+}
+
+// restart ends a host's process and starts it again a moment after its end.
+func (w *World) restart(h *Host, r *rand.Rand, s syscall.Signal) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if h.busy || !h.up() {
+		return ""
+	}
+	h.busy = true
+	h.signal(syscall.SIGCONT)
+	h.signal(s)
+	exited, pause := h.exited, span(r, 100, 1500)
+	w.group.Go(func() {
+		select {
+		case <-exited:
+		case <-time.After(h.settings.StopTime + 3*time.Second):
+			w.Check.Problem("%s still runs %v after it was told to stop", h.Name, h.settings.StopTime+3*time.Second)
+			h.kill()
+		}
+		time.Sleep(pause)
+		w.startAgain(h)
+	})
+	return h.Name
+}
+
+// startAgain starts a host's process that has ended.
+func (w *World) startAgain(h *Host) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	h.busy = false
+	if w.ctx.Err() != nil {
+		return
+	}
+	if err := w.start(h); err != nil {
+		w.Check.Problem("%s can't be started: %v", h.Name, err)
+	}
+}
+
+// loseFolder kills a control host and takes its data folder, if no other host's
+// loss is still being repaired.
+func loseFolder(w *World, r *rand.Rand) string {
+	h := pick(r, w.controls())
+	w.mu.Lock()
+	allWell := time.Since(w.wiped) > wipePause
+	for _, c := range w.controls() {
+		allWell = allWell && !c.busy && c.up() && !c.paused
+	}
+	if !allWell {
+		w.mu.Unlock()
+		return ""
+	}
+	w.wiped = time.Now()
+	w.mu.Unlock()
+	h.kill()
+	if err := os.RemoveAll(filepath.Join(w.Dir, h.Name)); err != nil {
+		w.Check.Problem("data folder of %s: %v", h.Name, err)
+	}
+	w.startAgain(h)
+	return h.Name
+}
+
+// pauseFor stops a host's process by a signal, and wakes it later.
+func (w *World) pauseFor(h *Host, wait time.Duration) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if h.busy || h.paused || !h.up() {
+		return ""
+	}
+	h.paused = true
+	h.signal(syscall.SIGSTOP)
+	w.after(wait, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		h.paused = false
+		h.signal(syscall.SIGCONT)
+	})
+	return h.Name
+}
+
+// cut cuts hosts off from all others that are not among them, in the chosen
+// directions, and joins them later.
+func (w *World) cut(wait time.Duration, in, out bool, inside []*Host) {
+	set := func(lost bool) {
+		w.each(inside, func(from, to string) {
+			incoming := containsHost(inside, to)
+			if (incoming && in) || (!incoming && out) {
+				w.Net.Set(from, to, Harm{Lost: lost})
+			}
+		})
+	}
+	set(true)
+	w.after(wait, func() { set(false) })
+}
+
+func containsHost(hosts []*Host, name string) bool {
+	for _, h := range hosts {
+		if h.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// each calls do with both directions between hosts and all others.
+func (w *World) each(inside []*Host, do func(from, to string)) {
+	for _, h := range inside {
+		for _, o := range w.Hosts {
+			if !containsHost(inside, o.Name) {
+				do(h.Name, o.Name)
+				do(o.Name, h.Name)
+			}
+		}
+	}
+}
+
+// replaceEngine ends an engine, after it has said that it drains for so long, and
+// starts another of its service in its place.
+func (w *World) replaceEngine(r *rand.Rand, drain time.Duration) string {
+	e := pick(r, w.liveEngines())
+	w.removeEngine(e)
+	region := int(e.Region[len(e.Region)-1] - '0')
+	if err := w.addEngine(e.Service, region); err != nil {
+		w.Check.Problem("engine: %v", err)
+	}
+	if drain == 0 {
+		e.stop()
+		return e.ID
+	}
+	e.SetDraining()
+	w.after(drain, e.stop)
+	return e.ID
+}
--- /dev/null
+++ b/soak/run.go
@@ -0,0 +1,246 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/linenscale/linenscale/platform/platformtest"
+)
+
+// Report is the outcome of a run.
+type Report struct {
+	Seed     uint64
+	Harms    map[string]int
+	Answers  map[string]int // by kind and status
+	Checks   int
+	Version  int64 // the newest that was accepted
+	Problems []string
+}
+
+// String gives the report as text.
+func (r Report) String() string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "seed %d: %d checks, version %d, %d problems\n", r.Seed, r.Checks, r.Version, len(r.Problems))
+	for _, counts := range []map[string]int{r.Harms, r.Answers} {
+		for _, name := range slices.Sorted(maps.Keys(counts)) {
+			fmt.Fprintf(&out, "  %-22s %d\n", name, counts[name])
+		}
+	}
+	for _, p := range r.Problems {
+		fmt.Fprintf(&out, "  BROKEN %s\n", p)
+	}
+	return out.String()
+}
+
+// Timing of a run.
+const (
+	// startPatience is how long a world may take until it serves, and
+	// healPatience until it does again after all harm has ended.
+	startPatience = 30 * time.Second
+	healPatience  = 40 * time.Second
+	// callPause is the wait of each caller between two requests.
+	callPause = 40 * time.Millisecond
+	// changeEvery and readEvery are the pauses of the operator.
+	changeEvery = 700 * time.Millisecond
+	readEvery   = 250 * time.Millisecond
+)
+
+// Run does harm for so long, ends it, and waits until everything is served
+// again. The error says that it could not be run.
+func Run(ctx context.Context, opts Options, harming time.Duration) (Report, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group := pool.New()
+	w, err := New(ctx, group, opts)
+	if w != nil {
+		defer group.Wait()
+		defer cancel()
+		defer w.Stop()
+	}
+	if err != nil {
+		return Report{}, errors.Trace(err)
+	}
+	report := Report{Seed: opts.Seed, Harms: make(map[string]int)}
+	if !w.put(1, startPatience) || !w.allServed(startPatience) {
+		return report, errors.New("the world didn't begin to serve; see its logs in " + opts.Dir)
+	}
+	busy, stop := context.WithCancel(ctx)
+	defer stop()
+	work := pool.New()
+	changing, stopChanging := context.WithCancel(busy)
+	defer stopChanging()
+	w.traffic(busy, changing, work)
+	for until := time.Now().Add(harming); time.Now().Before(until) && ctx.Err() == nil; {
+		h := draw(w.random)
+		if done := h.do(w, w.random); done != "" {
+			report.Harms[h.name]++
+		}
+		time.Sleep(span(w.random, 50, 900))
+	}
+	stopChanging()
+	w.mend()
+	if !w.allServed(healPatience) {
+		w.Check.Problem("not everything is served %v after all harm ended: %s", healPatience, w.unserved())
+	}
+	w.calmDrain()
+	stop()
+	work.Wait()
+	w.readsEverywhere()
+	w.Check.Engines()
+	report.Answers, report.Checks, report.Version, report.Problems = w.Check.Answers, w.Check.Checks, w.Check.Newest(), w.Check.Problems()
+	return report, nil
+}
+
+// traffic starts callers at every gateway, and an operator who makes changes
+// until changing ends.
+func (w *World) traffic(ctx, changing context.Context, work *pool.Pool) {
+	for i, h := range w.gateways("") {
+		for j, k := range kinds {
+			work.Go(func() { w.call(ctx, h, k, rand.New(rand.NewPCG(w.Seed, uint64(i*100+j)))) })
+		}
+	}
+	work.Go(func() { w.operate(changing) })
+	work.Go(func() { w.read(ctx) })
+}
+
+// call sends requests of one kind to one gateway. Connections are kept until the
+// other side ends them.
+func (w *World) call(ctx context.Context, h *Host, k kind, r *rand.Rand) {
+	var caller platformtest.Caller
+	for ctx.Err() == nil {
+		request := platformtest.Request{Host: "soak", Path: "/" + k.name + "/1", Model: k.model, Parts: fmt.Sprintf("a:400,b%d:600,c:50", r.IntN(5)), Deadline: 3 * time.Second}
+		result, err := caller.Do(ctx, h.settings.Listen.Callers, request)
+		if err == nil {
+			w.Check.Answer(k, h.Name, result)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(callPause):
+		}
+	}
+}
+
+// operate declares newer versions, and evacuates a data centre now and then.
+func (w *World) operate(ctx context.Context) {
+	r := rand.New(rand.NewPCG(w.Seed, 5))
+	o := platformtest.Operator{Client: http.Client{Timeout: time.Second}}
+	for ctx.Err() == nil {
+		w.put(w.Check.Newest()+1+r.Int64N(3), 2*time.Second)
+		if r.IntN(6) == 0 {
+			control, dataCentre := pick(r, w.controls()).settings.Listen.Operators, fmt.Sprintf("dc%d", r.IntN(w.Regions))
+			for _, on := range []bool{true, false} {
+				_, _ = o.Evacuate(ctx, control, dataCentre, on) // it is ended for all in the end
+				time.Sleep(readEvery)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(changeEvery):
+		}
+	}
+}
+
+// read reads the declaration at one control host after the other.
+func (w *World) read(ctx context.Context) {
+	o := platformtest.Operator{Client: http.Client{Timeout: 1500 * time.Millisecond}}
+	for i := 0; ctx.Err() == nil; i++ {
+		c, newest := w.controls()[i%len(w.controls())], w.Check.Newest()
+		if got, status, err := o.Read(ctx, c.settings.Listen.Operators); err == nil && status == http.StatusOK {
+			w.Check.Read(c.Name, newest, got.ConfigVersion)
+		}
+		time.Sleep(readEvery)
+	}
+}
+
+// mend ends all harm: ways are joined, processes run, engines answer rightly and
+// no data centre is evacuated.
+func (w *World) mend() {
+	w.Net.Heal()
+	for _, e := range w.liveEngines() {
+		e.SetFaults(platformtest.NewFaultPlan(platformtest.FaultNone, 0))
+	}
+	for until := time.Now().Add(healPatience); time.Now().Before(until) && !w.allUp(); {
+		time.Sleep(lookEvery)
+	}
+	w.Net.Heal() // what was undone meanwhile has undone itself
+	o := platformtest.Operator{Client: http.Client{Timeout: time.Second}}
+	for dataCentre := range w.regions {
+		for until := time.Now().Add(healPatience); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+			if status, err := o.Evacuate(w.ctx, w.controls()[0].settings.Listen.Operators, dataCentre, false); err == nil && status == http.StatusOK {
+				break
+			}
+		}
+	}
+	w.Check.SetCalm(true)
+}
+
+func (w *World) allUp() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, h := range w.Hosts {
+		if h.busy || h.paused || !h.up() {
+			return false
+		}
+	}
+	return true
+}
+
+// allServed waits until every gateway serves every kind, under the newest
+// version.
+func (w *World) allServed(patience time.Duration) bool {
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
+		if w.unserved() == "" {
+			return true
+		}
+	}
+	return false
+}
+
+// unserved names the first gateway and kind that is not served; "" for none.
+func (w *World) unserved() string {
+	var caller platformtest.Caller
+	defer caller.Client.CloseIdleConnections()
+	newest := kind{name: fmt.Sprintf("v%d", w.Check.Newest())}
+	for _, h := range w.gateways("") {
+		for _, k := range append(slices.Clone(kinds), newest) {
+			result, err := caller.Do(w.ctx, h.settings.Listen.Callers, platformtest.Request{Host: "soak", Path: "/" + k.name + "/1", Model: k.model})
+			if err != nil || result.Status != http.StatusOK || !result.Whole {
+				return fmt.Sprintf("%s at %s: status %d, %v", k.name, h.Name, result.Status, err)
+			}
+		}
+	}
+	return ""
+}
+
+// calmDrain lets engines drain while nothing else happens: they get nothing any
+// more, which Engines checks.
+func (w *World) calmDrain() {
+	time.Sleep(drainTime + time.Second)
+	for _, e := range w.liveEngines()[:2] {
+		e.SetDraining()
+		w.removeEngine(e)
+	}
+	time.Sleep(drainTime + 2*time.Second)
+}
+
+// readsEverywhere reads the newest version at every control host.
+func (w *World) readsEverywhere() {
+	o := platformtest.Operator{Client: http.Client{Timeout: 2 * time.Second}}
+	for _, c := range w.controls() {
+		got, status, err := o.Read(w.ctx, c.settings.Listen.Operators)
+		if err != nil || status != http.StatusOK {
+			w.Check.Problem("%s shows no declaration in the end: status %d, %v", c.Name, status, err)
+			continue
+		}
+		w.Check.Read(c.Name, w.Check.Newest(), got.ConfigVersion)
+	}
+}
