Open when the catalog is known, find control sooner, collect memory earlier

Cause: after a loss of all power a gateway of the grown site refused for 0.5 s as knowing no catalog: its first connection to a control host that was not yet up took 0.8 s to give up, and 0.25 s passed until the next. Ruled out: the control hosts (they have the state 0.1 s after their start). Connections give up after 0.45 s, the next try comes after 0.1 s, and new connections wait up to 0.7 s for the first catalog.

--- a/cmd/linenscale-soak/main.go
+++ b/cmd/linenscale-soak/main.go
@@ -38,7 +38,7 @@
 	defer stop()
 	broken := 0
 	for i := range uint64(seeds) {
-		if !run(ctx, soak.Options{Program: program, Seed: seed + i, Regions: regions, Gateways: gateways, Engines: engines, Net: 1 + int(i%100)}, dir, harming) {
+		if !run(ctx, soak.Options{Program: program, Seed: seed + i, Regions: regions, Gateways: gateways, Engines: engines, Net: 1 + int((seed+i)%100)}, dir, harming) {
 			broken++
 		}
 	}
--- a/cmd/linenscaled/main.go
+++ b/cmd/linenscaled/main.go
@@ -90,6 +90,7 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryPercent / 100)
 	}
+	debug.SetGCPercent(gcPercent)
 	out := telemetry.NewBounded(os.Stdout)
 	log, err := telemetry.NewLogger(out, level)
 	if err != nil {
@@ -116,6 +117,10 @@
 // harder; the rest is for bytes that have arrived and are not yet read.
 const memoryPercent = 60
 
+// gcPercent is how much the memory may grow before it is collected. Hosts are
+// small and memory is dear: a collection more is cheaper than the memory.
+const gcPercent = 50
+
 // hangups passes SIGHUP on as a wish to reload. Unhandled, it would end the
 // process.
 func hangups(ctx context.Context, reload chan<- struct{}) error {
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -49,7 +49,7 @@
 	// engineDial and peerDial bound the opening of a connection: engines stand
 	// in the same region, other hosts up to a round trip of 160 ms away.
 	engineDial = 300 * time.Millisecond
-	peerDial   = 800 * time.Millisecond
+	peerDial   = 450 * time.Millisecond
 	// unacknowledged is how long sent bytes may stay unacknowledged before a
 	// connection counts as broken.
 	unacknowledged = 1200 * time.Millisecond
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -40,7 +40,7 @@
 	// counts as dead: a round trip between regions, and a slow processor.
 	syncSlack = 900 * time.Millisecond
 	// retryPause is the wait after a question that was not answered.
-	retryPause = 250 * time.Millisecond
+	retryPause = 100 * time.Millisecond
 	// fetchTime bounds the fetching of a state.
 	fetchTime = 1500 * time.Millisecond
 	// farPatience is how long a far control host that is ahead is passed over
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -34,6 +34,10 @@
 	// stopAccepting is how long a stopping gateway takes new connections and
 	// requests: callers have lists of gateways that are some seconds old.
 	stopAccepting = 2500 * time.Millisecond
+	// firstCatalog is how long a gateway that has just started leaves new
+	// connections waiting until it knows a catalog: shorter than the second
+	// after which callers give up on one that isn't read.
+	firstCatalog = 700 * time.Millisecond
 	// writeTime bounds each wait for a caller to take bytes.
 	writeTime = 10 * time.Second
 )
@@ -93,8 +97,10 @@
 func (s *Server) Stopping() bool { return s.stopping.Load() }
 
 // Run serves both listeners until ctx ends, then finishes what is in flight
-// within StopTime.
+// within StopTime. Connections may wait in the listeners until there is a
+// catalog to serve.
 func (s *Server) Run(ctx context.Context, callers, handover net.Listener) error {
+	s.awaitCatalog(ctx)
 	servers := []*http.Server{s.server(s.CallersHandler()), s.server(s.HandoverHandler())}
 	group := pool.New().WithErrors()
 	for i, listener := range []net.Listener{callers, handover} {
@@ -113,6 +119,14 @@
 	return group.Wait()
 }
 
+// awaitCatalog waits for the first catalog, but not for long: without one, callers
+// are told when to come back.
+func (s *Server) awaitCatalog(ctx context.Context) {
+	for until := time.Now().Add(firstCatalog); time.Now().Before(until) && ctx.Err() == nil && !s.Ready(); {
+		time.Sleep(firstCatalog / 50)
+	}
+}
+
 // stop goes on serving those who have not heard of the stop yet, then finishes
 // what is in flight.
 func (s *Server) stop(servers []*http.Server) {
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -382,6 +382,32 @@
 	must.True(t, do(t, lagos, platformtest.Request{Path: "/safe/1"}).Promised())
 }
 
+// TestAYoungGatewayOpensWhenItKnowsACatalog connects before there is one: the
+// request is served, and not refused.
+func TestAYoungGatewayOpensWhenItKnowsACatalog(t *testing.T) {
+	g := newGateway(t, "g1", "lagos")
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	handover, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	group := pool.New()
+	group.Go(func() { _ = g.server.Run(ctx, callers, handover) })
+	done := make(chan platformtest.Result, 1)
+	group.Go(func() {
+		var c platformtest.Caller
+		result, err := c.Do(context.Background(), callers.Addr().String(), platformtest.Request{Host: "h", Path: "/safe/1", Deadline: 10 * time.Second})
+		must.NoError(t, err)
+		done <- result
+	})
+	time.Sleep(100 * time.Millisecond) // the request waits meanwhile
+	g.start(t, "portal", "a")
+	g.declare()
+	must.Eq(t, http.StatusOK, (<-done).Status)
+	cancel()
+	group.Wait()
+}
+
 // TestAStoppingGatewayFinishesWhatItHas stops a gateway while a stream runs.
 func TestAStoppingGatewayFinishesWhatItHas(t *testing.T) {
 	g, _ := setUp(t)
