Admit long prompts where nothing waits; follow a request through logs

Cause: patience was compared with the time until the answer begins, of which a prompt of 40,000 tokens takes 1.1 s by itself: such requests were refused even where all engines were idle (found by 'linenscale trace' on a refused request). Ruled out: busy regions (the queue was empty). Patience now counts what is before the request only.

--- a/cmd/linenscale/main.go
+++ b/cmd/linenscale/main.go
@@ -53,10 +53,15 @@
 		applyCommand(), diffCommand(), deleteCommand(), labelCommand(), getCommand(), statusCommand(),
 		hostsCommand(), historyCommand(), waitCommand(), explainCommand(),
 	}
+	trace := traceCommand()
+	flaggy.AttachSubcommand(trace.command, 1)
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.command, 1)
 	}
 	flaggy.Parse()
+	if trace.command.Used { // reads files, and asks no host
+		exit(trace.run(context.Background(), t))
+	}
 	if hosts == "" {
 		flaggy.ShowHelpAndExit("name the entry hosts by -H or $LINENSCALE_HOSTS")
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -125,21 +125,22 @@
 	Prompt   Prompt
 	Deadline time.Time
 	Tried    []string // engines of earlier attempts
-	// Patience is the longest wait for the answer's beginning for which the
-	// request is admitted; 0 for any.
+	// Patience is the longest wait until the request is begun for which it is
+	// admitted; 0 for any. The time that its own prompt takes doesn't count:
+	// a long one would never be admitted.
 	Patience time.Duration
 	// Permitted tells whether the request may run in a region; nil for all.
 	Permitted func(region string) bool
 }
 
-// Overloaded gives the refusal of a request whose answer is expected to begin
-// too late, or nil.
-func (a Ask) Overloaded(wait time.Duration) error {
-	if a.Patience == 0 || wait <= a.Patience {
+// Overloaded gives the refusal of a request that is expected to be begun too
+// late, or nil.
+func (a Ask) Overloaded(queue time.Duration) error {
+	if a.Patience == 0 || queue <= a.Patience {
 		return nil
 	}
-	message := fmt.Sprintf("the answer is expected to begin after %v, and %v is the most", wait.Round(time.Millisecond), a.Patience)
-	return &request.NotRun{Reason: request.ReasonOverload, Message: message, RetryAfter: max(retrySoon, wait-a.Patience/2)}
+	message := fmt.Sprintf("it is expected to be begun after %v, and %v is the most", queue.Round(time.Millisecond), a.Patience)
+	return &request.NotRun{Reason: request.ReasonOverload, Message: message, RetryAfter: max(retrySoon, queue-a.Patience/2)}
 }
 
 // Acquire gives a ticket for the best engine. The error is a *request.NotRun.
@@ -155,7 +156,7 @@
 	if chosen == nil {
 		return nil, &request.NotRun{Reason: request.ReasonNoEngine, Message: "no engine can be used: " + counts(refused), RetryAfter: retrySoon}
 	}
-	if err := ask.Overloaded(best.wait); err != nil {
+	if err := ask.Overloaded(best.queue); err != nil {
 		return nil, err
 	}
 	return d.grant(p, chosen, ask, best, now), nil
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -277,6 +277,19 @@
 	acquire(t, g, patient)
 }
 
+// TestALongPromptIsAdmittedWhereNothingWaits asks for a prompt whose own reading
+// takes longer than the patience: only what is before it counts.
+func TestALongPromptIsAdmittedWhereNothingWaits(t *testing.T) {
+	w := newWorld(1, 1)
+	ask := dispatch.Ask{ID: "r", Service: "review", Prompt: dispatch.Prompt{TokensIn: 60_000, TokensOut: 50}, Patience: 700 * time.Millisecond}
+	must.NoError(t, ask.Overloaded(w.gateways[0].ChooseRegion(ask, true, nil).Queue))
+	acquire(t, w.gateways[0], ask)
+	again := ask
+	again.ID = "r2"
+	_, err := w.gateways[0].Acquire(again)
+	must.Eq(t, request.ReasonOverload, notRun(t, err).Reason)
+}
+
 func TestAnEngineThatCantBeReachedIsTheLastResort(t *testing.T) {
 	w := newWorld(1, 2)
 	g := w.gateways[0]
--- a/dispatch/expect.go
+++ b/dispatch/expect.go
@@ -52,8 +52,8 @@
 	// a shared part that another engine keeps: the time of the engine is lost to
 	// all others. In milliseconds.
 	againTime = 0.08
-	// lateTime is what a choice costs by which the answer would begin too late to
-	// be admitted: any other is better.
+	// lateTime is what a choice costs by which the request would be begun too late
+	// to be admitted: any other is better.
 	lateTime = 5 * time.Second
 	// guessKept is the share of the shared parts that the engine ranked first
 	// is believed to keep, where this gateway hasn't sent them anywhere.
@@ -73,6 +73,7 @@
 
 // score is the expectation for one engine; the lowest is chosen.
 type score struct {
+	queue   time.Duration // until the request is begun
 	wait    time.Duration // until the answer begins
 	cost    time.Duration // wait, and what the choice costs otherwise
 	kept    int
@@ -110,18 +111,20 @@
 	s := score{kept: k.kept, first: k.first, load: k.load}
 	over := float64(k.load.Requests+1-k.slots) / float64(max(1, k.slots))
 	if k.room == 0 {
-		s.wait = time.Duration(max(0, over) * float64(plainTime))
+		s.queue = time.Duration(max(0, over) * float64(plainTime))
+		s.wait = s.queue
 		crowd := time.Duration(float64(k.load.Requests) / float64(max(1, k.slots)) * float64(plainTime))
 		s.cost = s.wait + crowd
 	} else {
 		s.kept = max(s.kept, k.guess(p))
 		unread := float64(p.TokensIn - s.kept)
-		s.wait = reading(float64(k.load.Unread)+unread) + time.Duration(max(0, over)*float64(modelTime))
+		s.queue = reading(float64(k.load.Unread)) + time.Duration(max(0, over)*float64(modelTime))
+		s.wait = s.queue + reading(unread)
 		s.cost = s.wait + again(p, s.kept) + k.harm(unread) + k.slowness(p) + k.fullness(p)
 	}
 	s.wait += trip
 	s.cost += trip + time.Duration(k.failing*float64(failTime))
-	if ask.Patience > 0 && s.wait > ask.Patience {
+	if ask.Patience > 0 && s.queue > ask.Patience {
 		s.cost += lateTime
 	}
 	if k.slow > 1 {
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -141,7 +141,7 @@
 	Region string
 	Here   time.Duration // expected cost in this region; negative where it can't run here
 	There  time.Duration // expected cost in Region
-	Wait   time.Duration // expected until the answer begins, the trip counted
+	Queue  time.Duration // expected there until the request is begun
 	Home   bool          // Region is where the prompt's shared parts are kept
 }
 
@@ -161,14 +161,14 @@
 	best := Place{Region: d.Region, Here: -1, Home: home == d.Region}
 	if here {
 		if e, s, _ := d.choose(p, ask, now); e != nil {
-			best.Here, best.Wait = s.cost, s.wait
+			best.Here, best.Queue = s.cost, s.queue
 		}
 	}
 	best.There = best.Here
 	for _, region := range reachable {
-		cost, wait, ok := d.costIn(region, p, ask, region == home, now)
+		cost, queue, ok := d.costIn(region, p, ask, region == home, now)
 		if ok && (best.There < 0 || cost < best.There) {
-			best.Region, best.There, best.Wait, best.Home = region, cost, wait, region == home
+			best.Region, best.There, best.Queue, best.Home = region, cost, queue, region == home
 		}
 	}
 	return best
@@ -184,9 +184,9 @@
 	}
 }
 
-// costIn gives the expected cost of a request in another region, and the wait
-// until its answer begins.
-func (d *Dispatcher) costIn(region string, p *pool, ask Ask, isHome bool, now time.Time) (cost, wait time.Duration, known bool) {
+// costIn gives the expected cost of a request in another region, and the time
+// until it is begun there.
+func (d *Dispatcher) costIn(region string, p *pool, ask Ask, isHome bool, now time.Time) (cost, queue time.Duration, known bool) {
 	g, ok := d.digests[region]
 	if !ok || now.Sub(g.at) > digestLife {
 		return 0, 0, false
@@ -204,7 +204,7 @@
 	}
 	k := knowledge{load: load.plus(sent.over(digest.Engines)), slots: digest.Slots, room: digest.Room, first: isHome, failing: digest.Failing}
 	s := expect(k, ask, roundTrip)
-	return s.cost + awayTime, s.wait, true
+	return s.cost + awayTime, s.queue, true
 }
 
 // homeRegion gives the region where a prompt's shared parts are kept: the one
--- a/ingress/place.go
+++ b/ingress/place.go
@@ -77,8 +77,8 @@
 		// Nothing is known of the others: any is better than none.
 		place.Region = reachable[s.Random()%uint64(len(reachable))]
 	}
-	s.Log.Info("region chosen", x.fields(zap.String("region", place.Region), zap.Duration("here", place.Here), zap.Duration("there", place.There), zap.Duration("wait", place.Wait), zap.Bool("home", place.Home))...)
-	return place.Region, true, x.ask(nil).Overloaded(place.Wait)
+	s.Log.Info("region chosen", x.fields(zap.String("region", place.Region), zap.Duration("here", place.Here), zap.Duration("there", place.There), zap.Duration("queue", place.Queue), zap.Bool("home", place.Home))...)
+	return place.Region, true, x.ask(nil).Overloaded(place.Queue)
 }
 
 // takes tells whether a gateway of another region may get the request.
--- a/ingress/receive.go
+++ b/ingress/receive.go
@@ -160,8 +160,8 @@
 	}
 }
 
-// patience is the longest wait for an answer's beginning that a request is
-// admitted for. The most urgent ones may wait for all of the route's target;
+// patience is the longest wait until it is begun that a request is admitted
+// for. The most urgent ones may wait for all of the route's target;
 // others leave them room.
 func patience(r catalog.Route) time.Duration {
 	if r.Priority == 0 {
