--- a/ingress/place.go
+++ b/ingress/place.go
@@ -127,6 +127,7 @@
 	if err := s.pass(x, resp, nil); err != nil {
 		return s.handOverFailed(x, gateway, err)
 	}
+	s.Metrics.Request(x.service, "answered_elsewhere")
 	return nil
 }
 
--- a/soak/harm.go
+++ b/soak/harm.go
@@ -35,7 +35,7 @@
 	}},
 	{"lose data folder", 2, loseFolder},
 	{"pause", 4, func(w *World, r *rand.Rand) string { return w.pauseFor(pick(r, w.Hosts), span(r, 300, 3000)) }},
-	{"reload", 1, func(w *World, r *rand.Rand) string {
+	{"reload", 1, func(w *World, _ *rand.Rand) string {
 		for _, h := range w.Hosts {
 			h.signal(syscall.SIGHUP)
 		}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -26,6 +26,7 @@
 	inFlight metric.Int64UpDownCounter
 	changes  metric.Int64Counter
 	revision metric.Int64Gauge
+	wrong    metric.Float64Histogram
 }
 
 // NewMetrics makes the instruments and a scrape handler of their own registry.
@@ -38,7 +39,7 @@
 	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
 	meter := provider.Meter("linenscale")
 	m := &Metrics{provider: provider, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
-	var errs [7]error
+	var errs [8]error
 	m.requests, errs[0] = meter.Int64Counter("linenscale_requests", metric.WithDescription("requests that have ended, by service and outcome"))
 	m.attempts, errs[1] = meter.Int64Counter("linenscale_attempts", metric.WithDescription("attempts sent to engines and entry hosts, by service and outcome"))
 	m.duration, errs[2] = meter.Float64Histogram("linenscale_first_byte_seconds", metric.WithDescription("time to the first byte of an answer"), metric.WithUnit("s"))
@@ -46,6 +47,7 @@
 	m.inFlight, errs[4] = meter.Int64UpDownCounter("linenscale_in_flight", metric.WithDescription("requests that have not ended"))
 	m.changes, errs[5] = meter.Int64Counter("linenscale_changes", metric.WithDescription("changes decided, by outcome"))
 	m.revision, errs[6] = meter.Int64Gauge("linenscale_revision", metric.WithDescription("revision of the configuration in force on this host"))
+	m.wrong, errs[7] = meter.Float64Histogram("linenscale_predicted_error_seconds", metric.WithDescription("seen less expected time to the first byte of an engine's answer"), metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(predictedBuckets...))
 	for _, err := range errs {
 		if err != nil {
 			return nil, errors.Annotate(err, "metrics")
@@ -54,6 +56,14 @@
 	return m, nil
 }
 
+// predictedBuckets are the bounds of the errors of expectations, in seconds.
+var predictedBuckets = []float64{-1, -0.3, -0.1, -0.03, 0, 0.03, 0.1, 0.3, 1, 3}
+
+// Predicted notes by how much an engine's answer began later than expected.
+func (m *Metrics) Predicted(service string, later time.Duration) {
+	m.wrong.Record(context.Background(), later.Seconds(), metric.WithAttributes(attribute.String("service", service)))
+}
+
 // Handler serves the scrape.
 func (m *Metrics) Handler() http.Handler { return m.handler }
 
