Name gateways of regions that most bound routes permit

Ruled out: a control host that knows no catalog, a roster that is incomplete (both were whole at that time, by a logged trial).

Change: regions are ranked by how many of the host's bound routes permit them.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -149,18 +149,16 @@
 	return Route{}, false
 }
 
-// Homes gives the regions in which any request to a host may run: those that
-// all of its bound routes permit. bound is false where no route of the host
-// is bound to regions.
-func (t *Table) Homes(host string) (regions []string, bound bool) {
+// Homes counts, for each region, the host's bound routes whose requests may run
+// there. It is empty where no route of the host is bound to regions. Bound
+// routes of one host may contradict each other, so that no region need serve
+// them all.
+func (t *Table) Homes(host string) map[string]int {
+	homes := make(map[string]int)
 	for _, r := range t.hosts[host] {
-		switch {
-		case len(r.Homes) == 0:
-		case !bound:
-			regions, bound = slices.Clone(r.Homes), true
-		default:
-			regions = slices.DeleteFunc(regions, func(region string) bool { return !r.Permits(region) })
+		for _, region := range r.Homes {
+			homes[region]++
 		}
 	}
-	return regions, bound
+	return homes
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -95,6 +95,8 @@
 	engines  *registry.Table
 	follower *follow.Follower
 	stopping atomic.Bool
+	began    time.Time
+	table    atomic.Pointer[catalog.Table] // of the ledger's state
 
 	mu      sync.Mutex
 	told    map[string]told // by gateway
@@ -113,8 +115,9 @@
 	raft.RegisterMessages()
 	c := &Controller{
 		Deps: deps, roster: roster.New(deps.Clock), engines: registry.New(deps.Self.Life, deps.Heartbeat, deps.Clock),
-		told: make(map[string]told), changed: make(chan struct{}),
+		told: make(map[string]told), changed: make(chan struct{}), began: deps.Clock(),
 	}
+	c.table.Store(catalog.NewTable(catalog.Catalog{}))
 	c.machine = ledger.New(c.ledgerChanged)
 	var err error
 	c.replica, err = replica.Open(replica.Options{
@@ -183,6 +186,7 @@
 
 // ledgerChanged is called by the replica with each new state.
 func (c *Controller) ledgerChanged(s ledger.State) {
+	c.table.Store(catalog.NewTable(s.Catalog))
 	c.mu.Lock()
 	close(c.changed)
 	c.changed = make(chan struct{})
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -1,10 +1,9 @@
-// This file defines how engines are heard and where callers are sent.
+// This file defines how engines are heard.
 
 package controller
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -73,31 +72,3 @@
 	}
 	return ""
 }
-
-// Entries gives the gateways that a caller in a data centre should use for a
-// host name: those of its own region, else those of the regions in which all
-// requests for the name may run, else all others. Gateways of the caller's own
-// data centre come first.
-func (c *Controller) Entries(name, region, dataCentre string) []string {
-	gateways := c.roster.Hosts(roster.RoleGateway)
-	gateways = slices.DeleteFunc(gateways, func(h roster.Host) bool { return h.Stopping || h.Callers == "" })
-	homes, bound := c.homes(name)
-	choices := []func(roster.Host) bool{
-		func(h roster.Host) bool { return h.DataCentre == dataCentre },
-		func(h roster.Host) bool { return h.Region == region },
-		func(h roster.Host) bool { return !bound || slices.Contains(homes, h.Region) },
-		func(roster.Host) bool { return true },
-	}
-	for _, choice := range choices {
-		var out []string
-		for _, h := range gateways {
-			if choice(h) {
-				out = append(out, h.Callers)
-			}
-		}
-		if len(out) > 0 {
-			return out
-		}
-	}
-	return nil
-}
--- a/controller/service.go
+++ b/controller/service.go
@@ -9,7 +9,6 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
-	"github.com/linenscale/linenscale/catalog"
 	"github.com/linenscale/linenscale/follow"
 	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/roster"
@@ -127,8 +126,3 @@
 	}
 	return nil
 }
-
-// homes gives the regions in which all requests for a host name may run.
-func (c *Controller) homes(name string) (regions []string, bound bool) {
-	return catalog.NewTable(c.machine.State().Catalog).Homes(name)
-}
