Recall engines from disk after a restart; give connections up sooner

Ruled out: control hosts (they had the ledger within 0.1 s of their start).

Change: control hosts note the engines they know on disk, after the fact, in a pair of files that take turns (disk.Pair, which the mark of the commit index uses now too), and recall them at a start. Connections between hosts give up after 0.26 s and are tried again after 0.04 s.

Also: a bench of the choices of package dispatch in virtual time against modelled engines and baselines (linenscale-lab placement), and one queue of events for both benches.

--- a/cmd/linenscale-lab/main.go
+++ b/cmd/linenscale-lab/main.go
@@ -36,6 +36,8 @@
 	flaggy.AttachSubcommand(load.command, 1)
 	decisions := newDecisionsCommand()
 	flaggy.AttachSubcommand(decisions.command, 1)
+	placement := newPlacementCommand()
+	flaggy.AttachSubcommand(placement.command, 1)
 	slopes := newCapacityCommand()
 	flaggy.AttachSubcommand(slopes.command, 1)
 	flaggy.Parse()
@@ -52,6 +54,8 @@
 		err = load.run(ctx)
 	case decisions.command.Used:
 		err = decisions.run()
+	case placement.command.Used:
+		err = placement.run()
 	case slopes.command.Used:
 		err = slopes.run()
 	default:
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -97,6 +97,7 @@
 	stopping atomic.Bool
 	began    time.Time
 	table    atomic.Pointer[catalog.Table] // of the ledger's state
+	notes    *disk.Pair                    // engines that were known
 
 	mu      sync.Mutex
 	told    map[string]told // by gateway
@@ -118,6 +119,7 @@
 		told: make(map[string]told), changed: make(chan struct{}), began: deps.Clock(),
 	}
 	c.table.Store(catalog.NewTable(catalog.Catalog{}))
+	c.recallEngines(deps.Folder)
 	c.machine = ledger.New(c.ledgerChanged)
 	var err error
 	c.replica, err = replica.Open(replica.Options{
@@ -147,6 +149,7 @@
 	group.Go(c.follower.Run)
 	group.Go(voters.New(c.replica, c.spares, voters.Policy{Wanted: c.Voters, LostAfter: voterSilence, Standby: true}, c.Log).Run)
 	group.Go(c.tidy)
+	group.Go(c.noteEngines)
 	c.roster.Hear(c.self())
 	return group.Wait()
 }
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -404,6 +404,31 @@
 	})
 }
 
+// TestEnginesAreKnownAfterAllLostPower starts all control hosts again: a new gateway
+// knows the engines before any of them has sent a heartbeat.
+func TestEnginesAreKnownAfterAllLostPower(t *testing.T) {
+	t.Parallel()
+	n, hosts := newHosts(t)
+	put(t, hosts[0], 1)
+	hosts[0].c.Beat(context.Background(), beat("i-1", "a", 7))
+	time.Sleep(800 * time.Millisecond) // engines are noted a moment after they change
+	for _, h := range hosts {
+		h.losePower()
+	}
+	for _, h := range hosts {
+		h.start()
+	}
+	g := newGateway(t, n, strings.TrimSuffix(hosts[0].ip, "1")+"100", "a", hosts[0].seeds)
+	within(t, patience, "the engine is known", func() bool { _, ok := g.engines.Get("i-1"); return ok })
+	hosts[1].c.Beat(context.Background(), beat("i-1", "a", 6)) // sent before the last one
+	e, _ := g.engines.Get("i-1")
+	must.Eq(t, int64(7), e.Sequence)
+	within(t, patience, "it falls silent unless it sends", func() bool {
+		e, _ := g.engines.Get("i-1")
+		return e.Phase == registry.Silent
+	})
+}
+
 // TestWhatAGatewayKnowsNeverGoesBack cuts hosts off and kills them while
 // catalogs change: the versions that a gateway takes only rise.
 func TestWhatAGatewayKnowsNeverGoesBack(t *testing.T) {
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -47,9 +47,11 @@
 	// none has changed.
 	dispatchEvery = 200 * time.Millisecond
 	// engineDial and peerDial bound the opening of a connection: engines stand
-	// in the same region, other hosts up to a round trip of 160 ms away.
-	engineDial = 300 * time.Millisecond
-	peerDial   = 450 * time.Millisecond
+	// in the same region, other hosts up to a round trip of 160 ms away. A lost
+	// opening packet is sent again only after a second, so that waiting longer
+	// than for an ordinary answer gains nothing.
+	engineDial = 200 * time.Millisecond
+	peerDial   = 260 * time.Millisecond
 	// unacknowledged is how long sent bytes may stay unacknowledged before a
 	// connection counts as broken.
 	unacknowledged = 1200 * time.Millisecond
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -215,7 +215,7 @@
 		if h.Region != d.Region {
 			continue
 		}
-		if r := rank(e.ID, h.Name); r > best {
+		if r := Rank(e.ID, h.Name); r > best {
 			best, owner = r, h.Name
 		}
 	}
@@ -275,7 +275,7 @@
 			ok, why = false, "tried"
 		}
 		if ok {
-			usable = append(usable, candidate{e, rank(ask.ID, e.ID)})
+			usable = append(usable, candidate{e, Rank(ask.ID, e.ID)})
 			continue
 		}
 		if refused == nil {
@@ -300,7 +300,7 @@
 	var first *engine
 	var highest uint64
 	for _, c := range usable {
-		if r := rank(key, c.engine.ID); first == nil || r > highest {
+		if r := Rank(key, c.engine.ID); first == nil || r > highest {
 			first, highest = c.engine, r
 		}
 	}
--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -51,9 +51,9 @@
 	return ""
 }
 
-// rank orders engines for a key: every gateway gives the same engine the
+// Rank orders engines for a key: every gateway gives the same engine the
 // highest rank (rendezvous hashing; Thaler and Ravishankar, 1998).
-func rank(key, engine string) uint64 {
+func Rank(key, engine string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(key)
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -62,10 +62,10 @@
 
 // Speaks tells whether this gateway tells the other regions of this one.
 func (d *Dispatcher) Speaks() bool {
-	mine := rank(d.Region, d.Name)
+	mine := Rank(d.Region, d.Name)
 	higher := 0
 	for _, h := range d.Peers() {
-		if h.Region == d.Region && h.Name != d.Name && !h.Stopping && rank(d.Region, h.Name) > mine {
+		if h.Region == d.Region && h.Name != d.Name && !h.Stopping && Rank(d.Region, h.Name) > mine {
 			higher++
 		}
 	}
@@ -220,7 +220,7 @@
 		if engines == 0 || (ask.Permitted != nil && !ask.Permitted(region)) {
 			return
 		}
-		u := (float64(rank(key, region)>>11) + 0.5) / (1 << 53)
+		u := (float64(Rank(key, region)>>11) + 0.5) / (1 << 53)
 		if w := -float64(engines) / math.Log(u); w > highest {
 			home, highest = region, w
 		}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -39,8 +39,9 @@
 	// syncSlack is how much longer an answer may take before the connection
 	// counts as dead: a round trip between regions, and a slow processor.
 	syncSlack = 900 * time.Millisecond
-	// retryPause is the wait after a question that was not answered.
-	retryPause = 100 * time.Millisecond
+	// retryPause is the wait after a question that was not answered. After a
+	// loss of power, hosts come back within some tenths of a second of each other.
+	retryPause = 40 * time.Millisecond
 	// fetchTime bounds the fetching of a state.
 	fetchTime = 1500 * time.Millisecond
 	// farPatience is how long a far control host that is ahead is passed over
@@ -209,7 +210,7 @@
 	now := f.Clock()
 	engines := make([]registry.Engine, len(reply.Engines))
 	for i, n := range reply.Engines {
-		engines[i] = n.engine(now)
+		engines[i] = n.Local(now)
 	}
 	f.Engines.Merge(engines)
 	f.Engines.Confirm(reply.Life)
--- a/follow/messages.go
+++ b/follow/messages.go
@@ -92,8 +92,8 @@
 	return out
 }
 
-// engine gives the news in the terms of this process's clock.
-func (n EngineNews) engine(now time.Time) registry.Engine {
+// Local gives the engine in the terms of this process's clock.
+func (n EngineNews) Local(now time.Time) registry.Engine {
 	e := n.Engine
 	e.Heard = now.Add(-n.HeardAgo)
 	if n.ColdFor > 0 {
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -91,7 +91,7 @@
 		w.at(pace, func() { e.end(w, j, false) })
 		return
 	}
-	w.at(first, func() { j.first(w.now) })
+	w.at(first, func() { j.first(w.time.Now()) })
 	w.at(first+pace*time.Duration(j.r.tokens-1), func() { e.end(w, j, true) })
 }
 
@@ -103,20 +103,20 @@
 		e.run(w, next)
 	}
 	e.note(w)
-	j.done(w.now, ok)
+	j.done(w.time.Now(), ok)
 }
 
 // note remembers the load for reports that lag.
 func (e *engine) note(w *world) {
-	e.loads = append(e.loads, load{w.now, e.running, len(e.waiting)})
-	for len(e.loads) > 2 && w.now.Sub(e.loads[1].at) > w.opts.ReportLag {
+	e.loads = append(e.loads, load{w.time.Now(), e.running, len(e.waiting)})
+	for len(e.loads) > 2 && w.time.Now().Sub(e.loads[1].at) > w.opts.ReportLag {
 		e.loads = e.loads[1:]
 	}
 }
 
 // reported gives the load as of the lag ago.
 func (e *engine) reported(w *world) load {
-	at := w.now.Add(-w.opts.ReportLag)
+	at := w.time.Now().Add(-w.opts.ReportLag)
 	found := load{at: at}
 	for _, l := range e.loads {
 		if l.at.After(at) {
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -1,7 +1,6 @@
 package bench
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/linenscale/linenscale/fleet"
 	"github.com/linenscale/linenscale/gateway"
 	"github.com/linenscale/linenscale/internal/blockcache"
+	"github.com/linenscale/linenscale/internal/virtual"
 	"github.com/linenscale/linenscale/request"
 	"github.com/linenscale/linenscale/retry"
 	"github.com/linenscale/linenscale/route"
@@ -111,9 +111,7 @@
 	random   *rand.Rand // of the choices
 	members  *rand.Rand // of the arrivals, the same for every way
 	start    time.Time
-	now      time.Time
-	queue    events
-	serial   int
+	time     *virtual.Time
 	engines  []*engine
 	byName   map[string]*engine
 	regionOf map[string]string
@@ -129,7 +127,7 @@
 
 func newWorld(opts Options) *world {
 	w := &world{
-		opts: opts, random: rand.New(rand.NewPCG(opts.Seed, 5)), members: rand.New(rand.NewPCG(opts.Seed, 6)), start: begin, now: begin,
+		opts: opts, random: rand.New(rand.NewPCG(opts.Seed, 5)), members: rand.New(rand.NewPCG(opts.Seed, 6)), start: begin, time: virtual.New(begin),
 		byName: map[string]*engine{}, regionOf: map[string]string{}, hosts: map[string][]*fleet.Fleet{}, digests: map[string]route.Digest{},
 	}
 	change := declare.Change{Puts: []declare.Envelope{{Object: declare.Service{Name: service, Type: declare.ServiceModel}}}}
@@ -152,7 +150,7 @@
 			hosts = 1
 		}
 		for h := range hosts {
-			f := fleet.New(r.Name, func() time.Time { return w.now }, opts.Policy, opts.Seed+uint64(i*100+h))
+			f := fleet.New(r.Name, func() time.Time { return w.time.Now() }, opts.Policy, opts.Seed+uint64(i*100+h))
 			f.Apply(config, nil)
 			w.hosts[r.Name] = append(w.hosts[r.Name], f)
 		}
@@ -161,10 +159,7 @@
 }
 
 // at runs do after a delay.
-func (w *world) at(delay time.Duration, do func()) {
-	w.serial++
-	heap.Push(&w.queue, event{w.now.Add(max(0, delay)), w.serial, do})
-}
+func (w *world) at(delay time.Duration, do func()) { w.time.After(delay, do) }
 
 // run lets the time pass until nothing is left to happen.
 func (w *world) run() {
@@ -183,23 +178,15 @@
 	if w.opts.Faults != nil {
 		w.opts.Faults(&World{w})
 	}
-	for len(w.queue) > 0 {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
-	}
+	w.time.Run()
 }
 
 // repeat runs do at an interval while arrivals go on, and a little longer.
 func (w *world) repeat(every time.Duration, do func()) {
-	var again func()
-	again = func() {
+	w.time.Every(every, func() bool {
 		do()
-		if w.now.Sub(w.start) < w.opts.Duration+drain {
-			w.at(every, again)
-		}
-	}
-	w.at(0, again)
+		return w.time.Now().Sub(w.start) < w.opts.Duration+drain
+	})
 }
 
 // drain is how long the run goes on after the last arrival.
@@ -220,7 +207,7 @@
 func (w *world) spread() {
 	next := map[string]route.Digest{}
 	for _, r := range w.opts.Regions {
-		sum := route.Digest{Region: r.Name, At: w.now}
+		sum := route.Digest{Region: r.Name, At: w.time.Now()}
 		for _, f := range w.hosts[r.Name] {
 			for _, d := range f.Digests() {
 				sum.Slots, sum.ServiceTime = d.Digest.Slots, d.Digest.ServiceTime
@@ -260,7 +247,7 @@
 // draw makes a request: a long review over one of a few hot documents, or a
 // quick question.
 func (w *world) draw(home string) *arrival {
-	a := &arrival{at: w.now, home: home, acct: fmt.Sprint(w.members.IntN(20)), long: w.members.Float64() < w.opts.LongShare}
+	a := &arrival{at: w.time.Now(), home: home, acct: fmt.Sprint(w.members.IntN(20)), long: w.members.Float64() < w.opts.LongShare}
 	if !a.long {
 		a.bytes, a.tokens = 300, 20+w.members.IntN(40)
 		return a
@@ -325,7 +312,7 @@
 		a.failed = true
 		return
 	}
-	sent := w.now
+	sent := w.time.Now()
 	a.tried = append(a.tried, s.Ticket.Engine)
 	e := w.byName[s.Ticket.Engine]
 	var first time.Duration
@@ -347,7 +334,7 @@
 }
 
 func (w *world) again(f *fleet.Fleet, a *arrival) {
-	if a.attempts >= retry.MaxAttempts || w.now.After(a.at.Add(w.opts.Deadline)) {
+	if a.attempts >= retry.MaxAttempts || w.time.Now().After(a.at.Add(w.opts.Deadline)) {
 		a.failed = true
 		return
 	}
@@ -360,7 +347,7 @@
 	for i, r := range w.opts.Regions {
 		d, ok := w.digests[r.Name]
 		if !ok {
-			d = route.Digest{Region: r.Name, Slots: r.Engines * w.opts.Slots, At: w.now}
+			d = route.Digest{Region: r.Name, Slots: r.Engines * w.opts.Slots, At: w.time.Now()}
 		}
 		if r.Name == a.home {
 			home = i
@@ -395,38 +382,9 @@
 		return best
 	case RegionOurs:
 		ask := route.RegionAsk{Permitted: permitted, Prefill: time.Duration(a.bytes) * prefillByte, Warm: 0.5}
-		if c := route.ChooseRegion(w.now, digests, home, w.opts.Weights, &ask, w.random.Uint64()); c.Index >= 0 {
+		if c := route.ChooseRegion(w.time.Now(), digests, home, w.opts.Weights, &ask, w.random.Uint64()); c.Index >= 0 {
 			return c.Index
 		}
 	}
 	return home
 }
-
-type event struct {
-	at     time.Time
-	serial int
-	do     func()
-}
-
-// events implements heap.Interface by time, then order of adding.
-type events []event
-
-func (e events) Len() int { return len(e) }
-
-func (e events) Less(i, j int) bool {
-	if !e[i].at.Equal(e[j].at) {
-		return e[i].at.Before(e[j].at)
-	}
-	return e[i].serial < e[j].serial
-}
-
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
--- /dev/null
+++ b/internal/dispatchbench/scenarios.go
@@ -0,0 +1,123 @@
+package dispatchbench
+
+import (
+	"time"
+)
+
+// kinds are those of the users' grown sites: long prompts that share parts and
+// may run anywhere, and short ones with long answers that two regions may serve.
+func kinds(homes []string) []*Kind {
+	return []*Kind{
+		{
+			Name: "review", Share: 0.45, Target: time.Second, MaxPause: 600 * time.Millisecond, Deadline: 5 * time.Second,
+			Worth: 2.7, Late: 1.0, Priority: 1, Resumes: true, In: lognormal{2890, 1, 39600}, Out: lognormal{52, 1.4, 208},
+			Shared: []sharedPart{{4, lognormal{2520, 0.4, 6290}}, {800, lognormal{3780, 0.7, 11300}}},
+		},
+		{
+			Name: "question", Share: 0.55, Target: 1500 * time.Millisecond, MaxPause: 600 * time.Millisecond, Deadline: 15 * time.Second,
+			Worth: 2.3, Late: 0.9, Priority: 0, Homes: homes, In: lognormal{628, 1, 3310}, Out: lognormal{292, 0.69, 954},
+			Shared: []sharedPart{{40, lognormal{119, 0.4, 298}}, {1200, lognormal{79, 0.7, 238}}},
+		},
+	}
+}
+
+// peaks gives a rate that is high for a part of the time: low outside.
+func peaks(mean, from, to float64) func(time.Duration) float64 {
+	const high, low = 2.3, 0.3
+	return func(at time.Duration) float64 {
+		if s := at.Seconds(); s >= from && s < to {
+			return mean * high
+		}
+		return mean * low
+	}
+}
+
+// grown is a site of 63 gateways and 140 engines whose regions peak in turn.
+func grown(load float64) Options {
+	return Options{
+		Length: 34 * time.Second, Engine: grownEngine, ColdTime: 3 * time.Second, ColdRate: 1.5, Kinds: kinds([]string{"a", "b"}),
+		Regions: []Region{
+			{"a", 70, 23, peaks(load*205, 0, 12.5)},
+			{"b", 44, 20, peaks(load*160, 11, 23.5)},
+			{"c", 26, 20, peaks(load*128, 22.5, 35)},
+		},
+	}
+}
+
+// burst multiplies a rate for some time.
+func burst(rate func(time.Duration) float64, times, from, to float64) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if s := at.Seconds(); s >= from && s < to {
+			return rate(at) * times
+		}
+		return rate(at)
+	}
+}
+
+// scenario is a day without its way.
+type scenario struct {
+	name string
+	opts Options
+}
+
+func scenarios() []scenario {
+	crashes := grown(1)
+	crashes.Faults = func(w *World) {
+		w.At(7800*time.Millisecond, func() { w.Crash("b", 0.5, 4500*time.Millisecond) })
+		w.At(10500*time.Millisecond, func() {
+			for _, r := range w.Regions {
+				w.Crash(r.Name, 0.25, 2*time.Second)
+			}
+		})
+	}
+	for i, r := range crashes.Regions {
+		crashes.Regions[i].Rate = burst(r.Rate, 1.3, 11.4, 15)
+	}
+	return []scenario{
+		{"peaks in turn, as on a quiet day", grown(0.6)},
+		{"peaks in turn, high load", grown(1)},
+		{"high load, engines crash and traffic jumps", crashes},
+	}
+}
+
+// Ways are package dispatch and the baselines it is compared with.
+func ways() []struct {
+	name string
+	way  Way
+} {
+	return []struct {
+		name string
+		way  Way
+	}{
+		{"ours", Ours{}},
+		{"random", Baseline{Random}},
+		{"fewest in flight", Baseline{FewestInFlight}},
+		{"two choices", Baseline{TwoChoices}},
+		{"prefix, bounded load", Baseline{PrefixBounded}},
+	}
+}
+
+// Run plays one day.
+func Run(o Options) Result {
+	w := newWorld(o)
+	w.run()
+	return w.result()
+}
+
+// Grown compares the ways on the users' grown site, or plays ours alone.
+func Grown(seed uint64, ours bool) []Table {
+	var out []Table
+	for _, s := range scenarios() {
+		t := Table{Name: s.name}
+		for i, way := range ways() {
+			if ours && i > 0 {
+				break
+			}
+			o := s.opts
+			o.Seed, o.Way = seed, way.way
+			t.Rows = append(t.Rows, Row{way.name, Run(o)})
+		}
+		out = append(out, t)
+	}
+	return out
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -137,6 +137,21 @@
 	}
 }
 
+// recalled stands for the source of an engine that no host has heard since this
+// one started.
+const recalled = "recalled"
+
+// Recall takes engines that were known before this host started. Those which no
+// host hears from now on fall silent.
+func (t *Table) Recall(engines []Engine) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range engines {
+		e.Source, e.Heard = recalled, t.clock()
+		t.put(e)
+	}
+}
+
 // put takes over what is newer. The lock is held.
 func (t *Table) put(e Engine) bool {
 	known, ok := t.engines[e.ID]
@@ -144,7 +159,9 @@
 		e.Began = t.clock()
 		known = &entry{Engine: e}
 		t.engines[e.ID] = known
-		t.supersede(e)
+		if e.Phase == Ready || e.Phase == Draining {
+			t.supersede(e)
+		}
 		t.note(known)
 		return true
 	}
@@ -226,7 +243,7 @@
 	for id, e := range t.engines {
 		age := now.Sub(e.Heard)
 		switch {
-		case e.Phase == Ready && e.Source == t.source && age > patience:
+		case e.Phase == Ready && (e.Source == t.source || e.Source == recalled) && age > patience:
 			e.Phase = Silent
 			t.note(e)
 			silent = append(silent, e.Engine)
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -55,6 +55,45 @@
 	must.Eq(t, registry.Left, phaseOf(t, table, "i-1"))
 }
 
+// TestRecalledEnginesFallSilentUnlessHeard recalls an engine whose address another
+// one had before it.
+func TestRecalledEnginesFallSilentUnlessHeard(t *testing.T) {
+	table, c := newTable("x")
+	ended := beat("i-9", 40)
+	ended.Phase = registry.Silent
+	table.Recall([]registry.Engine{beat("i-1", 5), ended})
+	must.Eq(t, registry.Ready, phaseOf(t, table, "i-1"))
+	must.Eq(t, registry.Silent, phaseOf(t, table, "i-9"))
+	must.False(t, table.Beat(beat("i-1", 4)), must.Sprint("an old heartbeat"))
+	c.pass(5 * time.Second)
+	must.SliceLen(t, 1, table.Expire())
+	must.Eq(t, registry.Silent, phaseOf(t, table, "i-1"))
+	table.Beat(beat("i-1", 6))
+	must.Eq(t, registry.Ready, phaseOf(t, table, "i-1"))
+}
+
+// TestARecalledEngineIsHeardByOneHost recalls an engine on two hosts, of which one
+// goes on to hear it: the other must not call it silent.
+func TestARecalledEngineIsHeardByOneHost(t *testing.T) {
+	hears, c := newTable("x")
+	other, otherClock := newTable("y")
+	for _, table := range []*registry.Table{hears, other} {
+		table.Recall([]registry.Engine{beat("i-1", 5)})
+	}
+	_, told := hears.Since(0, everything) // the other host follows already
+	for sequence := int64(6); sequence < 15; sequence++ {
+		hears.Beat(beat("i-1", sequence))
+		var news []registry.Engine
+		news, told = hears.Since(told, everything)
+		other.Merge(news)
+		c.pass(time.Second)
+		otherClock.pass(time.Second)
+		must.SliceEmpty(t, hears.Expire())
+		must.SliceEmpty(t, other.Expire())
+	}
+	must.Eq(t, registry.Ready, phaseOf(t, other, "i-1"))
+}
+
 func TestOnlyWhoShouldHearAnEngineCallsItSilent(t *testing.T) {
 	hears, c := newTable("x")
 	hears.Beat(beat("i-1", 1))
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -154,8 +154,7 @@
 		ring: make(chan input, ringSize), ended: make(chan struct{}),
 		waiting: make(map[uint64]waiter), reads: make(map[uint64]*read),
 	}
-	state.Commit = readMark(opts.Folder)
-	r.marker = newMarker(opts.Folder, opts.Log)
+	r.marker, state.Commit = openMarker(opts.Folder, opts.Log)
 	r.node = raft.New(raft.Options{
 		ID: opts.ID, Election: opts.Election, Heartbeat: opts.Heartbeat,
 		Random: rand.New(rand.NewPCG(opts.Seed, uint64(len(opts.ID)))),
