Go on after a broken hand-over; tell of engines that can't be reached

Ruled out: the directory and the roster (a lost host is off after 2 s).

Change: a gateway that can't be reached is passed over for 1.5 s, and another of its region is asked; a stream that may be resumed goes on there after its last event. Gateways tell each other which engines they couldn't connect to; one that has had an answer within 0.5 s doesn't believe it. Connections are probed after a second of silence. Tests that fail before: TestADeadGatewayIsPassedOver, TestABrokenHandOverGoesOn, TestGatewaysTellWhomTheyCantReach.

--- a/daemon/dial.go
+++ b/daemon/dial.go
@@ -28,6 +28,13 @@
 	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true}
 }
 
+// A connection on which nothing is sent is probed, so that one whose other end has
+// gone without a word ends too: in the middle of a stream nothing else tells.
+const (
+	probeEvery = time.Second
+	probeCount = 2
+)
+
 // newMemberDialer opens connections from the host's own IP number, that break by
 // themselves when what is sent stays unacknowledged: behind a cut, nothing else
 // ever tells.
@@ -38,6 +45,7 @@
 	}
 	return &net.Dialer{
 		Timeout: timeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(own)},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probeCount},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var failed error
 			err := raw.Control(func(fd uintptr) {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -306,6 +306,44 @@
 	must.Eq(t, failed.Engine, acquire(t, g, ask).Engine)
 }
 
+// TestGatewaysTellWhomTheyCantReach has one gateway fail to connect to an engine:
+// the others avoid it for a moment, but not one that has just had an answer.
+func TestGatewaysTellWhomTheyCantReach(t *testing.T) {
+	w := newWorld(3, 2)
+	var failed, answered *dispatch.Ticket
+	for n := 0; failed == nil || answered == nil; n++ {
+		if t := acquireAny(t, w.gateways[0], n); t.Engine == "i-0" {
+			failed = t
+		}
+		if t := acquireAny(t, w.gateways[1], n); t.Engine == "i-0" {
+			answered = t
+		}
+	}
+	w.pass(10 * time.Second)
+	failed.Done(dispatch.Unreached)
+	answered.Done(dispatch.Answered)
+	w.tell()
+	used := func(g int) map[string]bool {
+		out := make(map[string]bool)
+		for n := range 20 {
+			one := acquireAny(t, w.gateways[g], n)
+			out[one.Engine] = true
+			one.Done(dispatch.Abandoned)
+		}
+		return out
+	}
+	must.MapContainsKey(t, used(1), "i-0")
+	must.MapNotContainsKey(t, used(2), "i-0")
+	w.pass(time.Second)
+	must.MapContainsKey(t, used(2), "i-0", must.Sprint("it is tried again soon"))
+}
+
+// acquireAny gets a ticket for the nth of many requests without shared parts.
+func acquireAny(t *testing.T, g *dispatch.Dispatcher, n int) *dispatch.Ticket {
+	t.Helper()
+	return acquire(t, g, dispatch.Ask{ID: fmt.Sprint("any", n), Service: "review", Prompt: dispatch.Prompt{TokensIn: 10, TokensOut: 10}})
+}
+
 func TestRetriesStayWithinTheirBudget(t *testing.T) {
 	w := newWorld(1, 1)
 	g := w.gateways[0]
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -19,6 +19,7 @@
 	Gateway string       `cbor:"1,keyasint"`
 	Engines []EngineLoad `cbor:"2,keyasint,omitempty"`
 	Parts   []SentPart   `cbor:"5,keyasint,omitempty"` // that the gateway has sent lately
+	Dead    []uint64     `cbor:"6,keyasint,omitempty"` // hashes of engines that it couldn't reach lately
 	Region  string       `cbor:"3,keyasint,omitempty"` // set in a word to other regions
 	Digests []Digest     `cbor:"4,keyasint,omitempty"`
 }
@@ -45,6 +46,18 @@
 // within it.
 const wordLife = time.Second
 
+const (
+	// deadTold is for how long a gateway tells that it couldn't reach an engine:
+	// one or two words.
+	deadTold = 500 * time.Millisecond
+	// deadBelieved is for how long the others avoid the engine then. After it
+	// each may try for itself: the way may be cut for one gateway only.
+	deadBelieved = 600 * time.Millisecond
+	// deadDoubted is how fresh a gateway's own sign of an engine must be for it
+	// not to believe the others.
+	deadDoubted = 500 * time.Millisecond
+)
+
 // heard is the last word of another gateway.
 type heard struct {
 	at    time.Time
@@ -59,6 +72,9 @@
 	w := Word{Gateway: d.Name, Parts: d.recentlySent(now)}
 	for _, p := range d.pools {
 		for _, e := range p.ordered {
+			if e.unreached > 0 && now.Sub(e.unreachedAt) < deadTold {
+				w.Dead = append(w.Dead, e.hash)
+			}
 			reading := int(e.read.perSecond(now))
 			if e.own.Requests == 0 && reading == 0 {
 				continue
@@ -91,6 +107,11 @@
 			e.kept[p.Part] = now
 		}
 	}
+	for _, hash := range w.Dead {
+		if e, ok := d.byHash[hash]; ok && now.Sub(e.sign) > deadDoubted && now.After(e.avoidUntil) {
+			e.avoidUntil = now.Add(deadBelieved)
+		}
+	}
 	d.replace(d.words[w.Gateway].loads, loads)
 	d.words[w.Gateway] = heard{now, loads}
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -24,6 +24,7 @@
 	failing     fading // share of requests that failed
 	misdirected bool   // another incarnation answers at its address
 	unreached   int    // failed connections in a row
+	unreachedAt time.Time
 	avoidUntil  time.Time
 	warmNext    time.Time // when a cold engine may get its next request
 	sign        time.Time // when this gateway last had a byte from it
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -104,6 +104,7 @@
 		e.failing.note(true, now)
 	case Unreached:
 		e.unreached++
+		e.unreachedAt = now
 		e.avoidUntil = now.Add(min(avoidBase<<min(e.unreached-1, 10), avoidMost))
 		d.Log.Warn("engine avoided", zap.String("engine", e.ID), zap.String("address", e.Address), zap.Int("unreached", e.unreached), zap.Duration("for", e.avoidUntil.Sub(now)))
 	case Shed:
--- a/ingress/dialect.go
+++ b/ingress/dialect.go
@@ -43,6 +43,9 @@
 	// Outgoing gives the headers for an engine: the caller's, without those
 	// that only the system may set, and with what is sent.
 	Outgoing(caller http.Header, send Send) http.Header
+	// Continue gives a caller's headers as if it had asked to go on after the
+	// event.
+	Continue(caller http.Header, lastEvent string) http.Header
 	// Judge reads the head of an engine's answer.
 	Judge(resp *http.Response) Verdict
 	// Refuse gives the status and headers of an answer that is no engine's.
--- /dev/null
+++ b/ingress/handover.go
@@ -0,0 +1,169 @@
+// This file defines the hand-over of a request to a gateway of another region.
+
+package ingress
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/linenscale/linenscale/relay"
+	"github.com/linenscale/linenscale/request"
+	"github.com/linenscale/linenscale/roster"
+	"github.com/linenscale/linenscale/telemetry"
+)
+
+const (
+	// retryRegion is when to come back where no region can be reached: cuts last
+	// for seconds.
+	retryRegion = time.Second
+	// gatewaysTried is how many gateways of one region are connected to for one
+	// request.
+	gatewaysTried = 2
+	// passOverTime is for how long a gateway that couldn't be connected to is
+	// passed over: until the roster has it off, or has heard it again.
+	passOverTime = 1500 * time.Millisecond
+)
+
+// passedOver holds the gateways of other regions that couldn't be connected to
+// lately. The zero value holds none; it is safe for concurrent use.
+type passedOver struct {
+	mu    sync.Mutex
+	until map[string]time.Time // by the gateway's name and life
+}
+
+// key tells a gateway that has started anew from what it was before.
+func (*passedOver) key(h roster.Host) string { return h.Name + "/" + h.Life }
+
+func (p *passedOver) add(h roster.Host, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.until == nil {
+		p.until = make(map[string]time.Time)
+	}
+	now := time.Now()
+	for other, at := range p.until {
+		if at.Before(now) {
+			delete(p.until, other)
+		}
+	}
+	p.until[p.key(h)] = until
+}
+
+func (p *passedOver) has(h roster.Host) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.until[p.key(h)])
+}
+
+// takes tells whether a gateway of another region may get requests.
+func (s *Server) takes(h roster.Host) bool {
+	return h.Region != s.Self.Region && !h.Stopping && h.Handover != "" && !s.passedOver.has(h)
+}
+
+// runIn runs the request here, or hands it over to a gateway of another region.
+func (s *Server) runIn(x *exchange, region string) error {
+	if region == s.Self.Region {
+		return s.attempts(x)
+	}
+	var err error = &request.NotRun{Reason: request.ReasonNoEngine, Message: "no gateway of " + region + " can be reached", RetryAfter: retryRegion}
+	for range gatewaysTried {
+		gateway, ok := s.gatewayIn(region)
+		if !ok {
+			return err
+		}
+		s.Dispatcher.Sent(region, x.ask(nil))
+		var broken bool
+		if broken, err = s.handOver(x, gateway); !broken {
+			return err
+		}
+		s.passedOver.add(gateway, time.Now().Add(passOverTime))
+		if !x.mayGoOn(err) {
+			return err
+		}
+	}
+	return err
+}
+
+// gatewayIn draws a gateway of a region.
+func (s *Server) gatewayIn(region string) (roster.Host, bool) {
+	var all []roster.Host
+	for _, h := range s.Gateways() {
+		if h.Region == region && s.takes(h) {
+			all = append(all, h)
+		}
+	}
+	if len(all) == 0 {
+		return roster.Host{}, false
+	}
+	return all[s.Random()%uint64(len(all))], true
+}
+
+// handOver sends the request to a gateway of another region. It tells whether
+// the way there, or the gateway, is broken.
+func (s *Server) handOver(x *exchange, gateway roster.Host) (broken bool, err error) {
+	s.Log.Info("handed over", x.fields(zap.String("gateway", gateway.Name), zap.String("region", gateway.Region), zap.Duration("remaining", time.Until(x.deadline)))...)
+	header := relay.Forwardable(x.r.Header)
+	if x.done.lastEvent != "" {
+		header = s.Dialect.Continue(header, x.done.lastEvent)
+	}
+	sent := request.Request{ID: x.identity.ID, Deadline: x.deadline, Sends: x.done.sends}.WithVisit(s.Self.Name)
+	sent.SetHandover(header, time.Now(), uint64(x.rules.table.Version()))
+	resp, err := s.Peers.Send(x.r.Context(), relay.Call{
+		Method: x.r.Method, URL: "http://" + gateway.Handover + x.r.URL.RequestURI(), Host: x.r.Host,
+		Header: header, Body: x.reader(), Length: int64(len(x.body)),
+		Echoes: true, Fresh: !x.route.Repeatable(),
+		Judge: func(resp *http.Response) error { return x.judgePeer(resp) },
+	})
+	if err == nil {
+		defer resp.Body.Close()
+		err = s.pass(x, resp, nil)
+	}
+	if err == nil {
+		s.Metrics.Request(x.service, "answered_elsewhere")
+		return false, nil
+	}
+	s.Log.Warn("hand-over failed", x.fields(zap.String("gateway", gateway.Name), zap.Bool("started", x.started), telemetry.Cause(err))...)
+	return x.handOverFailed(err)
+}
+
+// handOverFailed turns a failure into a refusal. One that the other gateway gave
+// is no sign that it is broken, and neither is a caller who has gone.
+func (x *exchange) handOverFailed(err error) (broken bool, refusal error) {
+	var refused request.Refusal
+	if errors.As(err, &refused) {
+		return false, refused
+	}
+	var failure *relay.Failure
+	if errors.As(err, &failure) && failure.NotRun {
+		return true, &request.NotRun{Reason: request.ReasonNoEngine, Message: err.Error(), RetryAfter: retryRegion}
+	}
+	x.done.sends++ // one at least: the other gateway told nothing
+	return x.r.Context().Err() == nil, &request.OutcomeUnknown{Message: err.Error()}
+}
+
+// judgePeer turns another gateway's refusal back into one of this one's.
+func (x *exchange) judgePeer(resp *http.Response) error {
+	if sends, err := strconv.Atoi(resp.Header.Get(request.HeaderSends)); err == nil {
+		x.done.sends = max(x.done.sends, sends)
+	}
+	switch resp.Header.Get(request.HeaderOutcome) {
+	case "":
+		if x.started && resp.StatusCode != http.StatusOK {
+			return relay.NewFailure(false, false, 0, errors.Errorf("the stream was continued with status %d", resp.StatusCode))
+		}
+		return nil
+	case request.NotRunValue:
+		wait, err := time.ParseDuration(resp.Header.Get("Retry-After") + "s")
+		if err != nil {
+			wait = retryRegion
+		}
+		return &request.NotRun{Reason: request.ReasonNoEngine, Message: "the gateway of the other region refused it", RetryAfter: wait}
+	default:
+		return &request.OutcomeUnknown{Message: "the gateway of the other region could not tell"}
+	}
+}
--- /dev/null
+++ b/ingress/handover_test.go
@@ -0,0 +1,107 @@
+package ingress_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/linenscale/linenscale/platform/platformtest"
+	"github.com/linenscale/linenscale/roster"
+)
+
+// cuttingProxy passes connections on to an address, and breaks the first one off
+// after so many bytes of its answer.
+func cuttingProxy(t *testing.T, to string, after int64) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	group := pool.New()
+	var first atomic.Bool
+	group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			cut := first.CompareAndSwap(false, true)
+			group.Go(func() { pipe(conn, to, cut, after) })
+		}
+	})
+	t.Cleanup(func() {
+		listener.Close()
+		group.Wait()
+	})
+	return listener.Addr().String()
+}
+
+// pipe joins a connection to an address until either side ends.
+func pipe(conn net.Conn, to string, cut bool, after int64) {
+	defer conn.Close()
+	far, err := net.Dial("tcp", to)
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	group := pool.New()
+	group.Go(func() {
+		_, _ = io.Copy(far, conn) // ends with the connection
+		far.Close()
+	})
+	if cut {
+		_, _ = io.CopyN(conn, far, after)
+	} else {
+		_, _ = io.Copy(conn, far)
+	}
+	conn.Close()
+	group.Wait()
+}
+
+// deadAddress gives an address at which nothing listens.
+func deadAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// TestADeadGatewayIsPassedOver has two gateways in the only region where a request
+// may run, of which the one that is drawn first is dead.
+func TestADeadGatewayIsPassedOver(t *testing.T) {
+	lagos, kano, _ := twoRegions(t)
+	dead := roster.Host{Name: "g3", Role: roster.RoleGateway, Region: "kano", Handover: deadAddress(t)}
+	lagos.peers = append(lagos.peers, dead) // the random number 1 draws the second of two
+	for range 2 {
+		must.Eq(t, http.StatusOK, do(t, lagos, platformtest.Request{Path: "/home/1"}).Status)
+	}
+	lagos.peers = []roster.Host{dead}
+	must.True(t, do(t, lagos, platformtest.Request{Path: "/home/1"}).Promised(), must.Sprint("no gateway is left"))
+	_ = kano
+}
+
+// TestABrokenHandOverGoesOn breaks a stream that was handed over after its head
+// and an event: one that may be resumed goes on over another gateway, whole; one
+// that may not be is visibly broken.
+func TestABrokenHandOverGoesOn(t *testing.T) {
+	for path, whole := range map[string]bool{"/review/1": true, "/chat/1": false} {
+		t.Run(path[1:5], func(t *testing.T) {
+			lagos, kano, engines := twoRegions(t)
+			cut := lagos.peers[0]
+			cut.Name, cut.Handover = "g3", cuttingProxy(t, address(kano.handover), 330)
+			lagos.peers = append(lagos.peers, cut) // the random number 1 draws the second of two
+			result := do(t, lagos, platformtest.Request{Path: path, Model: true, Deadline: 5 * time.Second})
+			must.Eq(t, whole, result.Whole, must.Sprint(result.Status, result.Body))
+			if whole {
+				must.Eq(t, stream(5), result.Body)
+			}
+			ran, _ := runs(engines, result.ID)
+			must.Eq(t, map[bool]int{true: 2, false: 1}[whole], ran)
+		})
+	}
+}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -37,7 +37,7 @@
 	// firstCatalog is how long a gateway that has just started leaves new
 	// connections waiting until it knows a catalog: shorter than the second
 	// after which callers give up on one that isn't read.
-	firstCatalog = 700 * time.Millisecond
+	firstCatalog = 900 * time.Millisecond
 	// writeTime bounds each wait for a caller to take bytes.
 	writeTime = 10 * time.Second
 )
@@ -63,6 +63,8 @@
 	held     atomic.Int64 // bytes of bodies in memory
 	inFlight atomic.Int64
 	stopping atomic.Bool
+
+	passedOver passedOver // gateways of other regions
 }
 
 // rules are what an operator has declared, as of one index of the ledger.
--- a/ingress/place.go
+++ b/ingress/place.go
@@ -1,21 +1,14 @@
-// This file defines where a request runs: here, or by one hand-over in another
-// region.
+// This file defines where a request runs: in this region or in another.
 
 package ingress
 
 import (
-	"net/http"
 	"slices"
-	"strconv"
-	"time"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
-	"github.com/linenscale/linenscale/relay"
 	"github.com/linenscale/linenscale/request"
-	"github.com/linenscale/linenscale/roster"
-	"github.com/linenscale/linenscale/telemetry"
 )
 
 // place runs the request in the region that is expected to serve it best. What
@@ -42,7 +35,7 @@
 		if region == s.Self.Region {
 			here = false
 		}
-		if err == nil || !elsewhere(err) || x.done.sends >= x.route.Attempts {
+		if err == nil || !x.mayGoOn(err) {
 			return err
 		}
 		cause = err
@@ -50,6 +43,19 @@
 	return cause
 }
 
+// mayGoOn tells whether a request that failed in one region may be tried in
+// another. The right to send it once more is spent by whoever does so.
+func (x *exchange) mayGoOn(err error) bool {
+	if x.done.sends >= x.route.Attempts || x.r.Context().Err() != nil {
+		return false
+	}
+	var unknown *request.OutcomeUnknown
+	if errors.As(err, &unknown) {
+		return x.route.Repeatable()
+	}
+	return elsewhere(err)
+}
+
 // maxRegions bounds the regions that are tried for one request.
 const maxRegions = 3
 
@@ -65,7 +71,7 @@
 func (s *Server) chooseRegion(x *exchange, here bool) (region string, ok bool, err error) {
 	var reachable []string
 	for _, h := range s.Gateways() {
-		if s.takes(x, h) && !slices.Contains(reachable, h.Region) {
+		if !slices.Contains(reachable, h.Region) && !slices.Contains(x.tried, h.Region) && x.permitted(h.Region) && s.takes(h) {
 			reachable = append(reachable, h.Region)
 		}
 	}
@@ -80,85 +86,3 @@
 	s.Log.Info("region chosen", x.fields(zap.String("region", place.Region), zap.Duration("here", place.Here), zap.Duration("there", place.There), zap.Duration("queue", place.Queue), zap.Bool("home", place.Home))...)
 	return place.Region, true, x.ask(nil).Overloaded(place.Queue)
 }
-
-// takes tells whether a gateway of another region may get the request.
-func (s *Server) takes(x *exchange, h roster.Host) bool {
-	return h.Region != s.Self.Region && !slices.Contains(x.tried, h.Region) && x.permitted(h.Region) && !h.Stopping && h.Handover != ""
-}
-
-// runIn runs the request here, or hands it over to a gateway of another region.
-func (s *Server) runIn(x *exchange, region string) error {
-	if region == s.Self.Region {
-		return s.attempts(x)
-	}
-	var all []roster.Host
-	for _, h := range s.Gateways() {
-		if h.Region == region && !h.Stopping && h.Handover != "" {
-			all = append(all, h)
-		}
-	}
-	if len(all) == 0 {
-		return &request.NotRun{Reason: request.ReasonNoEngine, Message: "no gateway of " + region + " can be reached", RetryAfter: retryRegion}
-	}
-	s.Dispatcher.Sent(region, x.ask(nil))
-	return s.handOver(x, all[s.Random()%uint64(len(all))])
-}
-
-// retryRegion is when to come back where no region can be reached: cuts last
-// for seconds.
-const retryRegion = time.Second
-
-// handOver sends the request to a gateway of another region.
-func (s *Server) handOver(x *exchange, gateway roster.Host) error {
-	s.Log.Info("handed over", x.fields(zap.String("gateway", gateway.Name), zap.String("region", gateway.Region), zap.Duration("remaining", time.Until(x.deadline)))...)
-	header := relay.Forwardable(x.r.Header)
-	sent := request.Request{ID: x.identity.ID, Deadline: x.deadline, Sends: x.done.sends}.WithVisit(s.Self.Name)
-	sent.SetHandover(header, time.Now(), uint64(x.rules.table.Version()))
-	resp, err := s.Peers.Send(x.r.Context(), relay.Call{
-		Method: x.r.Method, URL: "http://" + gateway.Handover + x.r.URL.RequestURI(), Host: x.r.Host,
-		Header: header, Body: x.reader(), Length: int64(len(x.body)),
-		Echoes: true, Fresh: !x.route.Repeatable(),
-		Judge: func(resp *http.Response) error { return x.judgePeer(resp) },
-	})
-	if err != nil {
-		return s.handOverFailed(x, gateway, err)
-	}
-	defer resp.Body.Close()
-	if err := s.pass(x, resp, nil); err != nil {
-		return s.handOverFailed(x, gateway, err)
-	}
-	s.Metrics.Request(x.service, "answered_elsewhere")
-	return nil
-}
-
-func (s *Server) handOverFailed(x *exchange, gateway roster.Host, err error) error {
-	s.Log.Warn("hand-over failed", x.fields(zap.String("gateway", gateway.Name), zap.Bool("started", x.started), telemetry.Cause(err))...)
-	var refusal request.Refusal
-	if errors.As(err, &refusal) {
-		return refusal
-	}
-	var failure *relay.Failure
-	if errors.As(err, &failure) && failure.NotRun {
-		return &request.NotRun{Reason: request.ReasonNoEngine, Message: err.Error(), RetryAfter: retryRegion}
-	}
-	return &request.OutcomeUnknown{Message: err.Error()}
-}
-
-// judgePeer turns another gateway's refusal back into one of this one's.
-func (x *exchange) judgePeer(resp *http.Response) error {
-	if sends, err := strconv.Atoi(resp.Header.Get(request.HeaderSends)); err == nil {
-		x.done.sends = max(x.done.sends, sends)
-	}
-	switch resp.Header.Get(request.HeaderOutcome) {
-	case "":
-		return nil
-	case request.NotRunValue:
-		wait, err := time.ParseDuration(resp.Header.Get("Retry-After") + "s")
-		if err != nil {
-			wait = retryRegion
-		}
-		return &request.NotRun{Reason: request.ReasonNoEngine, Message: "the gateway of the other region refused it", RetryAfter: wait}
-	default:
-		return &request.OutcomeUnknown{Message: "the gateway of the other region could not tell"}
-	}
-}
--- a/internal/dispatchbench/scenarios.go
+++ b/internal/dispatchbench/scenarios.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// Ways are package dispatch and the baselines it is compared with.
+// ways are package dispatch and the baselines it is compared with.
 func ways() []struct {
 	name string
 	way  Way
@@ -89,11 +89,11 @@
 		name string
 		way  Way
 	}{
-		{"ours", Ours{}},
-		{"random", Baseline{Random}},
-		{"fewest in flight", Baseline{FewestInFlight}},
-		{"two choices", Baseline{TwoChoices}},
-		{"prefix, bounded load", Baseline{PrefixBounded}},
+		{"ours", ours{}},
+		{"random", baseline{random}},
+		{"fewest in flight", baseline{fewestInFlight}},
+		{"two choices", baseline{twoChoices}},
+		{"prefix, bounded load", baseline{prefixBounded}},
 	}
 }
 
@@ -105,12 +105,12 @@
 }
 
 // Grown compares the ways on the users' grown site, or plays ours alone.
-func Grown(seed uint64, ours bool) []Table {
+func Grown(seed uint64, oursOnly bool) []Table {
 	var out []Table
 	for _, s := range scenarios() {
 		t := Table{Name: s.name}
 		for i, way := range ways() {
-			if ours && i > 0 {
+			if oursOnly && i > 0 {
 				break
 			}
 			o := s.opts
--- a/internal/dispatchbench/ways.go
+++ b/internal/dispatchbench/ways.go
@@ -21,14 +21,14 @@
 }
 
 var (
-	_ Way = Ours{}
-	_ Way = Baseline{}
+	_ Way = ours{}
+	_ Way = baseline{}
 )
 
-// Ours is package dispatch.
-type Ours struct{}
+// ours is package dispatch.
+type ours struct{}
 
-func (Ours) region(w *World, g *gateway, x *exchange, here bool, reachable []string) (string, error) {
+func (ours) region(w *World, g *gateway, x *exchange, here bool, reachable []string) (string, error) {
 	ask := w.ask(x)
 	place := g.dispatcher.ChooseRegion(ask, here, reachable)
 	if place.Region != g.host.Region {
@@ -40,7 +40,7 @@
 	return place.Region, ask.Overloaded(place.Queue)
 }
 
-func (Ours) engine(w *World, g *gateway, x *exchange) (string, ticket, error) {
+func (ours) engine(w *World, g *gateway, x *exchange) (string, ticket, error) {
 	t, err := g.dispatcher.Acquire(w.ask(x))
 	if err != nil {
 		return "", ticket{}, err
@@ -54,21 +54,21 @@
 	}}, nil
 }
 
-// Baseline keeps requests in their own region, or the first where they may run,
+// baseline keeps requests in their own region, or the first where they may run,
 // and admits all.
-type Baseline struct {
-	// Choose gives the engine among those of the region that run.
-	Choose func(w *World, g *gateway, a *arrival, engines []*engine) *engine
+type baseline struct {
+	// choose gives the engine among those of the region that run.
+	choose func(w *World, g *gateway, a *arrival, engines []*engine) *engine
 }
 
-func (Baseline) region(_ *World, g *gateway, _ *exchange, here bool, reachable []string) (string, error) {
+func (baseline) region(_ *World, g *gateway, _ *exchange, here bool, reachable []string) (string, error) {
 	if here {
 		return g.host.Region, nil
 	}
 	return reachable[0], nil
 }
 
-func (b Baseline) engine(w *World, g *gateway, x *exchange) (string, ticket, error) {
+func (b baseline) engine(w *World, g *gateway, x *exchange) (string, ticket, error) {
 	var up []*engine
 	for _, e := range w.order[g.host.Region] {
 		if !w.time.Now().Before(e.cold) {
@@ -78,7 +78,7 @@
 	if len(up) == 0 {
 		return "", ticket{}, &request.NotRun{Reason: request.ReasonNoEngine, RetryAfter: beatDelay}
 	}
-	e := b.Choose(w, g, x.a, up)
+	e := b.choose(w, g, x.a, up)
 	g.own[e.id]++
 	ended := false
 	return e.id, ticket{begun: func() {}, end: func(dispatch.Outcome) {
@@ -89,13 +89,13 @@
 	}}, nil
 }
 
-// Random takes any engine.
-func Random(w *World, _ *gateway, _ *arrival, engines []*engine) *engine {
+// random takes any engine.
+func random(w *World, _ *gateway, _ *arrival, engines []*engine) *engine {
 	return engines[w.random.IntN(len(engines))]
 }
 
-// FewestInFlight takes the engine with the fewest requests of this gateway.
-func FewestInFlight(_ *World, g *gateway, _ *arrival, engines []*engine) *engine {
+// fewestInFlight takes the engine with the fewest requests of this gateway.
+func fewestInFlight(_ *World, g *gateway, _ *arrival, engines []*engine) *engine {
 	best := engines[0]
 	for _, e := range engines {
 		if g.own[e.id] < g.own[best.id] {
@@ -105,9 +105,9 @@
 	return best
 }
 
-// TwoChoices takes the better of two drawn engines.
-func TwoChoices(w *World, g *gateway, a *arrival, engines []*engine) *engine {
-	one, two := Random(w, g, a, engines), Random(w, g, a, engines)
+// twoChoices takes the better of two drawn engines.
+func twoChoices(w *World, g *gateway, a *arrival, engines []*engine) *engine {
+	one, two := random(w, g, a, engines), random(w, g, a, engines)
 	if g.own[two.id] < g.own[one.id] {
 		return two
 	}
@@ -117,10 +117,10 @@
 // bound is how much more than the mean an engine may have in a choice by prefix.
 const bound = 1.25
 
-// PrefixBounded takes the first engine, in the order that the prompt's deepest
+// prefixBounded takes the first engine, in the order that the prompt's deepest
 // shared part gives, which has no more than a bound over the mean (Mirrokni and
 // others, "Consistent hashing with bounded loads", 2018).
-func PrefixBounded(_ *World, g *gateway, a *arrival, engines []*engine) *engine {
+func prefixBounded(_ *World, g *gateway, a *arrival, engines []*engine) *engine {
 	key := a.parts[max(0, len(a.parts)-2)].id
 	total := 0
 	for _, e := range engines {
