--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: demo test lint format build bench soak capacity measure spec
+.PHONY: demo test lint format build bench soak histories capacity measure spec
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -30,8 +30,16 @@
 	$(BIN)/linenscale-lab decisions --dir docs/plots
 	$(GO) test -run '^$$' -bench . -benchmem ./route ./control ./relay
 
-# soak runs the history checks for longer, by many seeds.
-soak:
+# soak does harm to real processes and checks what was promised: SEEDS runs from
+# SEED on (0 draws one), each harmed for HARM.
+SEED ?= 0
+SEEDS ?= 5
+HARM ?= 20s
+soak: build
+	$(BIN)/linenscale-soak -p $(BIN)/linenscaled -s $(SEED) -n $(SEEDS) -t $(HARM)
+
+# histories runs the history checks for longer, by many seeds.
+histories:
 	LINENSCALE_SEEDS=400 $(GO) test -timeout 60m -run 'Histories|OlderConfiguration' ./control ./lease
 
 # capacity measures the slopes of docs/CAPACITY.md.
--- a/agent/batch.go
+++ b/agent/batch.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/linenscale/linenscale/internal/duty"
 	"github.com/linenscale/linenscale/leader"
 )
 
@@ -34,7 +35,7 @@
 	b.reports = append(b.reports, args.Reports...)
 	a.mu.Unlock()
 	if first {
-		pause(ctx, gatherTime)
+		duty.Pause(ctx, gatherTime)
 		a.mu.Lock()
 		a.batch = nil
 		a.mu.Unlock()
--- a/agent/duties.go
+++ b/agent/duties.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/linenscale/linenscale/declare"
+	"github.com/linenscale/linenscale/internal/duty"
 	"github.com/linenscale/linenscale/leader"
 	"github.com/linenscale/linenscale/lease"
 	"github.com/linenscale/linenscale/telemetry"
@@ -41,7 +42,7 @@
 			a.askPeers(ctx)
 			a.logServing()
 		}
-		pause(ctx, peersEvery)
+		duty.Pause(ctx, peersEvery)
 	}
 	return nil
 }
@@ -220,7 +221,7 @@
 		}
 		if err != nil {
 			a.Log.Debug("watch", telemetry.Cause(err))
-			pause(ctx, retryPause)
+			duty.Pause(ctx, retryPause)
 		}
 	}
 	return nil
@@ -256,7 +257,7 @@
 		for _, load := range reply.Regions {
 			a.noteRegion(load)
 		}
-		pause(ctx, wait)
+		duty.Pause(ctx, wait)
 	}
 	return nil
 }
@@ -284,7 +285,7 @@
 			group.Go(func() { a.pingOnce(ctx, region, host) })
 		}
 		group.Wait()
-		pause(ctx, pingEvery)
+		duty.Pause(ctx, pingEvery)
 	}
 	return nil
 }
@@ -318,10 +319,3 @@
 	}
 	l.note(err == nil, time.Since(sent))
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -23,6 +23,7 @@
 	"github.com/linenscale/linenscale/catalog"
 	"github.com/linenscale/linenscale/disk"
 	"github.com/linenscale/linenscale/follow"
+	"github.com/linenscale/linenscale/internal/duty"
 	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/raft"
 	"github.com/linenscale/linenscale/registry"
@@ -205,14 +206,7 @@
 
 // tidy is the duty that notices who has fallen silent.
 func (c *Controller) tidy(ctx context.Context) error {
-	ticker := time.NewTicker(tidyEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	duty.Every(ctx, tidyEvery, func() {
 		c.roster.Hear(c.self())
 		for _, h := range c.roster.Expire(hostSilence) {
 			c.Log.Warn("host silent", zap.String("host", h.Name), zap.String("role", string(h.Role)), zap.Duration("silent_for", c.Clock().Sub(h.Heard)))
@@ -220,7 +214,8 @@
 		for _, e := range c.engines.Expire() {
 			c.Log.Warn("engine silent", zap.String("engine", e.ID), zap.String("service", e.Service), zap.String("address", e.Address), zap.Int64("sequence", e.Sequence), zap.Duration("silent_for", c.Clock().Sub(e.Heard)))
 		}
-	}
+	})
+	return nil
 }
 
 // Put takes a catalog: if its version is above the one held, it holds from now
@@ -279,7 +274,7 @@
 		if cause == nil {
 			return nil
 		}
-		pause(ctx, leaderPause)
+		duty.Pause(ctx, leaderPause)
 	}
 	c.Log.Warn("leader not reached", telemetry.Cause(cause))
 	return ErrUnavailable
@@ -315,7 +310,7 @@
 		return c.Commands.Call(ctx, address, follow.Service+".ReadIndex", follow.Nothing{}, &reply)
 	})
 	for err == nil && c.replica.Status().Applied < reply.Index {
-		pause(ctx, leaderPause/5)
+		duty.Pause(ctx, leaderPause/5)
 		if ctx.Err() != nil {
 			err = ErrUnavailable
 		}
@@ -336,13 +331,6 @@
 	return c.replica.Status().Applied, nil
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
-
 // PeerOf gives the address of net/rpc of the host that a replica runs on: its
 // identity begins with it.
 func PeerOf(id raft.ID) string { return voters.HostOf(id) }
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/linenscale/linenscale/internal/duty"
 	"github.com/linenscale/linenscale/registry"
 	"github.com/linenscale/linenscale/roster"
 )
@@ -40,7 +41,7 @@
 	number := c.engines.Number()
 	until := c.Clock().Add(drainTold)
 	for ctx.Err() == nil && c.Clock().Before(until) && c.untold(number, c.Regions[dataCentre]) {
-		pause(ctx, 5*time.Millisecond)
+		duty.Pause(ctx, 5*time.Millisecond)
 	}
 }
 
--- a/controller/service.go
+++ b/controller/service.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/linenscale/linenscale/follow"
+	"github.com/linenscale/linenscale/internal/duty"
 	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/roster"
 )
@@ -43,7 +44,7 @@
 			return nil
 		case reply.News(args):
 			gathered = true
-			pause(s.ctx, c.Gather)
+			duty.Pause(s.ctx, c.Gather)
 			continue
 		}
 		select {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/linenscale/linenscale/declare"
 	"github.com/linenscale/linenscale/fleet"
 	"github.com/linenscale/linenscale/gateway"
+	"github.com/linenscale/linenscale/internal/duty"
 	"github.com/linenscale/linenscale/keyhome"
 	"github.com/linenscale/linenscale/leader"
 	"github.com/linenscale/linenscale/operator"
@@ -228,14 +229,6 @@
 const stepDownTime = 100 * time.Millisecond
 
 func tick(ctx context.Context, f *fleet.Fleet) error {
-	ticker := time.NewTicker(fleetInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			f.Tick()
-		}
-	}
+	duty.Every(ctx, fleetInterval, f.Tick)
+	return nil
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -24,6 +24,7 @@
 	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
+	"github.com/linenscale/linenscale/internal/duty"
 	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/registry"
 	"github.com/linenscale/linenscale/roster"
@@ -106,16 +107,9 @@
 func (f *Follower) Run(ctx context.Context) error {
 	group := pool.New()
 	defer group.Wait()
-	ticker := time.NewTicker(tidyEvery)
-	defer ticker.Stop()
-	for {
-		f.tidy(ctx, group)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	f.tidy(ctx, group)
+	duty.Every(ctx, tidyEvery, func() { f.tidy(ctx, group) })
+	return nil
 }
 
 // tidy starts a duty for each control host that is newly known, and ends those
@@ -172,7 +166,7 @@
 		err := f.Calls.WithTimeout(ctx, args.Wait+syncSlack, l.address, Service+".Sync", args, &reply)
 		if err != nil {
 			f.lost(l, err)
-			pause(ctx, retryPause)
+			duty.Pause(ctx, retryPause)
 			continue
 		}
 		if f.take(l, args, reply) {
@@ -347,12 +341,5 @@
 	return f.gateways
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
-
 // ErrNoLeader says that no control host leads, as far as is known here.
 var ErrNoLeader = errors.New("no leader of the ledger is known")
--- a/keyhome/client.go
+++ b/keyhome/client.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/linenscale/linenscale/internal/duty"
 	"github.com/linenscale/linenscale/once"
 	"github.com/linenscale/linenscale/request"
 	"github.com/linenscale/linenscale/wire"
@@ -89,7 +90,7 @@
 				return reply, nil
 			}
 		}
-		pause(ctx, againPause)
+		duty.Pause(ctx, againPause)
 	}
 	return Reply{}, errNoHome
 }
@@ -113,10 +114,3 @@
 	}
 	return Reply{}, false
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"github.com/linenscale/linenscale/fleet"
+	"github.com/linenscale/linenscale/internal/duty"
 	"github.com/linenscale/linenscale/telemetry"
 )
 
@@ -69,17 +70,10 @@
 	return nil
 }
 
+// every does something at once, and then again and again until ctx ends.
 func every(ctx context.Context, interval time.Duration, do func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		do(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	do(ctx)
+	duty.Every(ctx, interval, func() { do(ctx) })
 }
 
 func (p *Prober) engines(ctx context.Context) {
--- a/voters/voters.go
+++ b/voters/voters.go
@@ -16,6 +16,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"github.com/linenscale/linenscale/internal/duty"
 	"github.com/linenscale/linenscale/raft"
 	"github.com/linenscale/linenscale/replica"
 	"github.com/linenscale/linenscale/telemetry"
@@ -58,18 +59,12 @@
 
 // Run keeps the voters whenever this replica leads, until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
-	ticker := time.NewTicker(votersEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	duty.Every(ctx, votersEvery, func() {
 		if status := k.replica.Status(); status.Role == raft.Leader {
 			k.step(ctx, status)
 		}
-	}
+	})
+	return nil
 }
 
 func (k *Keeper) step(ctx context.Context, status raft.Status) {
--- a/wire/sender.go
+++ b/wire/sender.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
+
+	"github.com/linenscale/linenscale/internal/duty"
 )
 
 // Bounds of a Sender.
@@ -95,7 +97,7 @@
 		cancel()
 		if err != nil {
 			drain(queue)
-			pause(ctx, senderPause)
+			duty.Pause(ctx, senderPause)
 			continue
 		}
 		client := rpc.NewClient(bounded{raw})
@@ -165,10 +167,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
