Let control hosts hold each other's questions

Cause (soak, processor of the control hosts: 40 % of a core each on loopback): a control host that follows another tells it index 0 of the ledger, for it has its own replica, and is answered at once because the other has a newer one: a question after the other, as fast as the way allows.

Change: a host with a replica of its own says that no index is news to it.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -183,6 +184,9 @@
 	if l.life == "" || !l.ahead.IsZero() {
 		args.Wait = 0
 	}
+	if f.Took == nil {
+		args.Index = math.MaxUint64 // no state is news to a host that has its own
+	}
 	return args
 }
 
