Tell the other gateways which engines were replaced; crashed handlers are warnings

Ruled out: heartbeats (the control hosts of the other side of the cut have them).

Change: words among gateways of a region name the engines that were replaced, for a second each; a gateway that has had an answer within 0.5 s doesn't believe it. What net/http logs is a warning.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -338,6 +338,35 @@
 	must.MapContainsKey(t, used(2), "i-0", must.Sprint("it is tried again soon"))
 }
 
+// TestGatewaysTellWhichEnginesWereReplaced has one gateway learn that another
+// incarnation answers at an engine's address: none sends anything there any more, but
+// one that has just had an answer from it.
+func TestGatewaysTellWhichEnginesWereReplaced(t *testing.T) {
+	w := newWorld(3, 2)
+	tickets := make([]*dispatch.Ticket, 2)
+	for n := 0; tickets[0] == nil || tickets[1] == nil; n++ {
+		for g := range tickets {
+			if one := acquireAny(t, w.gateways[g], n); one.Engine == "i-0" {
+				tickets[g] = one
+			}
+		}
+	}
+	w.pass(10 * time.Second)
+	tickets[0].Done(dispatch.Misdirected)
+	tickets[1].Done(dispatch.Answered)
+	w.tell()
+	w.pass(5 * time.Second)
+	for n := range 20 {
+		must.Eq(t, "i-1", acquireAny(t, w.gateways[0], n).Engine)
+		must.Eq(t, "i-1", acquireAny(t, w.gateways[2], n).Engine)
+	}
+	used := make(map[string]bool)
+	for n := range 20 {
+		used[acquireAny(t, w.gateways[1], n).Engine] = true
+	}
+	must.MapContainsKey(t, used, "i-0")
+}
+
 // acquireAny gets a ticket for the nth of many requests without shared parts.
 func acquireAny(t *testing.T, g *dispatch.Dispatcher, n int) *dispatch.Ticket {
 	t.Helper()
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -20,6 +20,7 @@
 	Engines []EngineLoad `cbor:"2,keyasint,omitempty"`
 	Parts   []SentPart   `cbor:"5,keyasint,omitempty"` // that the gateway has sent lately
 	Dead    []uint64     `cbor:"6,keyasint,omitempty"` // hashes of engines that it couldn't reach lately
+	Gone    []uint64     `cbor:"7,keyasint,omitempty"` // hashes of engines whose addresses others were found at
 	Region  string       `cbor:"3,keyasint,omitempty"` // set in a word to other regions
 	Digests []Digest     `cbor:"4,keyasint,omitempty"`
 }
@@ -50,11 +51,14 @@
 	// deadTold is for how long a gateway tells that it couldn't reach an engine:
 	// one or two words.
 	deadTold = 500 * time.Millisecond
+	// goneTold is for how long it tells of an engine that was replaced: a few words,
+	// since each may be lost, and it is for good.
+	goneTold = time.Second
 	// deadBelieved is for how long the others avoid the engine then. After it
 	// each may try for itself: the way may be cut for one gateway only.
 	deadBelieved = 600 * time.Millisecond
 	// deadDoubted is how fresh a gateway's own sign of an engine must be for it
-	// not to believe the others.
+	// not to believe the others of either.
 	deadDoubted = 500 * time.Millisecond
 )
 
@@ -75,6 +79,9 @@
 			if e.unreached > 0 && now.Sub(e.unreachedAt) < deadTold {
 				w.Dead = append(w.Dead, e.hash)
 			}
+			if e.misdirected && now.Sub(e.misdirectedAt) < goneTold {
+				w.Gone = append(w.Gone, e.hash)
+			}
 			reading := int(e.read.perSecond(now))
 			if e.own.Requests == 0 && reading == 0 {
 				continue
@@ -112,6 +119,11 @@
 			e.avoidUntil = now.Add(deadBelieved)
 		}
 	}
+	for _, hash := range w.Gone {
+		if e, ok := d.byHash[hash]; ok && now.Sub(e.sign) > deadDoubted {
+			e.misdirected = true
+		}
+	}
 	d.replace(d.words[w.Gateway].loads, loads)
 	d.words[w.Gateway] = heard{now, loads}
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -16,18 +16,19 @@
 // engine is what this gateway knows of one engine.
 type engine struct {
 	registry.Engine
-	hash        uint64 // of the incarnation
-	own         Load   // this gateway's requests
-	others      Load   // other gateways' requests, as they last told
-	read        rate   // prompt tokens that this gateway has sent
-	kept        kept
-	failing     fading // share of requests that failed
-	misdirected bool   // another incarnation answers at its address
-	unreached   int    // failed connections in a row
-	unreachedAt time.Time
-	avoidUntil  time.Time
-	warmNext    time.Time // when a cold engine may get its next request
-	sign        time.Time // when this gateway last had a byte from it
+	hash          uint64 // of the incarnation
+	own           Load   // this gateway's requests
+	others        Load   // other gateways' requests, as they last told
+	read          rate   // prompt tokens that this gateway has sent
+	kept          kept
+	failing       fading    // share of requests that failed
+	misdirected   bool      // another incarnation answers at its address
+	misdirectedAt time.Time // when this gateway saw it itself
+	unreached     int       // failed connections in a row
+	unreachedAt   time.Time
+	avoidUntil    time.Time
+	warmNext      time.Time // when a cold engine may get its next request
+	sign          time.Time // when this gateway last had a byte from it
 }
 
 // load gives all that the engine is known to do.
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -110,7 +110,7 @@
 	case Shed:
 		e.avoidUntil = now.Add(shedTime)
 	case Misdirected:
-		e.misdirected = true
+		e.misdirected, e.misdirectedAt = true, now
 		d.Log.Warn("engine replaced", zap.String("engine", e.ID), zap.String("address", e.Address))
 	case Abandoned:
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -145,7 +145,7 @@
 		ReadHeaderTimeout: s.Limits.HeaderTime,
 		IdleTimeout:       idleTime,
 		MaxHeaderBytes:    s.Limits.HeaderBytes,
-		ErrorLog:          zap.NewStdLog(s.Log.Named("http")),
+		ErrorLog:          telemetry.HTTPErrors(s.Log),
 	}
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -158,7 +158,7 @@
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       idleTime,
 		MaxHeaderBytes:    headerBytes,
-		ErrorLog:          zap.NewStdLog(s.Log.Named("http")),
+		ErrorLog:          telemetry.HTTPErrors(s.Log),
 	}
 }
 
