Examples of settings for hosts that find each other by seeds; the demo runs them

Cause: the settings of a control host and a gateway stood in a test and a template only, and make demo ran none of these roles. Change: examples/members, read by a test; the demo ends with three control hosts and three gateways on loopback, harmed for 5 s. Ruled out: a second script of its own, for the soak starts such hosts already. Conclusion: whoever clones it sees both ways run.

--- a/examples/demo-steps.sh
+++ b/examples/demo-steps.sh
@@ -89,4 +89,7 @@
 for n in 1 2 3 4 5 6; do wait "${streams[n]}"; done
 echo "streams that ended with their last event: $(grep -l '^data: \[DONE\]' "$stream".* | wc -l) of 6"
 ops history
+say "hosts that find each other by seeds: three control hosts and three gateways, harmed for 5 s"
+"$bin/linenscale-soak" --program "$bin/linenscaled" --seed 1 --time 5s --gateways 1 --engines 1
+
 say "done"
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -83,6 +83,15 @@
 	}
 }
 
+func TestExamplesOfMembersAreSound(t *testing.T) {
+	control, err := settings.ReadMember("../examples/members/control.yaml")
+	must.NoError(t, err)
+	gateway, err := settings.ReadMember("../examples/members/gateway.yaml")
+	must.NoError(t, err)
+	must.SliceContains(t, gateway.SeedPeers(), control.Peer())
+	must.Eq(t, control.Regions, gateway.Regions)
+}
+
 func FuzzParse(f *testing.F) {
 	data, err := os.ReadFile("testdata/faults.yaml")
 	if err != nil {
