Ask far control hosts seldom; make lists and packed states once for each change

Cause, by a profile of control hosts and gateways at 300 hosts: for each question a control host looked through all hosts and engines though nothing had changed, sorted all gateways for each caller of the directory, and compressed the state anew for each host that fetched it (a config in quick succession is fetched 300 times); a gateway joined the lists of six control hosts ten times a second. All of it grows with the square of the hosts.

Change: what is asked for unchanged is answered at once; the sorted list, the packed state and the joined list are made once for each change; a gateway lets its questions to control hosts of other regions stand for 1.5 s while one of its own region answers, which is 333 instead of 600 questions a second at each of six control hosts. News comes as soon as before. Ruled out for now: following those of the own region only; a region whose control hosts are cut off from the others would get no change.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -46,6 +46,8 @@
 	// hostSilence is how long a host may be silent before it is taken off
 	// the roster: three questions.
 	hostSilence = 2 * time.Second
+	// hostSlack is how much longer a host may be silent than it lets a question stand.
+	hostSlack = 1500 * time.Millisecond
 	// voterSilence is how long a voter may be silent before a spare takes its
 	// place.
 	voterSilence = 2 * time.Second
@@ -106,6 +108,9 @@
 	table    atomic.Pointer[catalog.Table] // of the ledger's state
 	notes    *disk.Pair                    // engines that were known
 
+	packing sync.Mutex
+	pack    follow.StateReply // of the last state that was asked for
+
 	mu      sync.Mutex
 	told    map[string]told // by gateway
 	changed chan struct{}   // closed with the ledger's next change
@@ -115,7 +120,7 @@
 type told struct {
 	number uint64
 	region string
-	at     time.Time
+	until  time.Time // when it counts as silent, if it asks no more
 }
 
 // New opens the ledger's replica and makes a controller.
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -52,7 +52,7 @@
 	defer c.mu.Unlock()
 	now := c.Clock()
 	for _, t := range c.told {
-		if now.Sub(t.at) < hostSilence && t.number < number && (region == "" || t.region == region) {
+		if now.Before(t.until) && t.number < number && (region == "" || t.region == region) {
 			return true
 		}
 	}
--- a/controller/service.go
+++ b/controller/service.go
@@ -27,14 +27,15 @@
 // Sync hears a host and answers when something is new for it.
 func (s *Service) Sync(args follow.SyncArgs, reply *follow.SyncReply) error {
 	c := s.controller
-	if c.roster.Hear(args.Self) {
+	wait := min(args.Wait, follow.FarWait)
+	if c.roster.HearFor(args.Self, patience(wait)) {
 		c.Log.Info("host heard", zap.String("host", args.Self.Name), zap.String("role", string(args.Self.Role)), zap.String("life", args.Self.Life), zap.String("replica", args.Self.Replica))
 	}
 	if args.Life != c.Self.Life {
 		args.Engines, args.Roster = 0, 0
 	}
 	c.noteTold(args)
-	until := time.Now().Add(min(args.Wait, follow.SyncWait))
+	until := time.Now().Add(wait)
 	gathered := args.Wait == 0
 	for {
 		news := c.news()
@@ -51,7 +52,7 @@
 		case <-s.ctx.Done():
 			return nil
 		case <-time.After(time.Until(until)):
-			c.roster.Hear(args.Self)
+			c.roster.HearFor(args.Self, patience(wait))
 			return nil
 		case <-news.roster:
 		case <-news.engines:
@@ -60,6 +61,10 @@
 	}
 }
 
+// patience gives how long a host that lets its questions stand for so long may be
+// silent: it may just have lost one.
+func patience(wait time.Duration) time.Duration { return max(hostSilence, wait+hostSlack) }
+
 // news are channels that are closed with the next change of each kind.
 type news struct{ roster, engines, ledger <-chan struct{} }
 
@@ -80,7 +85,7 @@
 		delete(c.told, args.Self.Name)
 		return
 	}
-	c.told[args.Self.Name] = told{args.Engines, args.Self.Region, c.Clock()}
+	c.told[args.Self.Name] = told{args.Engines, args.Self.Region, c.Clock().Add(patience(args.Wait))}
 }
 
 // sync gives what is new for the caller.
@@ -101,12 +106,28 @@
 
 // State gives the ledger's state as it has been applied here.
 func (s *Service) State(_ follow.StateArgs, reply *follow.StateReply) error {
-	state := s.controller.machine.State()
-	data, err := ledger.Pack(state.WithoutSource())
-	reply.Index, reply.State = state.Index, data
+	var err error
+	*reply, err = s.controller.packed()
 	return err
 }
 
+// packed gives the packed state. It is packed once for each change: every host fetches
+// it, and to compress it takes 1 ms.
+func (c *Controller) packed() (follow.StateReply, error) {
+	c.packing.Lock()
+	defer c.packing.Unlock()
+	state := c.machine.State()
+	if c.pack.State != nil && c.pack.Index == state.Index {
+		return c.pack, nil
+	}
+	data, err := ledger.Pack(state.WithoutSource())
+	if err != nil {
+		return follow.StateReply{}, errors.Trace(err)
+	}
+	c.pack = follow.StateReply{Index: state.Index, State: data}
+	return c.pack, nil
+}
+
 // Propose proposes a command, if this host leads.
 func (s *Service) Propose(args follow.ProposeArgs, reply *ledger.Result) error {
 	ctx, cancel := context.WithTimeout(s.ctx, answerTime)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -39,6 +39,11 @@
 	// SyncWait is how long a control host may hold a question. It bounds the
 	// age of a host's heartbeat, and with it how fast a lost host is noticed.
 	SyncWait = 500 * time.Millisecond
+	// FarWait is the same for a control host of another region that is asked by a
+	// gateway, while one of its own region answers: news comes as soon, and before 300
+	// gateways of three regions each control host answers 330 questions a second
+	// instead of 600.
+	FarWait = 1500 * time.Millisecond
 	// syncSlack is how much longer an answer may take before the connection
 	// counts as dead: a round trip between regions, and a slow processor.
 	syncSlack = 900 * time.Millisecond
@@ -50,9 +55,6 @@
 	// farPatience is how long a far control host that is ahead is passed over
 	// in favour of a near one, because bytes between regions cost money.
 	farPatience = 300 * time.Millisecond
-	// contactTime is how old the last answer of a control host that is in
-	// touch may be.
-	contactTime = SyncWait + syncSlack
 	// forgetTime is how long a control host that no seed and no roster names
 	// is still asked.
 	forgetTime = 15 * time.Second
@@ -84,6 +86,7 @@
 	gateways []roster.Host     // as of listed
 	regions  map[string]string // by the IP number of a host, as of listed
 	listed   time.Time
+	listedOf []teller
 }
 
 // link is what is known of one control host.
@@ -92,11 +95,14 @@
 	cancel   context.CancelFunc
 	named    time.Time // when a seed or a roster last named it
 	answered time.Time
-	host     roster.Host // as rosters tell, zero while unknown
+	wait     time.Duration // for which it holds questions
+	host     roster.Host   // as rosters tell, zero while unknown
 	life     string
 	number   uint64
 	roster   uint64
+	rosters  int                    // changes of hosts so far
 	hosts    map[string]roster.Host // by name
+	controls []roster.Host          // of those, the control hosts
 	ahead    time.Time              // since when it has had a newer state
 	down     bool                   // its loss has been logged
 }
@@ -152,10 +158,8 @@
 		out[seed] = roster.Host{}
 	}
 	for _, l := range f.links {
-		for _, h := range l.hosts {
-			if h.Role == roster.RoleControl {
-				out[h.Peer] = h
-			}
+		for _, h := range l.controls {
+			out[h.Peer] = h
 		}
 	}
 	return out
@@ -182,7 +186,8 @@
 	self := f.Self()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	args := SyncArgs{Self: self, Life: l.life, Engines: l.number, Index: f.state.Index, Roster: l.roster, Wait: SyncWait}
+	l.wait = f.holding(l, self)
+	args := SyncArgs{Self: self, Life: l.life, Engines: l.number, Index: f.state.Index, Roster: l.roster, Wait: l.wait}
 	if l.life == "" || !l.ahead.IsZero() {
 		args.Wait = 0
 	}
@@ -192,11 +197,33 @@
 	return args
 }
 
+// holding gives how long a control host should hold a question. The lock is held.
+func (f *Follower) holding(l *link, self roster.Host) time.Duration {
+	if f.Took == nil || l.host.Region == "" || l.host.Region == self.Region {
+		return SyncWait
+	}
+	now := f.Clock()
+	for _, near := range f.links {
+		if near.host.Region == self.Region && near.inTouch(now) {
+			return FarWait
+		}
+	}
+	return SyncWait
+}
+
+// silence gives how old the last answer of a control host that is in touch may be.
+func (l *link) silence() time.Duration { return max(l.wait, SyncWait) + syncSlack }
+
+// inTouch tells whether the control host has answered lately.
+func (l *link) inTouch(now time.Time) bool {
+	return l.life != "" && now.Sub(l.answered) <= l.silence()
+}
+
 // lost notes that a control host did not answer.
 func (f *Follower) lost(l *link, cause error) {
 	f.mu.Lock()
 	age := f.Clock().Sub(l.answered)
-	first := !l.down && age > contactTime
+	first := !l.down && age > l.silence()
 	l.down = l.down || first
 	f.mu.Unlock()
 	if first {
@@ -227,6 +254,10 @@
 // takeHosts takes over which hosts the control host hears. A control host that
 // has started anew tells all of them.
 func (l *link) takeHosts(reply SyncReply, anew bool) {
+	if !anew && l.hosts != nil && reply.Roster == l.roster {
+		return
+	}
+	l.rosters++
 	if anew || l.hosts == nil {
 		l.hosts = make(map[string]roster.Host)
 	}
@@ -237,6 +268,12 @@
 		delete(l.hosts, name)
 	}
 	l.roster = reply.Roster
+	l.controls = l.controls[:0]
+	for _, h := range l.hosts {
+		if h.Role == roster.RoleControl {
+			l.controls = append(l.controls, h)
+		}
+	}
 }
 
 // worthFetching tells whether to fetch the state from a control host that has a
@@ -254,7 +291,7 @@
 		return true
 	}
 	for _, other := range f.links {
-		if other.host.Region == region && now.Sub(other.answered) < contactTime {
+		if other.host.Region == region && other.inTouch(now) {
 			return false
 		}
 	}
@@ -341,38 +378,58 @@
 	return ip
 }
 
-// list makes the lists of hosts anew where they are too old. The lock is held.
+// list makes the lists of hosts anew where something has changed since they were made:
+// to join what six control hosts tell of 300 takes 0.5 ms of a processor. The lock is
+// held.
 func (f *Follower) list() {
 	now := f.Clock()
 	if now.Sub(f.listed) < listsLife {
 		return
 	}
 	f.listed = now
+	telling := f.telling(now)
+	if slices.Equal(telling, f.listedOf) {
+		return
+	}
+	f.listedOf = telling
 	newest := make(map[string]roster.Host)
 	regions := make(map[string]string)
-	inTouch := false
-	for _, l := range f.links {
-		// One that is gone would name for ever the gateways that went after it.
-		if l.life == "" || now.Sub(l.answered) > contactTime {
-			continue
-		}
-		inTouch = true
-		for name, h := range l.hosts {
+	for _, t := range telling {
+		for name, h := range t.link.hosts {
 			regions[ipOf(h.Peer)] = h.Region
 			if h.Role != roster.RoleGateway {
 				continue
 			}
-			h.Heard = l.answered
+			h.Heard = t.link.answered
 			if known, ok := newest[name]; !ok || h.Heard.After(known.Heard) {
 				newest[name] = h
 			}
 		}
 	}
-	if inTouch {
+	if len(telling) > 0 {
 		f.regions = regions
 		f.gateways = slices.SortedFunc(maps.Values(newest), func(a, b roster.Host) int { return strings.Compare(a.Name, b.Name) })
 	}
 }
 
+// teller is a control host in touch, and how often the hosts that it names had changed.
+type teller struct {
+	link    *link
+	rosters int
+}
+
+// telling gives the control hosts in touch, in the order of their addresses. One that
+// is gone would name for ever the gateways that went after it. The lock is held.
+func (f *Follower) telling(now time.Time) []teller {
+	var out []teller
+	for _, l := range f.links {
+		if l.inTouch(now) {
+			out = append(out, teller{l, l.rosters})
+		}
+	}
+	slices.SortFunc(out, func(a, b teller) int { return strings.Compare(a.link.address, b.link.address) })
+	return out
+}
+
 // ErrNoLeader says that no control host leads, as far as is known here.
 var ErrNoLeader = errors.New("no leader of the ledger is known")
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -290,6 +290,9 @@
 func (t *Table) Since(number uint64, wanted func(dataCentre string) bool) ([]Engine, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if number == t.changes {
+		return nil, number
+	}
 	var out []Engine
 	for _, e := range t.engines {
 		if e.change > number && (e.DataCentre == "" || wanted(e.DataCentre)) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -49,12 +49,14 @@
 	hosts   map[string]*entry
 	changes uint64
 	changed chan struct{}
+	sorted  map[Role][]Host // as of the last change
 }
 
 type entry struct {
 	Host
-	gone   bool
-	change uint64 // number of its last change
+	patience time.Duration // for which it may be silent
+	gone     bool
+	change   uint64 // number of its last change
 }
 
 // New makes an empty roster.
@@ -64,7 +66,11 @@
 
 // Hear notes a host's own word. It tells whether the host is new, or has
 // started anew.
-func (r *Roster) Hear(h Host) bool {
+func (r *Roster) Hear(h Host) bool { return r.HearFor(h, 0) }
+
+// HearFor is Hear for a host that tells of itself less often than others: it may be
+// silent for that long.
+func (r *Roster) HearFor(h Host, patience time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h.Heard = r.clock()
@@ -74,7 +80,7 @@
 		r.hosts[h.Name] = known
 	}
 	old, back := known.Host, known.gone
-	known.Host, known.gone = h, false
+	known.Host, known.patience, known.gone = h, patience, false
 	if back || !alike(old, h) {
 		r.note(known)
 	}
@@ -91,12 +97,13 @@
 func (r *Roster) note(e *entry) {
 	r.changes++
 	e.change = r.changes
+	r.sorted = nil
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
-// Expire takes the hosts off that were not heard for the given time, and gives
-// them.
+// Expire takes the hosts off that were not heard for the given time, or for as long as
+// they may be silent, and gives them.
 func (r *Roster) Expire(after time.Duration) []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -105,7 +112,7 @@
 	for name, e := range r.hosts {
 		age := now.Sub(e.Heard)
 		switch {
-		case !e.gone && age > after:
+		case !e.gone && age > max(after, e.patience):
 			e.gone = true
 			r.note(e)
 			gone = append(gone, e.Host)
@@ -123,18 +130,29 @@
 	return r.changed
 }
 
-// Hosts gives the hosts of a role in the order of their names.
+// Hosts gives the hosts of a role in the order of their names, as they were when one of
+// them last changed. The list must not be changed. It is made once for each change: to
+// sort 300 hosts takes 60 us, and each caller asks which gateways to use.
 func (r *Roster) Hosts(role Role) []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []Host
+	if r.sorted == nil {
+		r.sort()
+	}
+	return r.sorted[role]
+}
+
+// sort lists the hosts afresh. The lock is held.
+func (r *Roster) sort() {
+	r.sorted = make(map[Role][]Host)
 	for _, e := range r.hosts {
-		if e.Role == role && !e.gone {
-			out = append(out, e.Host)
+		if !e.gone {
+			r.sorted[e.Role] = append(r.sorted[e.Role], e.Host)
 		}
 	}
-	slices.SortFunc(out, func(a, b Host) int { return strings.Compare(a.Name, b.Name) })
-	return out
+	for _, hosts := range r.sorted {
+		slices.SortFunc(hosts, func(a, b Host) int { return strings.Compare(a.Name, b.Name) })
+	}
 }
 
 // Since gives the hosts that came or changed after the number, the names of
@@ -142,6 +160,9 @@
 func (r *Roster) Since(number uint64) (hosts []Host, gone []string, upTo uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if number == r.changes {
+		return nil, nil, number
+	}
 	for name, e := range r.hosts {
 		switch {
 		case e.change <= number:
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -50,3 +50,18 @@
 	must.SliceLen(t, 1, hosts)
 	must.SliceEmpty(t, gone)
 }
+
+// TestAHostThatTellsSeldomIsKeptForLonger lets two hosts fall silent.
+func TestAHostThatTellsSeldomIsKeptForLonger(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := roster.New(func() time.Time { return now })
+	r.Hear(roster.Host{Name: "near", Role: roster.RoleGateway})
+	r.HearFor(roster.Host{Name: "far", Role: roster.RoleGateway}, 3*time.Second)
+	now = now.Add(2500 * time.Millisecond)
+	gone := r.Expire(2 * time.Second)
+	must.SliceLen(t, 1, gone)
+	must.Eq(t, "near", gone[0].Name)
+	must.SliceLen(t, 1, r.Hosts(roster.RoleGateway))
+	now = now.Add(time.Second)
+	must.SliceLen(t, 1, r.Expire(2*time.Second))
+}
