--- a/controller/controller.go
+++ b/controller/controller.go
@@ -63,9 +63,9 @@
 	// one by one, which costs a control host of half a core seconds. It is short
 	// beside the 450 ms within which an engine that drains is told of.
 	GatherTime = 50 * time.Millisecond
-	// drainTold bounds the wait until the gateways know that an engine
+	// DrainTold bounds, as a rule, the wait until the gateways know that an engine
 	// drains, well within the second that engines wait for an answer.
-	drainTold = 450 * time.Millisecond
+	DrainTold = 450 * time.Millisecond
 )
 
 // Errors of commands and reads.
@@ -86,6 +86,7 @@
 	Regions   map[string]string   // by data centre
 	Heartbeat time.Duration       // of engines
 	Gather    time.Duration       // how long changes of hosts and engines are gathered before a host is told
+	Told      time.Duration       // how long an engine that drains waits at most until gateways know
 	Seeds     func() []string     // peer addresses
 	Calls     *wire.Client        // for questions that wait
 	Commands  *wire.Client        // for everything else
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -22,7 +22,7 @@
 			zap.String("data_centre", e.DataCentre), zap.Stringer("phase", e.Phase), zap.Int64("sequence", e.Sequence), zap.Duration("cold_for", max(0, e.ColdUntil.Sub(c.Clock()))))
 	}
 	if e.Phase == registry.Draining {
-		c.tell(ctx, e.DataCentre)
+		c.tell(ctx, e.ID, e.DataCentre)
 	}
 	return c.nearer(c.Regions[e.DataCentre])
 }
@@ -32,31 +32,41 @@
 	c.engines.Leave(id)
 	e, _ := c.engines.Get(id)
 	c.Log.Info("engine left", zap.String("engine", id), zap.String("service", e.Service), zap.String("address", e.Address))
-	c.tell(ctx, e.DataCentre)
+	c.tell(ctx, id, e.DataCentre)
 }
 
 // tell waits until the gateways of the data centre's region that are in touch
-// have confirmed all changes so far, or drainTold has passed.
-func (c *Controller) tell(ctx context.Context, dataCentre string) {
+// have confirmed all changes so far, or Told has passed.
+func (c *Controller) tell(ctx context.Context, engine, dataCentre string) {
 	number := c.engines.Number()
-	until := c.Clock().Add(drainTold)
-	for ctx.Err() == nil && c.Clock().Before(until) && c.untold(number, c.Regions[dataCentre]) {
+	began := c.Clock()
+	until := began.Add(c.Told)
+	untold := c.untold(number, c.Regions[dataCentre])
+	for ctx.Err() == nil && c.Clock().Before(until) && len(untold) > 0 {
 		duty.Pause(ctx, 5*time.Millisecond)
+		untold = c.untold(number, c.Regions[dataCentre])
 	}
+	fields := []zap.Field{zap.String("engine", engine), zap.Uint64("number", number), zap.Duration("waited", c.Clock().Sub(began))}
+	if len(untold) > 0 {
+		c.Log.Warn("acknowledged before all gateways knew", append(fields, zap.Int("gateways", len(untold)), zap.String("one", untold[0]))...)
+		return
+	}
+	c.Log.Info("gateways know", fields...)
 }
 
-// untold tells whether a gateway of the region, or any if it is "", that is in
-// touch has not confirmed the changes up to number.
-func (c *Controller) untold(number uint64, region string) bool {
+// untold lists the gateways of the region, or of any if it is "", that are in touch
+// and have not confirmed the changes up to number.
+func (c *Controller) untold(number uint64, region string) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock()
-	for _, t := range c.told {
+	var out []string
+	for name, t := range c.told {
 		if now.Before(t.until) && t.number < number && (region == "" || t.region == region) {
-			return true
+			out = append(out, name)
 		}
 	}
-	return false
+	return out
 }
 
 // nearer gives the operators' address of a control host in the region, if this
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -191,7 +191,7 @@
 	sender := wire.NewSender[raft.Envelope](m.dialer(true), follow.Service+".Deliver")
 	c, err := controller.New(controller.Deps{
 		Self: m.self(), Replica: id, Folder: folder, Voters: m.settings.Voters(), Regions: m.settings.Regions,
-		Heartbeat: m.settings.Heartbeat, Gather: controller.GatherTime, Seeds: m.seedPeers, Calls: m.calls, Commands: m.commands,
+		Heartbeat: m.settings.Heartbeat, Gather: controller.GatherTime, Told: controller.DrainTold, Seeds: m.seedPeers, Calls: m.calls, Commands: m.commands,
 		Send: func(e raft.Envelope) { sender.Post(controller.PeerOf(e.To), e) },
 		Log:  m.log, Clock: time.Now, Seed: rand.Uint64(),
 	})
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -21,7 +21,7 @@
 // control is a control host with a ledger, on which nothing changes.
 type control struct {
 	asked atomic.Int64
-	wait  atomic.Int64 // that was last asked for
+	wait  atomic.Int64  // that was last asked for
 	hosts []roster.Host // that it names
 }
 
