--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -298,7 +298,7 @@
 	gone := hosts[2]
 	gone.stop()
 	ip := strings.TrimSuffix(gone.ip, "3") + "9"
-	successor := &host{t: t, network: n, ip: ip, centre: "c", seeds: gone.seeds, folder: disk.NewMemory(), id: raft.ID(peer(ip) + "#x")}
+	successor := &host{t: t, network: n, ip: ip, centre: "c", seeds: gone.seeds, folder: disk.NewMemory(), told: patience, log: zap.NewNop(), id: raft.ID(peer(ip) + "#x")}
 	successor.start()
 	within(t, patience, "the successor votes and the lost one doesn't", func() bool {
 		members := hosts[0].c.Members()
