Tell leaders of another region that stand in different data centres

Cause, found by reading: a region's word went to the leaders of the first three groups of another region, in the order of data centres, which with 50 gateways in each are all of one. Had that data centre been lost or cut off, the region would have believed nothing of the others for the 2 to 3 s until the roster names it no more. Change: the three are spread over the groups. The test fails on the code before (one data centre of two).

--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -14,10 +14,10 @@
 
 const (
 	// deadTold is for how long a gateway tells that it couldn't reach an engine:
-	// one or two words.
+	// some five reports, each of which may be lost.
 	deadTold = 500 * time.Millisecond
-	// goneTold is for how long it tells of an engine that was replaced: a few words,
-	// since each may be lost, and it is for good.
+	// goneTold is the same for an engine that was replaced: for longer, since it is for
+	// good.
 	goneTold = time.Second
 	// deadBelieved is for how long the others avoid the engine then. After it
 	// each may try for itself: the way may be cut for one gateway only.
--- a/rollup/group.go
+++ b/rollup/group.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"math"
 	"math/bits"
 	"slices"
 
@@ -61,8 +60,8 @@
 // groups is a power of two, so that the ranges of different numbers lie within each
 // other.
 func groupOf(h roster.Host, gateways int) Group {
-	most := max(0, gateways-1) / mostMembers
-	width := 32 - bits.Len(uint(most))
+	halvings := bits.Len(uint(max(0, gateways-1) / mostMembers))
+	width := 32 - halvings
 	low := uint32(uint64(hashOf(h.Name)) >> width << width)
 	return Group{DataCentre: h.DataCentre, Low: low, High: low + uint32(1<<width-1)}
 }
@@ -132,16 +131,16 @@
 }
 
 // FarLeaders gives the addresses of those gateways of another region that tell the
-// others there.
+// others there. They are spread over its groups, and so over its data centres.
 func FarLeaders(hosts []roster.Host, region string) []string {
 	v := newView(roster.Host{}, hosts, region)
-	most := farLeaders
+	most := min(len(v.others), farLeaders)
 	if v.few {
-		most = math.MaxInt
+		most = len(v.others)
 	}
 	var out []string
-	for _, p := range v.others[:min(len(v.others), most)] {
-		out = append(out, p.hosts[0].Peer)
+	for i := range most {
+		out = append(out, v.others[i*len(v.others)/most].hosts[0].Peer)
 	}
 	return out
 }
--- a/rollup/rollup_test.go
+++ b/rollup/rollup_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -90,7 +91,7 @@
 	return loads[engine].Requests
 }
 
-// sums lists the gateways that sum their groups.
+// leaders lists the gateways that sum their groups.
 func (r *region) leaders() []string {
 	var out []string
 	for _, h := range r.hosts {
@@ -228,6 +229,13 @@
 	r.pass(500 * time.Millisecond)
 	to := rollup.FarLeaders(r.hosts, "here")
 	must.SliceLen(t, 3, to)
+	centres := map[string]bool{}
+	for _, h := range r.hosts {
+		if slices.Contains(to, h.Peer) {
+			centres[h.DataCentre] = true
+		}
+	}
+	must.MapLen(t, 2, centres, must.Sprint("the loss of a data centre leaves one of them"))
 	word := rollup.Message{From: "far", Far: []rollup.FarWord{{Region: "there", Body: []byte("x")}}}
 	for _, peer := range to {
 		must.SliceLen(t, 1, r.boards[peer].Hear(word))
