Client accounts: keys under a freshness lease, allowances over all gateways, homes

Change: catalog declares accounts, checked, keys as digests only; ingress identifies them before the body is read and serves keys only while it is sure up to when its catalog holds, measured from its own question to a control host that confirmed with the leader's majority; package allowance keeps a bucket of the whole system, told of the others by package rollup. Far control hosts are asked briefly: they tell no hosts and engines; control hosts tell each other only what they heard themselves; a drain heard far away is told by a control host of the engine's region.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -23,6 +23,7 @@
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
+	Accounts []Account `json:"accounts,omitempty"` // none: nobody needs a key
 }
 
 // Route tells which requests go to which service, and how.
@@ -40,6 +41,7 @@
 	Affinity  bool          `json:"affinity,omitempty"`  // prompts share prefixes that engines keep
 	Resumable bool          `json:"resumable,omitempty"` // a stream may go on at another engine
 	Homes     []string      `json:"homes,omitempty"`     // regions it may run in; none: any
+	Public    bool          `json:"public,omitempty"`    // needs no key where the catalog has accounts
 }
 
 // Backend is a share of a route's requests.
@@ -106,11 +108,12 @@
 	catalog  Catalog
 	hosts    map[string][]Route // by host, the longest prefix first
 	services map[string]Service
+	keys     map[KeyDigest]int // of accounts, by key
 }
 
 // NewTable indexes a catalog.
 func NewTable(c Catalog) *Table {
-	t := &Table{catalog: c, hosts: make(map[string][]Route), services: make(map[string]Service, len(c.Services))}
+	t := &Table{catalog: c, hosts: make(map[string][]Route), services: make(map[string]Service, len(c.Services)), keys: make(map[KeyDigest]int)}
 	for _, r := range c.Routes {
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
 	}
@@ -120,6 +123,11 @@
 	for _, s := range c.Services {
 		t.services[s.Name] = s
 	}
+	for i, a := range c.Accounts {
+		for _, key := range a.Keys {
+			t.keys[key] = i
+		}
+	}
 	return t
 }
 
--- a/catalog/check.go
+++ b/catalog/check.go
@@ -17,7 +17,7 @@
 
 // Check tells what is wrong with a catalog; the error is an *InvalidError.
 func (c Catalog) Check() error {
-	k := checker{services: make(map[string]bool), places: make(map[string]string)}
+	k := checker{services: make(map[string]bool), places: make(map[string]string), accounts: make(map[string]bool), keys: make(map[KeyDigest]string)}
 	if c.Version <= 0 {
 		k.faultf("the version is %d, must be more than 0", c.Version)
 	}
@@ -27,6 +27,9 @@
 	for _, r := range c.Routes {
 		k.route(r)
 	}
+	for _, a := range c.Accounts {
+		k.account(a)
+	}
 	if len(k.faults) > 0 {
 		return &InvalidError{k.faults}
 	}
@@ -36,6 +39,8 @@
 type checker struct {
 	services map[string]bool
 	places   map[string]string // route names by host and prefix
+	accounts map[string]bool
+	keys     map[KeyDigest]string // account names by key
 	faults   []string
 }
 
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -93,6 +93,8 @@
 	Send      func(raft.Envelope) // must not block
 	Log       *zap.Logger
 	Clock     func() time.Time
+	Steady    func() time.Duration // a clock that goes on while the host is frozen
+	Strict    bool                 // keys are to be revoked in time
 	Seed      uint64
 }
 
@@ -108,16 +110,17 @@
 	began    time.Time
 	table    atomic.Pointer[catalog.Table] // of the ledger's state
 	notes    *disk.Pair                    // engines that were known
+	sure     surety
 
 	packing sync.Mutex
 	pack    follow.StateReply // of the last state that was asked for
 
 	mu      sync.Mutex
-	told    map[string]told // by gateway
+	told    map[string]told // by gateway, and by control host
 	changed chan struct{}   // closed with the ledger's next change
 }
 
-// told is up to which number a gateway has confirmed the engines.
+// told is up to which number a host has confirmed the engines.
 type told struct {
 	number uint64
 	region string
@@ -143,7 +146,7 @@
 		return nil, errors.Annotate(err, "ledger")
 	}
 	c.follower = follow.New(follow.Deps{
-		Self: c.self, Seeds: deps.Seeds, Calls: deps.Calls, Engines: c.engines, Log: deps.Log, Clock: deps.Clock,
+		Self: c.self, Seeds: deps.Seeds, Calls: deps.Calls, Engines: c.engines, Log: deps.Log, Clock: deps.Clock, Steady: deps.Steady,
 	})
 	return c, nil
 }
@@ -166,6 +169,7 @@
 	group.Go(voters.New(c.replica, c.spares, voters.Policy{Wanted: c.Voters, LostAfter: voterSilence, Standby: true}, c.Log).Run)
 	group.Go(c.tidy)
 	group.Go(c.noteEngines)
+	group.Go(c.keepSure)
 	c.roster.Hear(c.self())
 	return group.Wait()
 }
@@ -206,11 +210,16 @@
 // ledgerChanged is called by the replica with each new state.
 func (c *Controller) ledgerChanged(s ledger.State) {
 	c.table.Store(catalog.NewTable(s.Catalog))
+	c.announce()
+	c.Log.Info("ledger applied", zap.Uint64("index", s.Index), zap.Int64("version", s.Catalog.Version), zap.Strings("evacuated", s.Evacuated))
+}
+
+// announce wakes those who wait for news of the ledger.
+func (c *Controller) announce() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	close(c.changed)
 	c.changed = make(chan struct{})
-	c.mu.Unlock()
-	c.Log.Info("ledger applied", zap.Uint64("index", s.Index), zap.Int64("version", s.Catalog.Version), zap.Strings("evacuated", s.Evacuated))
 }
 
 // tidy is the duty that notices who has fallen silent.
@@ -308,6 +317,18 @@
 // Read gives the newest state: every command that was accepted before the call
 // is in it. The error is ErrUnavailable, or ErrEmpty where no catalog holds.
 func (c *Controller) Read(ctx context.Context) (ledger.State, error) {
+	err := c.confirm(ctx)
+	state := c.machine.State()
+	if err == nil && state.Catalog.Version == 0 {
+		err = ErrEmpty
+	}
+	c.Log.Info("catalog read", zap.Int64("version", state.Catalog.Version), zap.Uint64("index", state.Index), telemetry.Cause(err))
+	return state, err
+}
+
+// confirm waits until everything that was accepted before the call has been applied
+// here. The error is ErrUnavailable.
+func (c *Controller) confirm(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
 	var reply follow.ReadReply
@@ -324,12 +345,7 @@
 			err = ErrUnavailable
 		}
 	}
-	state := c.machine.State()
-	if err == nil && state.Catalog.Version == 0 {
-		err = ErrEmpty
-	}
-	c.Log.Info("catalog read", zap.Int64("version", state.Catalog.Version), zap.Uint64("confirmed_index", reply.Index), telemetry.Cause(err))
-	return state, err
+	return err
 }
 
 // readIndex gives an index up to which everything accepted so far reaches.
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -20,6 +20,7 @@
 	"github.com/linenscale/linenscale/controller"
 	"github.com/linenscale/linenscale/disk"
 	"github.com/linenscale/linenscale/follow"
+	"github.com/linenscale/linenscale/internal/steady"
 	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/raft"
 	"github.com/linenscale/linenscale/registry"
@@ -156,7 +157,7 @@
 		Replica: h.id, Folder: h.folder, Voters: 3, Regions: regions, Heartbeat: 300 * time.Millisecond, Gather: h.gather, Told: h.told,
 		Seeds: func() []string { return h.seeds }, Calls: wire.NewClient(dialer{h.network, h.ip}), Commands: wire.NewClient(dialer{h.network, h.ip}),
 		Send: func(e raft.Envelope) { sender.Post(controller.PeerOf(e.To), e) },
-		Log:  h.log, Clock: time.Now, Seed: uint64(h.life),
+		Log:  h.log, Clock: time.Now, Steady: steady.Now, Seed: uint64(h.life),
 	})
 	must.NoError(h.t, err)
 	server := wire.NewServer()
@@ -360,7 +361,7 @@
 			defer g.mu.Unlock()
 			g.states = append(g.states, s)
 		},
-		Log: zap.NewNop(), Clock: time.Now,
+		Log: zap.NewNop(), Clock: time.Now, Steady: steady.Now,
 	})
 	group := pool.New()
 	group.Go(func() { _ = g.follower.Run(ctx) })
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -8,9 +8,11 @@
 
 	"go.uber.org/zap"
 
+	"github.com/linenscale/linenscale/follow"
 	"github.com/linenscale/linenscale/internal/duty"
 	"github.com/linenscale/linenscale/registry"
 	"github.com/linenscale/linenscale/roster"
+	"github.com/linenscale/linenscale/telemetry"
 )
 
 // Beat takes an engine's heartbeat. It returns once the gateways concerned
@@ -35,9 +37,47 @@
 	c.tell(ctx, id, e.DataCentre)
 }
 
-// tell waits until the gateways of the data centre's region that are in touch
-// have confirmed all changes so far, or Told has passed.
+// tell waits until the gateways of the data centre's region that are in touch know of an
+// engine's end, or Told has passed. Gateways of other regions are told by the control
+// hosts there.
 func (c *Controller) tell(ctx context.Context, engine, dataCentre string) {
+	if region := c.Regions[dataCentre]; region != "" && region != c.Self.Region {
+		if host, ok := c.controlOf(region); ok {
+			c.tellThrough(ctx, host, engine)
+			return
+		}
+	}
+	c.tellHere(ctx, engine, dataCentre)
+}
+
+// controlOf gives a control host of a region.
+func (c *Controller) controlOf(region string) (roster.Host, bool) {
+	for _, h := range c.roster.Hosts(roster.RoleControl) {
+		if h.Region == region && !h.Stopping {
+			return h, true
+		}
+	}
+	return roster.Host{}, false
+}
+
+// tellThrough has a control host of the engine's own region tell the gateways there.
+func (c *Controller) tellThrough(ctx context.Context, host roster.Host, engine string) {
+	e, ok := c.engines.Get(engine)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Told)
+	defer cancel()
+	args := follow.TellArgs{Engine: follow.NewsOf([]registry.Engine{e}, c.Clock())[0]}
+	if err := c.Commands.Call(ctx, host.Peer, follow.Service+".Tell", args, &follow.Nothing{}); err != nil {
+		c.Log.Warn("acknowledged before all gateways knew", zap.String("engine", engine), zap.String("through", host.Name), telemetry.Cause(err))
+		return
+	}
+	c.Log.Info("gateways know", zap.String("engine", engine), zap.String("through", host.Name))
+}
+
+// tellHere is tell for the gateways that this control host tells itself.
+func (c *Controller) tellHere(ctx context.Context, engine, dataCentre string) {
 	number := c.engines.Number()
 	began := c.Clock()
 	until := began.Add(c.Told)
@@ -75,11 +115,6 @@
 	if region == "" || region == c.Self.Region {
 		return ""
 	}
-	hosts := c.roster.Hosts(roster.RoleControl)
-	for _, h := range hosts {
-		if h.Region == region && !h.Stopping {
-			return h.Operators
-		}
-	}
-	return ""
+	h, _ := c.controlOf(region)
+	return h.Operators
 }
--- a/controller/service.go
+++ b/controller/service.go
@@ -12,6 +12,7 @@
 	"github.com/linenscale/linenscale/follow"
 	"github.com/linenscale/linenscale/internal/duty"
 	"github.com/linenscale/linenscale/ledger"
+	"github.com/linenscale/linenscale/registry"
 	"github.com/linenscale/linenscale/roster"
 )
 
@@ -27,6 +28,7 @@
 // Sync hears a host and answers when something is new for it.
 func (s *Service) Sync(args follow.SyncArgs, reply *follow.SyncReply) error {
 	c := s.controller
+	received := c.Steady()
 	wait := min(args.Wait, follow.FarWait)
 	if c.roster.HearFor(args.Self, patience(wait)) {
 		c.Log.Info("host heard", zap.String("host", args.Self.Name), zap.String("role", string(args.Self.Role)), zap.String("life", args.Self.Life), zap.String("replica", args.Self.Replica))
@@ -38,8 +40,8 @@
 	until := time.Now().Add(wait)
 	gathered := args.Wait == 0
 	for {
-		news := c.news()
-		*reply = c.sync(args)
+		news := c.news(args.Brief)
+		*reply = c.sync(args, received)
 		switch {
 		case reply.News(args) && (gathered || reply.Urgent(args)):
 			return nil
@@ -68,15 +70,21 @@
 // news are channels that are closed with the next change of each kind.
 type news struct{ roster, engines, ledger <-chan struct{} }
 
-func (c *Controller) news() news {
+// news gives the channels that a question waits for; one that is brief only for the
+// ledger's.
+func (c *Controller) news(brief bool) news {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if brief {
+		return news{ledger: c.changed}
+	}
 	return news{c.roster.Changed(), c.engines.Changed(), c.changed}
 }
 
-// noteTold notes what a gateway has confirmed by asking for more.
+// noteTold notes what a host has confirmed by asking for more. Gateways of other
+// regions that ask briefly are told of engines by the control hosts there.
 func (c *Controller) noteTold(args follow.SyncArgs) {
-	if args.Self.Role != roster.RoleGateway {
+	if args.Brief {
 		return
 	}
 	c.mu.Lock()
@@ -89,11 +97,20 @@
 }
 
 // sync gives what is new for the caller.
-func (c *Controller) sync(args follow.SyncArgs) follow.SyncReply {
+func (c *Controller) sync(args follow.SyncArgs, received time.Duration) follow.SyncReply {
 	now := c.Clock()
-	reply := follow.SyncReply{Life: c.Self.Life, Index: c.machine.State().Index}
-	wanted := func(dataCentre string) bool {
-		return args.Self.Role == roster.RoleControl || c.Regions[dataCentre] == args.Self.Region
+	reply := follow.SyncReply{Life: c.Self.Life, Index: c.machine.State().Index, Sure: c.sure.tell(received, c.Steady())}
+	if args.Life != c.Self.Life {
+		reply.Self = c.self()
+	}
+	if args.Brief {
+		return reply
+	}
+	wanted := func(e registry.Engine) bool {
+		if args.Self.Role == roster.RoleControl {
+			return e.Source == c.Self.Life // each control host tells of what it heard itself
+		}
+		return e.DataCentre == "" || c.Regions[e.DataCentre] == args.Self.Region
 	}
 	engines, number := c.engines.Since(args.Engines, wanted)
 	reply.Engines, reply.Number = follow.NewsOf(engines, now), number
@@ -104,6 +121,17 @@
 	return reply
 }
 
+// Tell takes what a control host of another region has heard of an engine of this one,
+// and answers when the gateways here know.
+func (s *Service) Tell(args follow.TellArgs, _ *follow.Nothing) error {
+	ctx, cancel := context.WithTimeout(s.ctx, answerTime)
+	defer cancel()
+	e := args.Engine.Local(s.controller.Clock())
+	s.controller.engines.Merge([]registry.Engine{e})
+	s.controller.tellHere(ctx, e.ID, e.DataCentre)
+	return nil
+}
+
 // State gives the ledger's state as it has been applied here.
 func (s *Service) State(_ follow.StateArgs, reply *follow.StateReply) error {
 	var err error
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -17,12 +18,14 @@
 	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
+	"github.com/linenscale/linenscale/allowance"
 	"github.com/linenscale/linenscale/controller"
 	"github.com/linenscale/linenscale/disk"
 	"github.com/linenscale/linenscale/dispatch"
 	"github.com/linenscale/linenscale/follow"
 	"github.com/linenscale/linenscale/ingress"
 	"github.com/linenscale/linenscale/internal/duty"
+	"github.com/linenscale/linenscale/internal/steady"
 	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/platform"
 	"github.com/linenscale/linenscale/raft"
@@ -193,7 +196,7 @@
 		Self: m.self(), Replica: id, Folder: folder, Voters: m.settings.Voters(), Regions: m.settings.Regions,
 		Heartbeat: m.settings.Heartbeat, Gather: controller.GatherTime, Told: controller.DrainTold, Seeds: m.seedPeers, Calls: m.calls, Commands: m.commands,
 		Send: func(e raft.Envelope) { sender.Post(controller.PeerOf(e.To), e) },
-		Log:  m.log, Clock: time.Now, Seed: rand.Uint64(),
+		Log:  m.log, Clock: time.Now, Steady: steady.Now, Strict: m.settings.KeysRevokedWithin > 0, Seed: rand.Uint64(),
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -267,18 +270,22 @@
 			return now
 		},
 		Seeds: m.seedPeers, Calls: m.calls, Engines: engines,
-		Took: func(s ledger.State) { server.Take(s) }, Log: m.log, Clock: time.Now,
+		Took: func(s ledger.State) { server.Take(s) }, Log: m.log, Clock: time.Now, Steady: steady.Now,
 	})
 	m.regions.Store(follower)
+	regions := m.allRegions()
+	meter := allowance.New(allowance.Deps{Region: self.Region, Regions: regions, Policy: allowance.Policy(m.settings.Allowances), Random: rand.Uint64})
 	dispatcher = dispatch.New(dispatch.Deps{
 		Name: self.Name, Region: self.Region, DataCentre: self.DataCentre, Regions: m.settings.Regions, Engines: engines, Peers: follower.Gateways, Trip: m.trips.RoundTrip,
-		Budget: retry.Policy(m.settings.Retries), Log: m.log, Clock: time.Now,
+		Budget: retry.Policy(m.settings.Retries), Allowances: meter, Log: m.log, Clock: time.Now,
 	})
 	client := relay.New(m.engineDialer(), relay.Options{IdleTime: engineIdle})
 	server = ingress.New(ingress.Deps{
 		Self: self, Dialect: platform.Dialect{}, Dispatcher: dispatcher, Gateways: follower.Gateways,
 		Engines: client, Peers: relay.New(m.dialer(false), relay.Options{IdleTime: peerIdle}), Log: m.log, Metrics: m.metrics,
 		Random: rand.Uint64, StopTime: m.settings.StopTime - stopMargin,
+		Keys:       ingress.Keys{RevokedWithin: m.settings.KeysRevokedWithin, SureUntil: follower.SureUntil, Steady: steady.Now},
+		Allowances: meter, Regions: regions,
 	})
 	group.Go(follower.Run)
 	group.Go(func(ctx context.Context) error { return dispatchDuty(ctx, dispatcher, engines) })
@@ -296,6 +303,11 @@
 	return nil
 }
 
+// allRegions lists the regions of the settings, each once, in order.
+func (m *member) allRegions() []string {
+	return slices.Compact(slices.Sorted(maps.Values(m.settings.Regions)))
+}
+
 // dispatchDuty keeps the dispatcher up to date with the engines.
 func dispatchDuty(ctx context.Context, d *dispatch.Dispatcher, engines *registry.Table) error {
 	ticker := time.NewTicker(dispatchEvery)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/linenscale/linenscale/allowance"
 	"github.com/linenscale/linenscale/catalog"
 	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/registry"
@@ -27,28 +28,31 @@
 	// Trip gives the usual round trip to another region, and whether it is known.
 	Trip   func(region string) (time.Duration, bool)
 	Budget retry.Policy
-	Log    *zap.Logger
-	Clock  func() time.Time
+	// Allowances are told of what other gateways' callers do; nil where none are kept.
+	Allowances *allowance.Meter
+	Log        *zap.Logger
+	Clock      func() time.Time
 }
 
 // Dispatcher is safe for concurrent use. New makes one.
 type Dispatcher struct {
 	Deps
 
-	mu      sync.Mutex
-	state   ledger.State
-	table   *catalog.Table
-	pools   map[string]*pool
-	cleared map[string]time.Time  // when a data centre's evacuation ended
-	board   *rollup.Board         // of what other gateways do
-	near    near                  // the gateways of this region
-	alike   int                   // gateways of this region whose load is known, this one included
-	leading bool                  // this gateway sums the loads of others
-	toldFar time.Time             // when other regions were last told
-	far     map[string]*farRegion // by name: the other regions
-	byHash  map[uint64]*engine
-	sent    []sent    // parts to tell the other gateways
-	tidied  time.Time // when old parts were last forgotten
+	mu       sync.Mutex
+	state    ledger.State
+	table    *catalog.Table
+	pools    map[string]*pool
+	cleared  map[string]time.Time  // when a data centre's evacuation ended
+	board    *rollup.Board         // of what other gateways do
+	near     near                  // the gateways of this region
+	alike    int                   // gateways of this region whose load is known, this one included
+	leading  bool                  // this gateway sums the loads of others
+	toldFar  time.Time             // when other regions were last told
+	far      map[string]*farRegion // by name: the other regions
+	byHash   map[uint64]*engine
+	accounts map[uint32]string // names by hash
+	sent     []sent            // parts to tell the other gateways
+	tidied   time.Time         // when old parts were last forgotten
 }
 
 // New makes a dispatcher that knows no service.
@@ -57,7 +61,7 @@
 	return &Dispatcher{
 		Deps: deps, table: catalog.NewTable(catalog.Catalog{}), pools: make(map[string]*pool),
 		board:   rollup.New(rollup.Deps{Self: self, Hosts: deps.Peers, Clock: deps.Clock}),
-		cleared: make(map[string]time.Time), alike: 1, far: make(map[string]*farRegion), byHash: make(map[uint64]*engine),
+		cleared: make(map[string]time.Time), alike: 1, far: make(map[string]*farRegion), byHash: make(map[uint64]*engine), accounts: make(map[uint32]string),
 	}
 }
 
@@ -72,6 +76,7 @@
 		}
 	}
 	d.state, d.table = state, table
+	d.takeAccounts()
 	for _, s := range table.Services() {
 		if p, ok := d.pools[s.Name]; ok {
 			p.service = s
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -29,7 +29,7 @@
 
 // report gives what this gateway does. The lock is held.
 func (d *Dispatcher) report(now time.Time) rollup.Report {
-	r := rollup.Report{Parts: d.recentlySent(now)}
+	r := rollup.Report{Parts: d.recentlySent(now), Accounts: d.ownUses(now)}
 	for _, p := range d.pools {
 		for _, e := range p.ordered {
 			if e.unreached > 0 && now.Sub(e.unreachedAt) < deadTold {
@@ -111,12 +111,13 @@
 
 // takeOthers takes over what the other gateways of the region do. The lock is held.
 func (d *Dispatcher) takeOthers() {
-	loads, gateways := d.board.Others()
+	others := d.board.Others()
 	for hash, e := range d.byHash {
-		l := loads[hash]
+		l := others.Loads[hash]
 		e.others = Load{Requests: max(0, l.Requests), Unread: max(0, l.Unread), Held: max(0, l.Held), Reading: float64(max(0, l.Reading))}
 	}
-	d.alike = 1 + gateways
+	d.alike = 1 + others.Gateways
+	d.hearNearUses(others)
 }
 
 // index lets engines be found by their hash. The lock is held.
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -109,7 +109,7 @@
 		d.Log.Error("load not told to other regions", telemetry.Cause(err))
 		return rollup.Message{}, false
 	}
-	return rollup.Message{From: d.Name, Far: []rollup.FarWord{{Region: d.Region, Body: body}}}, true
+	return rollup.Message{From: d.Name, Far: []rollup.FarWord{{Region: d.Region, Body: body, Accounts: d.regionUses(now)}}}, true
 }
 
 func (d *Dispatcher) digest(p *pool, now time.Time) Digest {
@@ -155,6 +155,7 @@
 		return
 	}
 	far.hear(digests, d.roundTrip(w.Region), now.Add(-w.Age))
+	d.hearFarUses(w.Region, w.Accounts, now.Add(-w.Age))
 }
 
 // Place says where a request should run.
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -73,6 +73,9 @@
 	Took  func(ledger.State)
 	Log   *zap.Logger
 	Clock func() time.Time
+	// Steady is the clock by which the age of what is known is measured: it goes on
+	// while the host is frozen.
+	Steady func() time.Duration
 }
 
 // Follower is safe for concurrent use. New makes one; Run runs it.
@@ -105,6 +108,7 @@
 	controls []roster.Host          // of those, the control hosts
 	ahead    time.Time              // since when it has had a newer state
 	down     bool                   // its loss has been logged
+	sure     []sure                 // of which states it was sure, the newest last
 }
 
 // New makes a follower.
@@ -169,6 +173,7 @@
 func (f *Follower) follow(ctx context.Context, l *link) {
 	for ctx.Err() == nil {
 		args := f.ask(l)
+		asked := f.Steady()
 		var reply SyncReply
 		err := f.Calls.WithTimeout(ctx, args.Wait+syncSlack, l.address, Service+".Sync", args, &reply)
 		if err != nil {
@@ -176,7 +181,7 @@
 			duty.Pause(ctx, retryPause)
 			continue
 		}
-		if f.take(l, args, reply) {
+		if f.take(l, args, reply, asked) {
 			f.fetch(ctx, l)
 		}
 	}
@@ -186,9 +191,13 @@
 	self := f.Self()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	l.wait = f.holding(l, self)
-	args := SyncArgs{Self: self, Life: l.life, Engines: l.number, Index: f.state.Index, Roster: l.roster, Wait: l.wait}
-	if l.life == "" || !l.ahead.IsZero() {
+	brief := f.brief(l, self)
+	l.wait = SyncWait
+	if brief {
+		l.wait = FarWait
+	}
+	args := SyncArgs{Self: self, Life: l.life, Engines: l.number, Index: f.state.Index, Roster: l.roster, Wait: l.wait, Brief: brief, Sure: len(l.sure) > 0}
+	if l.life == "" || !l.ahead.IsZero() || (!brief && l.hosts == nil) {
 		args.Wait = 0
 	}
 	if f.Took == nil {
@@ -197,18 +206,25 @@
 	return args
 }
 
-// holding gives how long a control host should hold a question. The lock is held.
-func (f *Follower) holding(l *link, self roster.Host) time.Duration {
-	if f.Took == nil || l.host.Region == "" || l.host.Region == self.Region {
-		return SyncWait
+// brief tells whether a control host is asked briefly, and seldom: it is of another
+// region, and one of the gateway's own tells it of hosts and engines. At 300 gateways
+// and 3,000 engines, what six control hosts told each gateway of its region's engines and
+// of all hosts cost 2.2 times what a day earned, as bytes between regions. The lock is
+// held.
+func (f *Follower) brief(l *link, self roster.Host) bool {
+	if f.Took == nil || l.host.Region == self.Region {
+		return false
+	}
+	if l.host.Region == "" {
+		return l.life == "" // its answer tells where it stands
 	}
 	now := f.Clock()
 	for _, near := range f.links {
 		if near.host.Region == self.Region && near.inTouch(now) {
-			return FarWait
+			return true
 		}
 	}
-	return SyncWait
+	return false
 }
 
 // silence gives how old the last answer of a control host that is in touch may be.
@@ -233,7 +249,7 @@
 
 // take merges an answer. It tells whether a newer state should be fetched from
 // there.
-func (f *Follower) take(l *link, args SyncArgs, reply SyncReply) bool {
+func (f *Follower) take(l *link, args SyncArgs, reply SyncReply, asked time.Duration) bool {
 	now := f.Clock()
 	engines := make([]registry.Engine, len(reply.Engines))
 	for i, n := range reply.Engines {
@@ -246,11 +262,26 @@
 	if l.down || l.life == "" {
 		f.Log.Info("control host in touch", zap.String("address", l.address), zap.String("life", reply.Life), zap.Uint64("index", reply.Index))
 	}
-	l.down, l.answered, l.life, l.number = false, now, reply.Life, reply.Number
-	l.takeHosts(reply, reply.Life != args.Life)
+	l.down, l.answered, l.life = false, now, reply.Life
+	if reply.Self.Name != "" {
+		l.host = reply.Self
+	}
+	l.takeSurety(reply.Sure, asked)
+	if args.Brief {
+		l.forgetNews()
+	} else {
+		l.number = reply.Number
+		l.takeHosts(reply, reply.Life != args.Life)
+	}
 	return f.worthFetching(l, args.Self.Region, reply.Index, now)
 }
 
+// forgetNews forgets what a control host told before it was asked briefly: it would
+// be out of date when it is asked for it again.
+func (l *link) forgetNews() {
+	l.number, l.roster, l.hosts, l.controls = 0, 0, nil, nil
+}
+
 // takeHosts takes over which hosts the control host hears. A control host that
 // has started anew tells all of them.
 func (l *link) takeHosts(reply SyncReply, anew bool) {
@@ -423,7 +454,7 @@
 func (f *Follower) telling(now time.Time) []teller {
 	var out []teller
 	for _, l := range f.links {
-		if l.inTouch(now) {
+		if l.inTouch(now) && l.hosts != nil {
 			out = append(out, teller{l, l.rosters})
 		}
 	}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/linenscale/linenscale/follow"
+	"github.com/linenscale/linenscale/internal/steady"
 	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/registry"
 	"github.com/linenscale/linenscale/roster"
@@ -73,7 +74,7 @@
 	follower := follow.New(follow.Deps{
 		Self:  func() roster.Host { return roster.Host{Name: "g", Role: roster.RoleGateway, Region: "here"} },
 		Seeds: func() []string { return seeds }, Calls: wire.NewClient(&net.Dialer{}), Engines: registry.New("x", time.Second, time.Now),
-		Took: func(ledger.State) {}, Log: zap.NewNop(), Clock: time.Now,
+		Took: func(ledger.State) {}, Log: zap.NewNop(), Clock: time.Now, Steady: steady.Now,
 	})
 	group.Go(func() { _ = follower.Run(ctx) })
 	wantWait := func(want time.Duration) {
@@ -104,7 +105,7 @@
 	follower := follow.New(follow.Deps{
 		Self:  func() roster.Host { return roster.Host{Name: "other", Role: roster.RoleControl} },
 		Seeds: func() []string { return seeds }, Calls: wire.NewClient(&net.Dialer{}), Engines: registry.New("x", time.Second, time.Now),
-		Log: zap.NewNop(), Clock: time.Now,
+		Log: zap.NewNop(), Clock: time.Now, Steady: steady.Now,
 	})
 	group.Go(func() { _ = follower.Run(ctx) })
 	time.Sleep(time.Second)
--- a/follow/messages.go
+++ b/follow/messages.go
@@ -21,6 +21,12 @@
 	Index   uint64        // of the ledger's state that the caller has
 	Roster  uint64        // number up to which the caller knows the hosts
 	Wait    time.Duration // how long to wait for something new
+	// Brief asks for no engines and no hosts: control hosts of the caller's own region
+	// tell it of them.
+	Brief bool
+	// Sure tells that the caller knows up to when its state holds; one that doesn't is
+	// answered as soon as the control host does.
+	Sure bool
 }
 
 // SyncReply is what a control host knows and the caller doesn't.
@@ -32,17 +38,27 @@
 	Hosts   []roster.Host // that came or changed, without times
 	Gone    []string      // names of hosts that went
 	Roster  uint64        // up to which Hosts and Gone reach
+	Sure    Surety
+	Self    roster.Host // the control host
+}
+
+// Surety says up to when a control host is sure of the ledger's state.
+type Surety struct {
+	Known bool
+	Index uint64        // of the state, or of a later one
+	Age   time.Duration // everything that was accepted so long before the answer is in it
+	Held  time.Duration // from the question until the answer
 }
 
 // News tells whether the reply holds anything that the caller didn't know.
 func (r SyncReply) News(args SyncArgs) bool {
-	return r.Urgent(args) || len(r.Engines) > 0 || r.Roster != args.Roster
+	return r.Urgent(args) || len(r.Engines) > 0 || (!args.Brief && r.Roster != args.Roster)
 }
 
 // Urgent tells whether the caller should know at once: the control host is
 // another than it was, or has a newer state of the ledger.
 func (r SyncReply) Urgent(args SyncArgs) bool {
-	return r.Life != args.Life || r.Index > args.Index
+	return r.Life != args.Life || r.Index > args.Index || (r.Sure.Known && !args.Sure)
 }
 
 // EngineNews is an engine whose times are told as durations, because two hosts'
@@ -54,6 +70,11 @@
 	HeardAgo time.Duration
 }
 
+// TellArgs has a control host tell its gateways of an engine that drains or has left.
+type TellArgs struct {
+	Engine EngineNews
+}
+
 // StateArgs asks for the ledger's state.
 type StateArgs struct{}
 
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -119,6 +119,7 @@
 		Method: x.r.Method, URL: "http://" + ticket.Address + x.r.URL.RequestURI(), Host: x.r.Host,
 		Header: s.Dialect.Outgoing(relay.Forwardable(x.r.Header), Send{
 			Engine: ticket.Engine, Remaining: time.Until(x.deadline), LastEvent: done.lastEvent,
+			Keyed: x.rules.table.HasAccounts(), Account: x.account.Name,
 		}),
 		Body: x.reader(), Length: int64(len(x.body)),
 		Echoes: true, Fresh: !x.route.Repeatable(),
--- a/ingress/dialect.go
+++ b/ingress/dialect.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/linenscale/linenscale/catalog"
 	"github.com/linenscale/linenscale/dispatch"
 	"github.com/linenscale/linenscale/request"
 )
@@ -16,14 +17,21 @@
 	ID        string
 	Remaining time.Duration // that the caller will wait; 0 where not said
 	Prompt    dispatch.Prompt
-	LastEvent string // ID of the last event that the caller has; "" for none
+	Tokens    int               // of the prompt and of the longest answer together; Untold where not said
+	LastEvent string            // ID of the last event that the caller has; "" for none
+	Key       catalog.KeyDigest // that the caller shows; "" for none
 }
 
+// Untold stands for a number of tokens that a caller doesn't say.
+const Untold = -1
+
 // Send is what the system tells an engine beside the caller's own words.
 type Send struct {
 	Engine    string        // the incarnation that is meant
 	Remaining time.Duration // after which the engine may stop
 	LastEvent string        // the stream goes on after this event; "" for the caller's own
+	Keyed     bool          // callers show keys, which engines don't get
+	Account   string        // client account; "" for none
 }
 
 // Verdict is what an answer's head says.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
+	"github.com/linenscale/linenscale/allowance"
 	"github.com/linenscale/linenscale/catalog"
 	"github.com/linenscale/linenscale/dispatch"
 	"github.com/linenscale/linenscale/ledger"
@@ -54,6 +55,9 @@
 	Metrics    *telemetry.Metrics
 	Random     func() uint64
 	StopTime   time.Duration // for requests in flight after a stop
+	Keys       Keys
+	Allowances *allowance.Meter // nil where none are kept
+	Regions    []string         // all there are
 }
 
 // Server serves callers. New makes one.
@@ -121,14 +125,27 @@
 	return group.Wait()
 }
 
-// awaitCatalog waits for the first catalog, but not for long: without one, callers
-// are told when to come back.
+// awaitCatalog waits for the first catalog, and for a lease where one is needed, but not
+// for long: without them, callers are told when to come back.
 func (s *Server) awaitCatalog(ctx context.Context) {
-	for until := time.Now().Add(firstCatalog); time.Now().Before(until) && ctx.Err() == nil && !s.Ready(); {
+	for until := time.Now().Add(firstCatalog); time.Now().Before(until) && ctx.Err() == nil && !s.serves(); {
 		time.Sleep(firstCatalog / 50)
 	}
 }
 
+// serves tells whether requests with a key can be served.
+func (s *Server) serves() bool {
+	if !s.Ready() {
+		return false
+	}
+	r := s.rules.Load()
+	if !r.table.HasAccounts() {
+		return true
+	}
+	_, sure := s.Keys.holds(r.index)
+	return sure
+}
+
 // stop goes on serving those who have not heard of the stop yet, then finishes
 // what is in flight.
 func (s *Server) stop(servers []*http.Server) {
--- a/ingress/receive.go
+++ b/ingress/receive.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"github.com/linenscale/linenscale/allowance"
 	"github.com/linenscale/linenscale/catalog"
 	"github.com/linenscale/linenscale/dispatch"
 	"github.com/linenscale/linenscale/request"
@@ -27,6 +28,9 @@
 	rules    *rules
 	route    catalog.Route
 	service  string
+	account  catalog.Account
+	known    bool             // the caller holds a key of the account
+	grant    *allowance.Grant // what was counted towards its allowance
 	body     []byte
 	began    time.Time
 	deadline time.Time
@@ -87,6 +91,9 @@
 	if err := s.match(x); err != nil {
 		return err
 	}
+	if err := s.account(x); err != nil {
+		return err
+	}
 	x.deadline = x.began.Add(x.route.Timeout)
 	if wait := x.identity.Remaining; wait > 0 && wait < x.route.Timeout {
 		x.deadline = x.began.Add(wait)
@@ -166,8 +173,11 @@
 	}
 }
 
-// permitted tells whether the request may run in a region.
-func (x *exchange) permitted(region string) bool { return x.route.Permits(region) }
+// permitted tells whether the request may run in a region: the homes of its route and
+// of its account both bind.
+func (x *exchange) permitted(region string) bool {
+	return x.route.Permits(region) && x.account.Permits(region)
+}
 
 // fields are on each log line of a request.
 func (x *exchange) fields(more ...zap.Field) []zap.Field {
@@ -177,7 +187,7 @@
 		version, index = x.rules.table.Version(), x.rules.index
 	}
 	return slices.Concat([]zap.Field{
-		zap.String("request", x.identity.ID), zap.String("route", x.route.Name), zap.String("service", x.service),
+		zap.String("request", x.identity.ID), zap.String("route", x.route.Name), zap.String("service", x.service), zap.String("account", x.account.Name),
 		zap.Int64("version", version), zap.Uint64("index", index), zap.Bool("handed_over", x.fixed),
 	}, more)
 }
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -42,6 +42,7 @@
 func (s *Server) refuse(x *exchange, refusal request.Refusal) {
 	outcome := request.OutcomeUnknownValue
 	reason := "outcome_unknown"
+	x.giveBack(refusal)
 	refusal = s.spread(x, refusal)
 	var wait time.Duration
 	if n, ok := refusal.(*request.NotRun); ok {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -285,9 +285,9 @@
 	return silent
 }
 
-// Since gives the engines that changed after the number, of the data centres
-// that wanted allows, and the number up to which they are given.
-func (t *Table) Since(number uint64, wanted func(dataCentre string) bool) ([]Engine, uint64) {
+// Since gives the engines that changed after the number, of those that wanted
+// allows, and the number up to which they are given.
+func (t *Table) Since(number uint64, wanted func(e Engine) bool) ([]Engine, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if number == t.changes {
@@ -295,7 +295,7 @@
 	}
 	var out []Engine
 	for _, e := range t.engines {
-		if e.change > number && (e.DataCentre == "" || wanted(e.DataCentre)) {
+		if e.change > number && wanted(e.Engine) {
 			out = append(out, e.Engine)
 		}
 	}
@@ -316,6 +316,6 @@
 
 // All gives every engine that has not been forgotten, in the order of IDs.
 func (t *Table) All() []Engine {
-	out, _ := t.Since(0, func(string) bool { return true })
+	out, _ := t.Since(0, func(Engine) bool { return true })
 	return out
 }
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -32,7 +32,7 @@
 	return e.Phase
 }
 
-func everything(string) bool { return true }
+func everything(registry.Engine) bool { return true }
 
 func TestALateHeartbeatChangesNothing(t *testing.T) {
 	table, _ := newTable("x")
@@ -189,7 +189,7 @@
 	table.Beat(nearer)
 	news, _ = table.Since(number, everything)
 	must.SliceEmpty(t, news)
-	news, _ = table.Since(0, func(dataCentre string) bool { return dataCentre == "b" })
+	news, _ = table.Since(0, func(e registry.Engine) bool { return e.DataCentre == "b" })
 	must.SliceEmpty(t, news)
 }
 
--- a/request/refusal.go
+++ b/request/refusal.go
@@ -27,6 +27,8 @@
 	ReasonNoHome       Reason = "no_home"
 	ReasonStopping     Reason = "stopping"
 	ReasonCancelled    Reason = "cancelled"
+	ReasonUnknownKey   Reason = "unknown_key"
+	ReasonAllowance    Reason = "over_allowance"
 )
 
 // Refusal is the sealed set of final answers that are not an engine's:
@@ -92,9 +94,11 @@
 		return http.StatusForbidden
 	case ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case ReasonUnknownKey:
+		return http.StatusUnauthorized
 	case ReasonConflict, ReasonInProgress:
 		return http.StatusConflict
-	case ReasonOverload:
+	case ReasonOverload, ReasonAllowance:
 		return http.StatusTooManyRequests
 	case ReasonDeadline:
 		return http.StatusGatewayTimeout
--- a/rollup/board.go
+++ b/rollup/board.go
@@ -61,7 +61,7 @@
 
 type farHeard struct {
 	at   time.Time
-	body []byte
+	word FarWord
 }
 
 // Outgoing is a message and the addresses that it goes to.
@@ -247,15 +247,17 @@
 	if known, ok := b.far[w.Region]; w.Region == b.Self.Region || (ok && at.Before(known.at)) {
 		return false
 	}
-	b.far[w.Region] = farHeard{at, w.Body}
+	b.far[w.Region] = farHeard{at, w}
 	return true
 }
 
 // farWords gives the words of other regions, to be passed on.
 func (b *Board) farWords(now time.Time) []FarWord {
 	var out []FarWord
-	for region, f := range b.far {
-		out = append(out, FarWord{Region: region, Age: now.Sub(f.at), Body: f.body})
+	for _, f := range b.far {
+		word := f.word
+		word.Age = now.Sub(f.at)
+		out = append(out, word)
 	}
 	return out
 }
@@ -284,11 +286,24 @@
 	}
 }
 
-// Others gives the load of the other gateways of the region, and how many of them are
-// in it.
-func (b *Board) Others() (loads map[uint64]EngineLoad, gateways int) {
+// Others is what the other gateways of a region do.
+type Others struct {
+	Loads    map[uint64]EngineLoad // by the hash of the engine's incarnation
+	Accounts map[uint32]AccountUse // by the hash of the account's name
+	Gateways int                   // that are in it
+	Alive    int                   // that there are, as far as the list of gateways tells
+}
+
+// Others gives what the other gateways of the region do.
+func (b *Board) Others() Others {
+	s, gateways := b.others()
+	return Others{Loads: s.loads, Accounts: s.uses, Gateways: gateways, Alive: b.view.size() - 1}
+}
+
+// others sums the newest words up, and counts whose they are.
+func (b *Board) others() (s *sum, gateways int) {
 	now := b.Clock()
-	s := newSum()
+	s = newSum()
 	if b.total.valid(now) && len(b.total.Members) > 1+len(b.members) {
 		return b.totalOfOthers(s)
 	}
@@ -298,7 +313,7 @@
 	for _, h := range b.sums {
 		gateways += b.addValid(s, h, now)
 	}
-	return s.loads, gateways
+	return s, gateways
 }
 
 // addValid adds what is still believed, and gives how many gateways it is of.
@@ -306,23 +321,23 @@
 	if !h.valid(now) {
 		return 0
 	}
-	s.add(Report{Engines: h.Report.Engines}, 1)
+	s.add(h.Report.additive(), 1)
 	return len(h.Members)
 }
 
 // totalOfOthers takes this gateway's own report out of the total.
-func (b *Board) totalOfOthers(s *sum) (map[uint64]EngineLoad, int) {
-	s.add(Report{Engines: b.total.Report.Engines}, 1)
+func (b *Board) totalOfOthers(s *sum) (*sum, int) {
+	s.add(b.total.Report.additive(), 1)
 	gateways := b.total.Others + len(b.total.Members)
 	self := hashOf(b.Self.Name)
 	own := slices.IndexFunc(b.total.Members, func(m Member) bool { return m.Hash == self })
 	if own >= 0 {
 		gateways--
 		if number := b.total.Members[own].Number; b.number-number < remembered {
-			s.add(Report{Engines: b.told[number%remembered].Engines}, -1)
+			s.add(b.told[number%remembered].additive(), -1)
 		}
 	}
-	return s.loads, gateways
+	return s, gateways
 }
 
 // Leads tells whether this gateway sums its group, and how many others it sums.
--- a/rollup/group.go
+++ b/rollup/group.go
@@ -89,6 +89,15 @@
 	others []party       // the region's other groups, in the order of their ranges
 }
 
+// size counts the region's gateways, the one who sees among them.
+func (v view) size() int {
+	n := len(v.ranked)
+	for _, p := range v.others {
+		n += len(p.hosts)
+	}
+	return n
+}
+
 // newView makes the view of self on the gateways of a region, self among them or not.
 func newView(self roster.Host, hosts []roster.Host, region string) view {
 	near := []roster.Host{}
--- a/rollup/report.go
+++ b/rollup/report.go
@@ -14,6 +14,16 @@
 	Parts   []SentPart   `cbor:"2,keyasint,omitempty"` // that were sent lately
 	Dead    []uint64     `cbor:"3,keyasint,omitempty"` // hashes of engines that couldn't be reached lately
 	Gone    []uint64     `cbor:"4,keyasint,omitempty"` // hashes of engines whose addresses others were found at
+	// Accounts are those whose callers ask for anything.
+	Accounts []AccountUse `cbor:"5,keyasint,omitempty"`
+}
+
+// AccountUse is what the callers of one client account do, in units a second.
+type AccountUse struct {
+	_        struct{} `cbor:",toarray"`
+	Account  uint32   // hash of its name
+	Admitted int
+	Asked    int
 }
 
 // EngineLoad is the load of one engine.
@@ -46,6 +56,8 @@
 	Region string        `cbor:"1,keyasint"`
 	Age    time.Duration `cbor:"2,keyasint,omitempty"` // since it was heard in this region
 	Body   []byte        `cbor:"3,keyasint"`
+	// Accounts is what its callers do.
+	Accounts []AccountUse `cbor:"4,keyasint,omitempty"`
 }
 
 // Message is what travels: the Report of a group to leaders, or that of the whole
@@ -61,16 +73,20 @@
 	Far     []FarWord `cbor:"7,keyasint,omitempty"`
 }
 
+// additive gives what adds up: the rest is news of its moment.
+func (r Report) additive() Report { return Report{Engines: r.Engines, Accounts: r.Accounts} }
+
 // sum adds reports up.
 type sum struct {
 	loads map[uint64]EngineLoad
 	parts map[SentPart]bool
 	dead  map[uint64]bool
 	gone  map[uint64]bool
+	uses  map[uint32]AccountUse
 }
 
 func newSum() *sum {
-	return &sum{make(map[uint64]EngineLoad), make(map[SentPart]bool), make(map[uint64]bool), make(map[uint64]bool)}
+	return &sum{make(map[uint64]EngineLoad), make(map[SentPart]bool), make(map[uint64]bool), make(map[uint64]bool), make(map[uint32]AccountUse)}
 }
 
 // add adds a report times so many: -1 takes it away.
@@ -84,6 +100,13 @@
 		l.Reading += times * e.Reading
 		s.loads[e.Engine] = l
 	}
+	for _, a := range r.Accounts {
+		u := s.uses[a.Account]
+		u.Account = a.Account
+		u.Admitted += times * a.Admitted
+		u.Asked += times * a.Asked
+		s.uses[a.Account] = u
+	}
 	for _, p := range r.Parts {
 		s.parts[p] = true
 	}
@@ -109,6 +132,9 @@
 	for hash := range s.gone {
 		r.Gone = append(r.Gone, hash)
 	}
+	for _, u := range s.uses {
+		r.Accounts = append(r.Accounts, u)
+	}
 	slices.SortFunc(r.Engines, func(a, b EngineLoad) int { return compareHash(a.Engine, b.Engine) })
 	return r
 }
--- a/rollup/rollup_test.go
+++ b/rollup/rollup_test.go
@@ -87,8 +87,7 @@
 
 // known gives how many requests of others a gateway knows.
 func (r *region) known(at string) int {
-	loads, _ := r.boards[at].Others()
-	return loads[engine].Requests
+	return r.boards[at].Others().Loads[engine].Requests
 }
 
 // leaders lists the gateways that sum their groups.
--- a/settings/member.go
+++ b/settings/member.go
@@ -49,6 +49,19 @@
 	// MemoryMB is what the process may use, in 2^20 bytes; 0 for no limit.
 	MemoryMB int   `yaml:"memory_mb"`
 	Retries  Retry `yaml:"retries"`
+	// KeysRevokedWithin is how long after the acknowledgement of a catalog that takes a
+	// key away requests with it may still be served, on any host; 0 for no bound.
+	KeysRevokedWithin time.Duration `yaml:"keys_revoked_within"`
+	Allowances        Allowances    `yaml:"allowances"`
+}
+
+// Allowances says how far client accounts' allowances may be exceeded while hosts don't
+// know of each other yet: within each window, all hosts together admit the rate times
+// the window and the burst, times one and the overage, and the slack.
+type Allowances struct {
+	Window  time.Duration `yaml:"window"`
+	Overage float64       `yaml:"overage"` // a share
+	Slack   float64       `yaml:"slack"`   // in the units of the allowances
 }
 
 // Listen holds the addresses for what a host serves, each an IP number and a
@@ -71,10 +84,11 @@
 
 // DefaultMember holds the values in force where a file is silent.
 var DefaultMember = Member{
-	Losses:    1,
-	Heartbeat: time.Second,
-	StopTime:  7 * time.Second,
-	Retries:   Retry{Share: 0.1, Extra: 10, Window: 10 * time.Second},
+	Losses:     1,
+	Heartbeat:  time.Second,
+	StopTime:   7 * time.Second,
+	Retries:    Retry{Share: 0.1, Extra: 10, Window: 10 * time.Second},
+	Allowances: Allowances{Window: 10 * time.Second, Overage: 0.1},
 }
 
 // ReadMember reads and checks the settings file of one host.
@@ -98,6 +112,8 @@
 	setDefault(&m.Retries.Share, DefaultMember.Retries.Share)
 	setDefault(&m.Retries.Extra, DefaultMember.Retries.Extra)
 	setDefault(&m.Retries.Window, DefaultMember.Retries.Window)
+	setDefault(&m.Allowances.Window, DefaultMember.Allowances.Window)
+	setDefault(&m.Allowances.Overage, DefaultMember.Allowances.Overage)
 	return m
 }
 
@@ -108,6 +124,10 @@
 	wantedPorts
 )
 
+// leastRevoked is the shortest bound for keys that can be kept without refusing callers
+// in ordinary trouble: control hosts are asked each half second.
+const leastRevoked = 2 * time.Second
+
 // Bound gives the address to listen on for one that others know.
 func (m Member) Bound(address string) string {
 	_, port, err := net.SplitHostPort(address)
@@ -169,6 +189,12 @@
 	if _, err := netip.ParseAddr(m.Bind); m.Bind != "" && err != nil {
 		c.fault("$.bind", "must be an IP number, is %q", m.Bind)
 	}
+	if m.KeysRevokedWithin != 0 && m.KeysRevokedWithin < leastRevoked {
+		c.fault("$.keys_revoked_within", "must be 0 for no bound, or %v and more, is %v", leastRevoked, m.KeysRevokedWithin)
+	}
+	if m.Allowances.Window < 0 || m.Allowances.Overage < 0 || m.Allowances.Slack < 0 {
+		c.fault("$.allowances", "must not be negative")
+	}
 	if len(m.Ports) != 2 || m.Ports[1]-m.Ports[0] < wantedPorts-1 {
 		c.fault("$.ports", "must be the first and last of at least %d ports", wantedPorts)
 	}
