A ledger whose lease nobody needs finds a leader at once after all were killed

A replica that starts waits for the lease of a leader that it may have forgotten; here nobody reads by that lease. Change: raft.Options.NoLease, used by the controller; a read waits for the first entry of the term instead of failing until it is committed.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -139,7 +139,7 @@
 	c.machine = ledger.New(c.ledgerChanged)
 	var err error
 	c.replica, err = replica.Open(replica.Options{
-		ID: deps.Replica, Election: election, Heartbeat: heartbeat, Folder: deps.Folder, Machine: c.machine,
+		ID: deps.Replica, Election: election, Heartbeat: heartbeat, NoLease: true, Folder: deps.Folder, Machine: c.machine,
 		Send: deps.Send, SnapshotEvery: snapshotEvery, Log: deps.Log, Seed: deps.Seed,
 	})
 	if err != nil {
--- a/ingress/accounts.go
+++ b/ingress/accounts.go
@@ -42,11 +42,21 @@
 	now := k.Steady()
 	at, known := k.SureUntil(index)
 	if !known {
-		return now, false
+		return unknownAge, false
 	}
 	return now - at, float64(now-at) < leaseShare*float64(k.RevokedWithin)
 }
 
+// unknownAge stands for that of a word that never came.
+const unknownAge = -1
+
+func sayAge(age time.Duration) string {
+	if age == unknownAge {
+		return "no word has come yet"
+	}
+	return "the newest word is " + age.Round(time.Millisecond).String() + " old"
+}
+
 // account finds the account of the request. One that was handed over is looked at here
 // as well, by this gateway's own rules, but counts only where it came in.
 func (s *Server) account(x *exchange) error {
@@ -63,7 +73,7 @@
 		return nil
 	}
 	if !sure {
-		return &request.NotRun{Reason: request.ReasonNoLease, Message: "it isn't sure which keys hold: the newest word is " + age.Round(time.Millisecond).String() + " old", RetryAfter: leaseWait}
+		return &request.NotRun{Reason: request.ReasonNoLease, Message: "it isn't sure which keys hold: " + sayAge(age), RetryAfter: leaseWait}
 	}
 	if !x.known {
 		return &request.NotRun{Reason: request.ReasonUnknownKey, Message: "no account holds the key"}
--- a/internal/simlog/simlog.go
+++ b/internal/simlog/simlog.go
@@ -32,6 +32,7 @@
 	Spares        int // replicas that are not members at first
 	Election      time.Duration
 	Heartbeat     time.Duration
+	NoLease       bool          // see raft.Options
 	Delay         time.Duration // one way; each message takes up to twice as long
 	Loss          float64
 	SnapshotEvery uint64
@@ -125,7 +126,7 @@
 	state.Commit = n.mark
 	n.waiting, n.reads = map[uint64]pending{}, map[uint64]*Read{}
 	n.Raft = raft.New(raft.Options{
-		ID: n.ID, Election: c.Opts.Election, Heartbeat: c.Opts.Heartbeat,
+		ID: n.ID, Election: c.Opts.Election, Heartbeat: c.Opts.Heartbeat, NoLease: c.Opts.NoLease,
 		Random: rand.New(rand.NewPCG(c.Random.Uint64(), 3)),
 	}, state, c.Now)
 	n.Up, n.Paused = true, false
--- a/raft/node.go
+++ b/raft/node.go
@@ -12,7 +12,12 @@
 	ID        ID
 	Election  time.Duration // least time without a leader before an election
 	Heartbeat time.Duration
-	Random    *rand.Rand
+	// NoLease says that nobody relies on LeaseUntil, nor serves reads by it: a replica
+	// that has just started needn't wait until the lease of a leader that it has forgotten
+	// is over. After all were killed, a leader that could confirm reads was there after
+	// 2.1 s, and is after 0.8 s (five voters in three regions, 80 ms apart one way).
+	NoLease bool
+	Random  *rand.Rand
 }
 
 // DriftShare is by how much the rates of two hosts' clocks may differ. Every
@@ -102,9 +107,23 @@
 	n.stable = n.log.lastIndex()
 	n.members, n.membersIndex = n.log.members()
 	n.resetElection()
+	if opts.NoLease {
+		n.contact = time.Time{}
+		n.electionAt = now.Add(n.firstElection())
+	}
 	return n
 }
 
+// firstElection gives when a replica that has just started stands, where it needn't wait
+// for a lease: at once, but for the time within which hosts that were killed together are
+// back, and in turn, two round trips between regions apart.
+func (n *Node) firstElection() time.Duration {
+	step := n.opts.Election / 10
+	at := max(0, slices.Index(n.members.Voters, n.opts.ID))
+	turn := (uint64(at) + n.hard.Term) % uint64(max(1, len(n.members.Voters)))
+	return step + 3*step*time.Duration(turn) + time.Duration(n.opts.Random.Int64N(int64(step)))
+}
+
 // resetElection draws when to start the next election. Who has asked for votes
 // already tries again sooner than one who has just lost a leader: an answer takes
 // one round trip, and after a cut has healed, or votes were split, the time
@@ -330,12 +349,13 @@
 // Read asks for a linearizable read. Its outcome comes with a later Ready.
 func (n *Node) Read(now time.Time, id uint64) {
 	n.setNow(now)
-	if n.role != Leader || n.commit < n.termStart {
+	if n.role != Leader {
 		n.readable = append(n.readable, Read{ID: id})
 		return
 	}
 	n.broadcast()
-	n.reads = append(n.reads, pendingRead{id, n.commit, n.round})
+	// Everything that was committed before stands below the first entry of the term.
+	n.reads = append(n.reads, pendingRead{id, max(n.commit, n.termStart), n.round})
 	n.confirmReads()
 }
 
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -253,3 +253,62 @@
 		must.Eq(t, before+1, c.Leader().Raft.Status().Term, must.Sprintf("seed %d", seed))
 	}
 }
+
+// TestALeaderIsFoundSoonWhereNobodyNeedsItsLease kills every replica and starts them
+// within a tenth of a second, on hosts so busy that each gets the processor once in a
+// tenth. Those who must wait for a lease that they may have promised have a leader after
+// 1.4 s at best, the others within 0.9 s in nine of ten cases.
+func TestALeaderIsFoundSoonWhereNobodyNeedsItsLease(t *testing.T) {
+	const runs = 100
+	soon := 0
+	for seed := range uint64(runs) {
+		c := simlog.New(simlog.Options{
+			Seed: seed, Voters: 5, Election: time.Second, Heartbeat: heartbeat, Delay: 50 * time.Millisecond,
+			NoLease: true, SnapshotEvery: 10, New: func() simlog.Machine { return &list{} },
+		})
+		c.Run(5 * time.Second)
+		for _, n := range c.Nodes {
+			c.Crash(n, 0)
+		}
+		began := c.Now
+		for step := range 1000 {
+			for i, n := range c.Nodes {
+				if step == i*4 {
+					c.Start(n)
+				}
+				n.Paused = step%20 != 0
+			}
+			c.Step()
+			if c.Leader() != nil {
+				break
+			}
+		}
+		must.NotNil(t, c.Leader(), must.Sprintf("seed %d", seed))
+		if c.Now.Sub(began) <= 900*time.Millisecond {
+			soon++
+		}
+	}
+	must.GreaterEq(t, runs*9/10, soon)
+}
+
+// TestAReadWaitsForTheFirstEntryOfTheTerm asks a leader that has just been elected: the
+// read is confirmed with that entry, and covers all that was committed before.
+func TestAReadWaitsForTheFirstEntryOfTheTerm(t *testing.T) {
+	start := time.Unix(0, 0)
+	n := node("a#1", start, raft.HardState{})
+	now := start.Add(2 * election)
+	n.Step(now, raft.Envelope{From: "b#1", To: "a#1", Message: raft.TimeoutNow{}})
+	n.Done(n.Ready())
+	n.Step(now, raft.Envelope{From: "b#1", To: "a#1", Term: 1, Message: raft.VoteReply{Granted: true}})
+	n.Read(now, 7)
+	r := n.Ready()
+	must.SliceEmpty(t, r.Reads)
+	n.Done(r)
+	for _, e := range r.Messages {
+		if a, ok := e.Message.(raft.Append); ok && e.To == "b#1" {
+			n.Step(now, raft.Envelope{From: "b#1", To: "a#1", Term: 1, Message: raft.AppendReply{Match: 1, Round: a.Round}})
+		}
+	}
+	r = n.Ready()
+	must.Eq(t, []raft.Read{{ID: 7, Index: 1, OK: true}}, r.Reads)
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -51,6 +51,7 @@
 	ID        raft.ID
 	Election  time.Duration
 	Heartbeat time.Duration
+	NoLease   bool // see raft.Options
 	Folder    disk.Folder
 	Machine   Machine
 	Send      func(raft.Envelope) // must not block
@@ -155,7 +156,7 @@
 	}
 	r.marker, state.Commit = openMarker(opts.Folder, opts.Log)
 	r.node = raft.New(raft.Options{
-		ID: opts.ID, Election: opts.Election, Heartbeat: opts.Heartbeat,
+		ID: opts.ID, Election: opts.Election, Heartbeat: opts.Heartbeat, NoLease: opts.NoLease,
 		Random: rand.New(rand.NewPCG(opts.Seed, uint64(len(opts.ID)))),
 	}, state, time.Now())
 	r.publish()
