--- a/follow/follow.go
+++ b/follow/follow.go
@@ -14,15 +14,10 @@
 
 import (
 	"context"
-	"maps"
 	"math"
-	"net"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
@@ -92,26 +87,6 @@
 	listedOf []teller
 }
 
-// link is what is known of one control host.
-type link struct {
-	address  string
-	cancel   context.CancelFunc
-	named    time.Time // when a seed or a roster last named it
-	answered time.Time
-	wait     time.Duration // for which it holds questions
-	host     roster.Host   // as rosters tell, zero while unknown
-	life     string
-	number   uint64
-	roster   uint64
-	rosters  int                    // changes of hosts so far
-	hosts    map[string]roster.Host // by name
-	controls []roster.Host          // of those, the control hosts
-	ahead    time.Time              // since when it has had a newer state
-	down     bool                   // its loss has been logged
-	sure     []sure                 // of which states it was sure, the newest last
-	hears    []string               // control hosts of this host's region, by name
-}
-
 // New makes a follower.
 func New(deps Deps) *Follower {
 	return &Follower{Deps: deps, links: make(map[string]*link)}
@@ -207,54 +182,6 @@
 	return args
 }
 
-// brief tells whether a control host is asked for no hosts and engines, because another
-// tells them: for one of this region, a control host of this data centre that hears it;
-// for one of another region, any of this region. At 300 gateways and 3,000 engines, what
-// six control hosts told each gateway cost 2.2 times what a day earned, as bytes between
-// regions; those of the own region alone 0.2 of it, as bytes between data centres. The
-// lock is held.
-func (f *Follower) brief(l *link, self roster.Host) bool {
-	if f.Took == nil || l.host.DataCentre == self.DataCentre && l.host.DataCentre != "" {
-		return false
-	}
-	if l.host.Region == "" {
-		return l.life == "" // its answer tells where it stands
-	}
-	now := f.Clock()
-	for _, near := range f.links {
-		if near == l || near.host.Region != self.Region || !near.inTouch(now) || near.hosts == nil {
-			continue
-		}
-		if l.host.Region != self.Region || (near.host.DataCentre == self.DataCentre && slices.Contains(near.hears, l.host.Name)) {
-			return true
-		}
-	}
-	return false
-}
-
-// Hears gives the names of the control hosts of a region that are in touch.
-func (f *Follower) Hears(region string) []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.Clock()
-	var out []string
-	for _, l := range f.links {
-		if l.host.Region == region && l.inTouch(now) {
-			out = append(out, l.host.Name)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
-// silence gives how old the last answer of a control host that is in touch may be.
-func (l *link) silence() time.Duration { return max(l.wait, SyncWait) + syncSlack }
-
-// inTouch tells whether the control host has answered lately.
-func (l *link) inTouch(now time.Time) bool {
-	return l.life != "" && now.Sub(l.answered) <= l.silence()
-}
-
 // lost notes that a control host did not answer.
 func (f *Follower) lost(l *link, cause error) {
 	f.mu.Lock()
@@ -297,37 +224,6 @@
 	return f.worthFetching(l, args.Self.Region, reply.Index, now)
 }
 
-// forgetNews forgets what a control host told before it was asked briefly: it would
-// be out of date when it is asked for it again.
-func (l *link) forgetNews() {
-	l.number, l.roster, l.hosts, l.controls = 0, 0, nil, nil
-}
-
-// takeHosts takes over which hosts the control host hears. A control host that
-// has started anew tells all of them.
-func (l *link) takeHosts(reply SyncReply, anew bool) {
-	if !anew && l.hosts != nil && reply.Roster == l.roster {
-		return
-	}
-	l.rosters++
-	if anew || l.hosts == nil {
-		l.hosts = make(map[string]roster.Host)
-	}
-	for _, h := range reply.Hosts {
-		l.hosts[h.Name] = h
-	}
-	for _, name := range reply.Gone {
-		delete(l.hosts, name)
-	}
-	l.roster = reply.Roster
-	l.controls = l.controls[:0]
-	for _, h := range l.hosts {
-		if h.Role == roster.RoleControl {
-			l.controls = append(l.controls, h)
-		}
-	}
-}
-
 // worthFetching tells whether to fetch the state from a control host that has a
 // newer one: at once from one of this region, from a far one only where no near
 // one brings it.
@@ -395,93 +291,3 @@
 	}
 	return n
 }
-
-// listsLife is how long the lists of hosts are used before they are made anew:
-// each request asks for them.
-const listsLife = 100 * time.Millisecond
-
-// Gateways gives the gateways that the control hosts in touch name, each once, in
-// the order of their names; where none is in touch, those that were named last.
-// Where two control hosts tell different things of one, the one that answered
-// last counts. The list must not be changed.
-func (f *Follower) Gateways() []roster.Host {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.list()
-	return f.gateways
-}
-
-// RegionOf gives the region of the host at an address; false where no control
-// host in touch has named it.
-func (f *Follower) RegionOf(address string) (region string, ok bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.list()
-	region, ok = f.regions[ipOf(address)]
-	return region, ok
-}
-
-// ipOf gives the IP number of an address with a port.
-func ipOf(address string) string {
-	ip, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return address
-	}
-	return ip
-}
-
-// list makes the lists of hosts anew where something has changed since they were made:
-// to join what six control hosts tell of 300 takes 0.5 ms of a processor. The lock is
-// held.
-func (f *Follower) list() {
-	now := f.Clock()
-	if now.Sub(f.listed) < listsLife {
-		return
-	}
-	f.listed = now
-	telling := f.telling(now)
-	if slices.Equal(telling, f.listedOf) {
-		return
-	}
-	f.listedOf = telling
-	newest := make(map[string]roster.Host)
-	regions := make(map[string]string)
-	for _, t := range telling {
-		for name, h := range t.link.hosts {
-			regions[ipOf(h.Peer)] = h.Region
-			if h.Role != roster.RoleGateway {
-				continue
-			}
-			h.Heard = t.link.answered
-			if known, ok := newest[name]; !ok || h.Heard.After(known.Heard) {
-				newest[name] = h
-			}
-		}
-	}
-	if len(telling) > 0 {
-		f.regions = regions
-		f.gateways = slices.SortedFunc(maps.Values(newest), func(a, b roster.Host) int { return strings.Compare(a.Name, b.Name) })
-	}
-}
-
-// teller is a control host in touch, and how often the hosts that it names had changed.
-type teller struct {
-	link    *link
-	rosters int
-}
-
-// telling gives the control hosts in touch, in the order of their addresses. One that
-// is gone would name for ever the gateways that went after it. The lock is held.
-func (f *Follower) telling(now time.Time) []teller {
-	var out []teller
-	for _, l := range f.links {
-		if l.inTouch(now) && l.hosts != nil {
-			out = append(out, teller{l, l.rosters})
-		}
-	}
-	slices.SortFunc(out, func(a, b teller) int { return strings.Compare(a.link.address, b.link.address) })
-	return out
-}
-
-// ErrNoLeader says that no control host leads, as far as is known here.
-var ErrNoLeader = errors.New("no leader of the ledger is known")
--- a/follow/messages.go
+++ b/follow/messages.go
@@ -5,11 +5,16 @@
 import (
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/linenscale/linenscale/raft"
 	"github.com/linenscale/linenscale/registry"
 	"github.com/linenscale/linenscale/roster"
 )
 
+// ErrNoLeader says that no control host leads, as far as is known here.
+var ErrNoLeader = errors.New("no leader of the ledger is known")
+
 // Service is the name under which a control host answers.
 const Service = "Control"
 
