--- a/ingress/accounts.go
+++ b/ingress/accounts.go
@@ -79,11 +79,15 @@
 		return &request.NotRun{Reason: request.ReasonUnknownKey, Message: "no account holds the key"}
 	}
 	if x.homeless(s.Regions) {
-		return &request.NotRun{Reason: request.ReasonNotPermitted, Message: "the account and the route have no region in common"}
+		return &request.NotRun{Reason: request.ReasonNotPermitted, Message: "the account and the route have no region in common", RetryAfter: homelessWait}
 	}
 	return s.count(x)
 }
 
+// homelessWait is when to come back with a request that may run nowhere: no sooner than
+// operators change what is declared.
+const homelessWait = 5 * time.Second
+
 // homeless tells whether the request may run nowhere.
 func (x *exchange) homeless(regions []string) bool {
 	for _, region := range regions {
