Allowances by what was admitted in the last window, and what is expected to come

Ruled out: the limit itself (614,577 a second allowed, 1.29 million asked for), the age of sums. Change: a gateway remembers what all that it hears admitted in the last window, by region; near the limit it admits as many as leave the window, reckoning with what the others admit before it is known. A region that isn't heard is believed to use its share.

--- /dev/null
+++ b/allowance/account.go
@@ -0,0 +1,108 @@
+package allowance
+
+import (
+	"math"
+	"time"
+)
+
+// account is what a gateway knows of one client account.
+type account struct {
+	most            float64            // units in a window
+	used            map[string]*window // by region; none where nothing was admitted
+	filled          time.Time          // up to when others' use is in it
+	admitted, asked average            // by this gateway's callers
+	refused         float64            // units so far
+	shares          map[string]float64 // of the regions, when all were last heard
+	share           float64            // of the requests admitted of late, by all who decide alike
+	shared          time.Time          // when that was noted
+}
+
+// newAccount makes an account of which nothing is known: as if all that is inside the
+// allowance had been admitted, as much in each region. length is that of its window.
+func newAccount(inside float64, length time.Duration, regions []string, now time.Time) *account {
+	a := &account{
+		used: make(map[string]*window), filled: now, shares: make(map[string]float64), share: 1, shared: now,
+		admitted: average{over: admittedOver}, asked: average{over: askedOver},
+	}
+	for _, region := range regions {
+		part := 1 / float64(len(regions))
+		a.shares[region] = part
+		a.used[region] = newWindow(length, part*inside, now)
+	}
+	return a
+}
+
+// add notes what was admitted in a region, or takes it off.
+func (a *account) add(region string, n float64, length time.Duration, now time.Time) {
+	w, ok := a.used[region]
+	switch {
+	case ok:
+		w.add(n, now)
+	case n > 0:
+		w = newWindow(length, 0, now)
+		a.used[region] = w
+		w.add(n, now)
+	}
+}
+
+// sum gives what was admitted in the last window in those regions, and how much of that
+// leaves it each second now.
+func (a *account) sum(regions []string, now time.Time) (used, leaving float64) {
+	for _, region := range regions {
+		if w, ok := a.used[region]; ok {
+			w.advance(now)
+			used += w.sum
+			leaving += w.leaving()
+		}
+	}
+	return used, leaving
+}
+
+// tidy drops the windows in which nothing is left.
+func (a *account) tidy(now time.Time) {
+	for region, w := range a.used {
+		if w.advance(now); w.sum == 0 {
+			delete(a.used, region)
+		}
+	}
+}
+
+// until gives how long it takes until so much has left the windows of those regions.
+func (a *account) until(n float64, regions []string) time.Duration {
+	longest := time.Duration(0)
+	for _, region := range regions {
+		if w, ok := a.used[region]; ok {
+			longest = max(longest, w.until(n/float64(len(regions))))
+		}
+	}
+	return longest
+}
+
+// noteShare notes which share of the requests is admitted from now on.
+func (a *account) noteShare(share float64, now time.Time) {
+	weight := 1 - math.Exp(-float64(now.Sub(a.shared))/float64(lag/2))
+	a.share += weight * (share - a.share)
+	a.shared = now
+}
+
+// own gives what this gateway's callers do.
+func (a *account) own(now time.Time) Use {
+	return Use{Admitted: a.admitted.perSecond(now), Asked: a.asked.perSecond(now)}
+}
+
+// average is of the last moments, whose weights fall with time.
+type average struct {
+	over   time.Duration
+	weight float64
+	at     time.Time
+}
+
+func (a *average) add(n float64, now time.Time) { a.weight, a.at = a.decayed(now)+n, now }
+
+func (a *average) decayed(now time.Time) float64 {
+	return a.weight * math.Exp(-float64(now.Sub(a.at))/float64(a.over))
+}
+
+func (a *average) perSecond(now time.Time) float64 {
+	return max(0, a.decayed(now)/a.over.Seconds())
+}
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -37,7 +37,7 @@
 type Meter struct {
 	Deps
 	mu       sync.Mutex
-	accounts map[string]*bucket
+	accounts map[string]*account
 	near     near
 	far      map[string]word // by region
 }
@@ -64,58 +64,53 @@
 	admittedOver = 200 * time.Millisecond
 	askedOver    = 500 * time.Millisecond
 	// lag is how old what is known of other gateways is: 0.2 s within a region and 0.4 s
-	// between regions that are 80 ms apart, and the time that uses are averaged over. With
-	// 0.5 s the fullest window of an account that asks for 4.2 times its rate held 1.01 of
-	// what may be, with this one less than all.
-	lag = 650 * time.Millisecond
-	// returnTime is how fast a bucket is brought back to where it should be, as the time
-	// for which its rate would fill it.
-	returnTime = time.Second
+	// between regions that are 80 ms apart, and the time that uses are averaged over.
+	// Counted with 0.6 s, an account that asks for 4.2 times its rate filled a window to
+	// 1.02 of what may be.
+	lag = 800 * time.Millisecond
+	// settleTime is how fast the window is brought to where it should be.
+	settleTime = 250 * time.Millisecond
+	// aimShare is how much of what may be beyond the allowance is aimed at where an account
+	// asks for too much: below the allowance, callers are refused who are inside it, and
+	// what the others admit before it is known needs the rest.
+	aimShare = 0.2
+	// aloneShare is the share of what is asked for from which on a gateway may decide as
+	// if it were alone.
+	aloneShare = 0.95
 	// demandShare is how much of a region's share follows what is asked for there; the
 	// rest is equal, so that a region that is cut off can serve an account which it
 	// hardly knew.
 	demandShare = 0.75
-	// fullShare is how full a bucket is kept at most where all requests can't be admitted:
-	// one that is full loses what flows in. With a full one, 0.93 of what the rate allows
-	// was admitted.
-	fullShare = 0.8
-	// usedOverage is how much of the overage is given to callers. The rest is for what is
-	// admitted before others know.
-	usedOverage = 0.3
-	// lagOverage is how much of the overage and of the slack stands in for the lag: where
-	// it would do, a bucket may be emptied by all at once.
-	lagOverage = 0.4
 	// leastWait and mostWait bound when to come back: a share of the requests gets
-	// through at any time, and within a window the whole burst is there again.
+	// through near the limit, and callers wait for some seconds at most.
 	leastWait = 200 * time.Millisecond
 	mostWait  = 4 * time.Second
 )
 
 // New makes a meter that knows no account.
 func New(deps Deps) *Meter {
-	return &Meter{Deps: deps, accounts: make(map[string]*bucket), near: near{coverage: 1}, far: make(map[string]word)}
+	return &Meter{Deps: deps, accounts: make(map[string]*account), near: near{coverage: 1}, far: make(map[string]word)}
 }
 
-// Take takes over the accounts that are declared. A bucket begins empty: this gateway
-// may have started again. One that is new or raised fills within the time that its
-// burst takes.
+// Take takes over the accounts that are declared. Of one that is new here nothing is
+// known: this gateway may have started again.
 func (m *Meter) Take(accounts []catalog.Account, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	named := make(map[string]bool, len(accounts))
-	for _, a := range accounts {
-		if !a.Allowance.Limited() {
+	for _, declared := range accounts {
+		limit := declared.Allowance
+		if !limit.Limited() {
 			continue
 		}
-		named[a.Name] = true
-		b, ok := m.accounts[a.Name]
+		named[declared.Name] = true
+		inside := limit.Rate*m.Policy.Window.Seconds() + limit.Burst
+		a, ok := m.accounts[declared.Name]
 		if !ok {
-			b = newBucket(m.equalShares(), now)
-			m.accounts[a.Name] = b
+			a = newAccount(inside, m.Policy.Window, m.Regions, now)
+			m.accounts[declared.Name] = a
 		}
-		b.rate = a.Allowance.Rate * (1 + usedOverage*m.Policy.Overage)
-		b.burst = a.Allowance.Burst * (1 + usedOverage*m.Policy.Overage)
-		b.spare = lagOverage * (m.Policy.Overage*(a.Allowance.Rate*m.Policy.Window.Seconds()+a.Allowance.Burst) + m.Policy.Slack)
+		a.most = inside + aimShare*(m.Policy.Overage*inside+m.Policy.Slack)
 	}
 	for name := range m.accounts {
 		if !named[name] {
@@ -124,19 +119,11 @@
 	}
 }
 
-func (m *Meter) equalShares() map[string]float64 {
-	shares := make(map[string]float64, len(m.Regions))
-	for _, region := range m.Regions {
-		shares[region] = 1 / float64(len(m.Regions))
-	}
-	return shares
-}
-
 // Grant is what was counted for one request.
 type Grant struct {
-	meter  *Meter
-	bucket *bucket
-	cost   float64
+	meter   *Meter
+	account *account
+	cost    float64
 }
 
 // GiveBack takes a request that was never run off what was admitted. It may be called
@@ -147,33 +134,33 @@
 	}
 	g.meter.mu.Lock()
 	defer g.meter.mu.Unlock()
-	g.bucket.level += g.cost
-	g.bucket.admitted.add(-g.cost, now)
+	g.account.add(g.meter.Region, -g.cost, g.meter.Policy.Window, now)
+	g.account.admitted.add(-g.cost, now)
 	g.cost = 0
 }
 
 // Ask counts a request of an account. It gives nil where the account has no limit; the
 // error is a *request.NotRun where the request is over it.
-func (m *Meter) Ask(account string, cost float64, now time.Time) (*Grant, error) {
+func (m *Meter) Ask(name string, cost float64, now time.Time) (*Grant, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	b, ok := m.accounts[account]
+	a, ok := m.accounts[name]
 	if !ok {
 		return nil, nil
 	}
-	s := m.standing(account, b, now)
-	b.asked.add(cost, now)
+	s := m.standing(name, a, now)
+	a.asked.add(cost, now)
 	if share := s.admits(cost); share < 1 && float64(m.Random()>>11)/(1<<53) >= share {
-		b.refused += cost
+		a.refused += cost
 		return nil, &request.NotRun{
 			Reason:     request.ReasonAllowance,
-			Message:    fmt.Sprintf("the account asks for %.0f units a second, and %.0f are allowed; %.0f of its burst are left", s.asked, s.rate, s.level),
-			RetryAfter: s.wait(cost),
+			Message:    fmt.Sprintf("the account asks for %.0f units a second; of %.0f in %v, %.0f are used", s.asked, s.most, m.Policy.Window, s.used),
+			RetryAfter: max(leastWait, min(mostWait, a.until(cost+s.used-s.most, s.regions))),
 		}
 	}
-	b.level -= cost
-	b.admitted.add(cost, now)
-	return &Grant{meter: m, bucket: b, cost: cost}, nil
+	a.add(m.Region, cost, m.Policy.Window, now)
+	a.admitted.add(cost, now)
+	return &Grant{meter: m, account: a, cost: cost}, nil
 }
 
 // Uses gives what this gateway's callers do, by account, of those who do anything.
@@ -181,8 +168,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := make(map[string]Use)
-	for name, b := range m.accounts {
-		if u := b.own(now); u.Asked >= 1 || u.Admitted >= 1 {
+	for name, a := range m.accounts {
+		if u := a.own(now); u.Asked >= 1 || u.Admitted >= 1 {
 			out[name] = u
 		}
 	}
@@ -207,10 +194,11 @@
 	m.share(now)
 }
 
-// fill brings all buckets up to date before what is known changes. The lock is held.
+// fill brings all accounts up to date before what is known changes. The lock is held.
 func (m *Meter) fill(now time.Time) {
-	for name, b := range m.accounts {
-		m.standing(name, b, now)
+	for name, a := range m.accounts {
+		m.standing(name, a, now)
+		a.tidy(now)
 	}
 }
 
@@ -227,8 +215,8 @@
 			return
 		}
 	}
-	for name, b := range m.accounts {
-		here := b.own(now).plus(m.near.uses[name])
+	for name, a := range m.accounts {
+		here := a.own(now).plus(m.near.uses[name])
 		asked := map[string]float64{m.Region: here.Asked}
 		sum := here.Asked
 		for region, w := range m.far {
@@ -239,63 +227,67 @@
 			continue
 		}
 		for _, region := range m.Regions {
-			b.shares[region] = demandShare*asked[region]/sum + (1-demandShare)/float64(len(m.Regions))
+			a.shares[region] = demandShare*asked[region]/sum + (1-demandShare)/float64(len(m.Regions))
 		}
 	}
 }
 
 // standing is what holds of an account at one moment.
 type standing struct {
-	level    float64 // units
-	burst    float64
-	rate     float64 // units a second, that this gateway and those it hears share
-	asked    float64 // units a second, by all of them
-	alone    float64 // share of that which is asked for at this gateway
-	admitted float64 // units a second
-	spare    float64 // units
+	regions  []string // that are heard, this one included
+	most     float64  // units in a window, that this gateway and those it hears share
+	used     float64  // units, as far as is known
+	coming   float64  // units that others have admitted beside, or will have forgotten
+	leaving  float64  // units a second that leave the window
+	asked    float64  // units a second, by all of them
+	admitted float64  // units a second
+	alone    bool     // nearly all is asked for at this gateway
 }
 
-// standing fills the bucket up to now and gives what holds. The lock is held.
-func (m *Meter) standing(name string, b *bucket, now time.Time) standing {
-	others := m.near.uses[name]
-	part := 1.0
+// standing brings the window up to now and gives what holds. The lock is held.
+func (m *Meter) standing(name string, a *account, now time.Time) standing {
+	others, part, regions := m.near.uses[name], 1.0, []string{m.Region}
+	passed := now.Sub(a.filled).Seconds()
+	a.filled = now
+	a.add(m.Region, others.Admitted*passed, m.Policy.Window, now)
 	for _, region := range m.Regions {
 		switch {
 		case region == m.Region:
 		case m.heard(region, now):
-			others = others.plus(m.far[region].uses[name])
+			use := m.far[region].uses[name]
+			a.add(region, use.Admitted*passed, m.Policy.Window, now)
+			others = others.plus(use)
+			regions = append(regions, region)
 		default:
-			part -= b.shares[region]
+			// It is believed to use its share, so that nobody counts on it when it is heard
+			// again.
+			part -= a.shares[region]
+			a.add(region, a.shares[region]*a.most/m.Policy.Window.Seconds()*passed, m.Policy.Window, now)
 		}
 	}
-	part *= m.near.coverage
-	s := standing{rate: part * b.rate, burst: part * b.burst, spare: part * b.spare}
-	b.fill(s.rate-others.Admitted, s.burst, now)
-	s.level = b.level
-	own := b.own(now)
-	s.asked, s.admitted = own.Asked+others.Asked, own.Admitted+others.Admitted
+	own := a.own(now)
+	s := standing{
+		regions: regions, most: part * m.near.coverage * a.most,
+		asked: own.Asked + others.Asked, admitted: own.Admitted + others.Admitted,
+	}
+	s.used, s.leaving = a.sum(regions, now)
+	s.alone = own.Asked >= aloneShare*s.asked
 	if s.asked > 0 {
-		s.alone = own.Asked / s.asked
+		foreign := others.Asked / s.asked
+		s.coming = lag.Seconds() * (a.share*others.Asked - foreign*s.leaving)
 	}
+	a.noteShare(s.admits(0), now)
 	return s
 }
 
-// admits gives the share of the requests to admit: all while the bucket holds what the
-// other gateways may admit before it is known, and then as many as the rate allows.
+// admits gives the share of the requests to admit: as many as leave the window, and as
+// bring it to what may be in it. What others have admitted and not told yet is reckoned
+// with: they do as this gateway does.
 func (s standing) admits(cost float64) float64 {
-	guard := min(s.burst, max(0, (1-s.alone)*lag.Seconds()*(s.asked-s.rate)-s.spare))
-	if s.level-guard >= min(cost, s.burst) || s.asked <= 0 {
-		return 1
-	}
-	aim := min(guard, fullShare*s.burst)
-	return max(0, s.rate/s.asked*(1+(s.level-aim)/(s.rate*returnTime.Seconds())))
-}
-
-// wait gives when a request of that cost should come back.
-func (s standing) wait(cost float64) time.Duration {
-	if s.rate <= 0 {
-		return mostWait
+	left := s.most - s.used
+	if s.alone || s.asked <= 0 {
+		return map[bool]float64{true: 1, false: 0}[left >= min(cost, s.most)]
 	}
-	seconds := (cost - min(0, s.level)) / s.rate
-	return max(leastWait, min(mostWait, time.Duration(seconds*float64(time.Second))))
+	wanted := s.leaving + (left-s.coming)/settleTime.Seconds()
+	return max(0, min(1, wanted/s.asked))
 }
--- a/allowance/status.go
+++ b/allowance/status.go
@@ -9,8 +9,8 @@
 // Status is what one gateway knows of an account's allowance, for operators.
 type Status struct {
 	Account  string  `json:"account"`
-	Rate     float64 `json:"rate"`     // units a second that all whom it hears may admit
-	Level    float64 `json:"level"`    // units left of the burst
+	Most     float64 `json:"most"`     // units that all whom it hears may admit in a window
+	Used     float64 `json:"used"`     // units of that, as far as is known
 	Asked    float64 `json:"asked"`    // units a second, by all callers whom it hears of
 	Admitted float64 `json:"admitted"` // units a second, of those
 	Refused  float64 `json:"refused"`  // units that this gateway has refused since its start
@@ -35,11 +35,11 @@
 		}
 	}
 	out := make([]Status, 0, len(m.accounts))
-	for name, b := range m.accounts {
-		s := m.standing(name, b, now)
+	for name, a := range m.accounts {
+		s := m.standing(name, a, now)
 		out = append(out, Status{
-			Account: name, Rate: s.rate, Level: s.level, Asked: s.asked, Admitted: s.admitted,
-			Refused: b.refused, Share: b.shares[m.Region], Coverage: m.near.coverage, Regions: ages,
+			Account: name, Most: s.most, Used: s.used, Asked: s.asked, Admitted: s.admitted,
+			Refused: a.refused, Share: a.shares[m.Region], Coverage: m.near.coverage, Regions: ages,
 		})
 	}
 	slices.SortFunc(out, func(a, b Status) int { return strings.Compare(a.Account, b.Account) })
--- a/cmd/linenscale/accounts.go
+++ b/cmd/linenscale/accounts.go
@@ -50,7 +50,7 @@
 			}
 			all = append(all, gatewayAccounts{address, accounts})
 		}
-		return t.print(all, []string{"GATEWAY", "ACCOUNT", "RATE", "LEFT", "ASKED", "ADMITTED", "REFUSED", "SHARE", "HEARS", "REGIONS"}, accountRows(all))
+		return t.print(all, []string{"GATEWAY", "ACCOUNT", "MOST", "USED", "ASKED", "ADMITTED", "REFUSED", "SHARE", "HEARS", "REGIONS"}, accountRows(all))
 	}}
 }
 
@@ -84,7 +84,7 @@
 			}
 			slices.Sort(regions)
 			rows = append(rows, []string{
-				g.Gateway, s.Account, units(s.Rate), units(s.Level), units(s.Asked), units(s.Admitted), units(s.Refused),
+				g.Gateway, s.Account, units(s.Most), units(s.Used), units(s.Asked), units(s.Admitted), units(s.Refused),
 				fmt.Sprintf("%.2f", s.Share), fmt.Sprintf("%.2f", s.Coverage), strings.Join(regions, ", "),
 			})
 		}
