Gateways that fall silent are believed to go on for 1.2 s, so that a kill refuses nobody

Ruled out: to scale later without believing them to go on, which doubles what both halves of a cut region admit.

--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -190,3 +190,18 @@
 	must.Between(t, 900, admitted(1), 945)
 	must.Between(t, 450, admitted(0.5), 473)
 }
+
+// TestGatewaysThatAreKilledTakeNothingAlong loses two thirds of the gateways for a second,
+// whose callers turn to the others: an account inside its allowance is not refused.
+func TestGatewaysThatAreKilledTakeNothingAlong(t *testing.T) {
+	w := newWorld(60, tokens(120_000), newMetered)
+	w.asks(0.6)
+	w.play(10 * time.Second)
+	w.wrongly = 0
+	all := w.meters
+	for region := range all {
+		w.meters[region] = all[region][:7]
+	}
+	w.play(time.Second)
+	must.LessEq(t, 0.01*w.admitted, w.wrongly, must.Sprint(w))
+}
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -45,7 +46,9 @@
 // near is what is known of the other gateways of this region.
 type near struct {
 	uses     map[string]Use
-	coverage float64 // share of the region's gateways that the sums hold
+	coverage float64        // share of the region's gateways that the sums hold
+	all      map[string]Use // when they last held all of them
+	allAt    time.Time      // when that was
 }
 
 // word is what another region last told.
@@ -81,6 +84,10 @@
 	// rest is equal, so that a region that is cut off can serve an account which it
 	// hardly knew.
 	demandShare = 0.75
+	// holdTime is for how long gateways that fall silent are believed to go on as they did:
+	// processes that were killed are back after a second, and until then those that are
+	// left serve their callers.
+	holdTime = 1200 * time.Millisecond
 	// leastWait and mostWait bound when to come back: a share of the requests gets
 	// through near the limit, and callers wait for some seconds at most.
 	leastWait = 200 * time.Millisecond
@@ -182,7 +189,24 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.fill(now)
-	m.near = near{uses, min(1, coverage)}
+	switch {
+	case coverage >= 1:
+		m.near = near{uses: uses, coverage: 1, all: uses, allAt: now}
+	case now.Sub(m.near.allAt) < holdTime:
+		m.near.uses, m.near.coverage = most(uses, m.near.all), 1
+	default:
+		m.near.uses, m.near.coverage = uses, coverage
+	}
+}
+
+// most gives the greater use of each account.
+func most(a, b map[string]Use) map[string]Use {
+	out := maps.Clone(a)
+	for name, use := range b {
+		known := out[name]
+		out[name] = Use{max(known.Admitted, use.Admitted), max(known.Asked, use.Asked)}
+	}
+	return out
 }
 
 // HearFar takes another region's word, which was told at the given time.
--- a/allowance/world_test.go
+++ b/allowance/world_test.go
@@ -169,7 +169,7 @@
 			}
 		}
 	}
-	m.HearNear(map[string]allowance.Use{"club": sums[m.region]}, float64(heard)/float64(len(m.w.meters[m.region])), now)
+	m.HearNear(map[string]allowance.Use{"club": sums[m.region]}, float64(heard)/float64(m.w.gateways/regions), now)
 	for region, sum := range sums {
 		if region != m.region && !m.w.cut[region] && !m.w.cut[m.region] {
 			m.HearFar(names[region], map[string]allowance.Use{"club": sum}, now.Add(-farWord), now)
