--- /dev/null
+++ b/allowance/standing.go
@@ -0,0 +1,65 @@
+// This file defines what holds of an account at one moment, and how much is admitted then.
+
+package allowance
+
+import "time"
+
+// standing is what holds of an account at one moment.
+type standing struct {
+	regions  []string // that are heard, this one included
+	most     float64  // units in a window, that this gateway and those it hears share
+	used     float64  // units, as far as is known
+	coming   float64  // units that others have admitted beside, or will have forgotten
+	leaving  float64  // units a second that leave the window
+	asked    float64  // units a second, by all of them
+	admitted float64  // units a second
+	alone    bool     // nearly all is asked for at this gateway
+}
+
+// standing brings the window up to now and gives what holds. The lock is held.
+func (m *Meter) standing(name string, a *account, now time.Time) standing {
+	others, part, regions := m.near.uses[name], 1.0, []string{m.Region}
+	passed := now.Sub(a.filled).Seconds()
+	a.filled = now
+	a.add(m.Region, others.Admitted*passed, m.Policy.Window, now)
+	for _, region := range m.Regions {
+		switch {
+		case region == m.Region:
+		case m.heard(region, now):
+			use := m.far[region].uses[name]
+			a.add(region, use.Admitted*passed, m.Policy.Window, now)
+			others = others.plus(use)
+			regions = append(regions, region)
+		default:
+			// It is believed to use its share, so that nobody counts on it when it is heard
+			// again.
+			part -= a.shares[region]
+			a.add(region, a.shares[region]*a.most/m.Policy.Window.Seconds()*passed, m.Policy.Window, now)
+		}
+	}
+	own := a.own(now)
+	s := standing{
+		regions: regions, most: part * m.near.coverage * a.most,
+		asked: own.Asked + others.Asked, admitted: own.Admitted + others.Admitted,
+	}
+	s.used, s.leaving = a.sum(regions, now)
+	s.alone = own.Asked >= aloneShare*s.asked
+	if s.asked > 0 {
+		foreign := others.Asked / s.asked
+		s.coming = lag.Seconds() * (a.share*others.Asked - foreign*s.leaving)
+	}
+	a.noteShare(s.admits(0), now)
+	return s
+}
+
+// admits gives the share of the requests to admit: as many as leave the window, and as
+// bring it to what may be in it. What others have admitted and not told yet is reckoned
+// with: they do as this gateway does.
+func (s standing) admits(cost float64) float64 {
+	left := s.most - s.used
+	if s.alone || s.asked <= 0 {
+		return map[bool]float64{true: 1, false: 0}[left >= min(cost, s.most)]
+	}
+	wanted := s.leaving + (left-s.coming)/settleTime.Seconds()
+	return max(0, min(1, wanted/s.asked))
+}
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"maps"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -18,20 +16,10 @@
 	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
-	"github.com/linenscale/linenscale/allowance"
-	"github.com/linenscale/linenscale/controller"
-	"github.com/linenscale/linenscale/disk"
 	"github.com/linenscale/linenscale/dispatch"
 	"github.com/linenscale/linenscale/follow"
-	"github.com/linenscale/linenscale/ingress"
 	"github.com/linenscale/linenscale/internal/duty"
-	"github.com/linenscale/linenscale/internal/steady"
-	"github.com/linenscale/linenscale/ledger"
-	"github.com/linenscale/linenscale/platform"
-	"github.com/linenscale/linenscale/raft"
 	"github.com/linenscale/linenscale/registry"
-	"github.com/linenscale/linenscale/relay"
-	"github.com/linenscale/linenscale/retry"
 	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/roster"
 	"github.com/linenscale/linenscale/settings"
@@ -183,134 +171,6 @@
 	}
 }
 
-// control runs a control host.
-func (m *member) control(ctx, below context.Context, group *pool.ContextPool, stopBelow func()) error {
-	folder, err := disk.OpenDir(m.settings.DataDir)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	id, err := m.identity(folder)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	sender := wire.NewSender[raft.Envelope](m.dialer(true), follow.Service+".Deliver")
-	c, err := controller.New(controller.Deps{
-		Self: m.self(), Replica: id, Folder: folder, Voters: m.settings.Voters(), Regions: m.settings.Regions,
-		Heartbeat: m.settings.Heartbeat, Gather: controller.GatherTime, Told: controller.DrainTold, Seeds: m.seedPeers, Calls: m.calls, Commands: m.commands,
-		Send: func(e raft.Envelope) { sender.Post(controller.PeerOf(e.To), e) },
-		Log:  m.log, Clock: time.Now, Steady: steady.Now, Strict: m.settings.KeysRevokedWithin > 0, Seed: rand.Uint64(),
-	})
-	if err != nil {
-		return errors.Trace(err)
-	}
-	m.regions.Store(c.Follower())
-	server := wire.NewServer()
-	if err := server.Register(follow.Service, controller.NewService(below, c)); err != nil {
-		return errors.Trace(err)
-	}
-	listener, err := m.listen(m.settings.Peer())
-	if err != nil {
-		return errors.Trace(err)
-	}
-	group.Go(func(ctx context.Context) error { return server.Serve(ctx, listener) })
-	group.Go(sender.Run)
-	group.Go(c.Run)
-	m.serve(group, m.settings.Listen.Operators, platform.NewOperators(c, m.log))
-	m.serve(group, m.settings.Listen.Directory, platform.NewDirectory(c))
-	group.Go(func(context.Context) error {
-		defer stopBelow()
-		<-ctx.Done()
-		m.log.Info("stopping")
-		c.Stop()
-		time.Sleep(controlStop)
-		return nil
-	})
-	return nil
-}
-
-// identity gives the identity of the folder's replica. An empty folder gets a
-// new one, which no membership holds, except at the first start of the whole
-// system, when the seeds form the ledger's log.
-func (m *member) identity(folder disk.Folder) (raft.ID, error) {
-	id, err := readIdentity(folder)
-	if err != nil {
-		return raft.None, errors.Trace(err)
-	}
-	peer := m.settings.Peer()
-	if id == raft.None {
-		id = newIdentity(peer)
-		if m.settings.FirstStart && slices.Contains(m.seedPeers(), peer) {
-			id = raft.ID(peer + firstIdentity)
-		}
-		if err := writeIdentity(folder, id); err != nil {
-			return raft.None, errors.Annotate(err, "identity")
-		}
-		m.log.Info("new identity", zap.String("identity", string(id)))
-	}
-	return id, formFirst(folder, id, m.seedPeers())
-}
-
-// gateway runs a gateway.
-func (m *member) gateway(ctx context.Context, group *pool.ContextPool, stopBelow func()) error {
-	callers, err := m.listen(m.settings.Listen.Callers)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	handover, err := m.listen(m.settings.Handover())
-	if err != nil {
-		return errors.Trace(err)
-	}
-	engines := registry.New(m.life, m.settings.Heartbeat, time.Now)
-	self := m.self()
-	self.Handover = m.settings.Handover()
-	var server *ingress.Server
-	var dispatcher *dispatch.Dispatcher
-	follower := follow.New(follow.Deps{
-		Self: func() roster.Host {
-			now := self
-			now.Stopping = server.Stopping()
-			return now
-		},
-		Seeds: m.seedPeers, Calls: m.calls, Engines: engines,
-		Took: func(s ledger.State) { server.Take(s) }, Log: m.log, Clock: time.Now, Steady: steady.Now,
-	})
-	m.regions.Store(follower)
-	regions := m.allRegions()
-	meter := allowance.New(allowance.Deps{Region: self.Region, Regions: regions, Policy: allowance.Policy(m.settings.Allowances), Random: rand.Uint64})
-	dispatcher = dispatch.New(dispatch.Deps{
-		Name: self.Name, Region: self.Region, DataCentre: self.DataCentre, Regions: m.settings.Regions, Engines: engines, Peers: follower.Gateways, Trip: m.trips.RoundTrip,
-		Budget: retry.Policy(m.settings.Retries), Allowances: meter, Log: m.log, Clock: time.Now,
-	})
-	client := relay.New(m.engineDialer(), relay.Options{IdleTime: engineIdle})
-	server = ingress.New(ingress.Deps{
-		Self: self, Dialect: platform.Dialect{}, Dispatcher: dispatcher, Gateways: follower.Gateways,
-		Engines: client, Peers: relay.New(m.dialer(false), relay.Options{IdleTime: peerIdle}), Log: m.log, Metrics: m.metrics,
-		Random: rand.Uint64, StopTime: m.settings.StopTime - stopMargin,
-		Keys:       ingress.Keys{RevokedWithin: m.settings.KeysRevokedWithin, SureUntil: follower.SureUntil, Steady: steady.Now},
-		Allowances: meter, Regions: regions,
-	})
-	group.Go(follower.Run)
-	group.Go(func(ctx context.Context) error { return dispatchDuty(ctx, dispatcher, engines) })
-	words, err := wire.ListenDatagrams[rollup.Message](m.settings.Bound(m.settings.Peer()))
-	if err != nil {
-		return errors.Trace(err)
-	}
-	group.Go(func(ctx context.Context) error { return words.Run(ctx, dispatcher.Hear) })
-	group.Go(func(ctx context.Context) error { return m.tellLoad(ctx, dispatcher, words) })
-	m.serve(group, m.settings.Listen.Ready, platform.NewReady(server.Ready))
-	m.serve(group, m.settings.Listen.Metrics, withAccounts(m.metrics.Handler(), meter))
-	group.Go(func(context.Context) error {
-		defer stopBelow()
-		return server.Run(ctx, callers, handover)
-	})
-	return nil
-}
-
-// allRegions lists the regions of the settings, each once, in order.
-func (m *member) allRegions() []string {
-	return slices.Compact(slices.Sorted(maps.Values(m.settings.Regions)))
-}
-
 // dispatchDuty keeps the dispatcher up to date with the engines.
 func dispatchDuty(ctx context.Context, d *dispatch.Dispatcher, engines *registry.Table) error {
 	ticker := time.NewTicker(dispatchEvery)
