Hosts tell of themselves once, not with every question; a drain waits for gateways only

Each of some 500 questions a second holds eleven texts of the asking host. And a drain was acknowledged after 408 ms instead of 94: control hosts were waited for, which aren't told of what others heard. Change: Known stands for the host as it was told; a control host that has forgotten says so. Only gateways are waited for.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -115,11 +115,11 @@
 	pack    follow.StateReply // of the last state that was asked for
 
 	mu      sync.Mutex
-	told    map[string]told // by gateway, and by control host
+	told    map[string]told // by gateway
 	changed chan struct{}   // closed with the ledger's next change
 }
 
-// told is up to which number a host has confirmed the engines.
+// told is up to which number a gateway has confirmed the engines.
 type told struct {
 	number uint64
 	region string
--- a/controller/service.go
+++ b/controller/service.go
@@ -30,6 +30,12 @@
 	c := s.controller
 	received := c.Steady()
 	wait := min(args.Wait, follow.FarWait)
+	if args.Known {
+		if args.Self = c.roster.Known(args.Self.Name, args.Self.Life); args.Self.Name == "" {
+			*reply = follow.SyncReply{Stranger: true}
+			return nil
+		}
+	}
 	if c.roster.HearFor(args.Self, patience(wait)) {
 		c.Log.Info("host heard", zap.String("host", args.Self.Name), zap.String("role", string(args.Self.Role)), zap.String("life", args.Self.Life), zap.String("replica", args.Self.Replica))
 	}
@@ -84,7 +90,7 @@
 // noteTold notes what a host has confirmed by asking for more. Gateways of other
 // regions that ask briefly are told of engines by the control hosts there.
 func (c *Controller) noteTold(args follow.SyncArgs) {
-	if args.Brief {
+	if args.Brief || args.Self.Role != roster.RoleGateway {
 		return
 	}
 	c.mu.Lock()
--- a/follow/brief_test.go
+++ b/follow/brief_test.go
@@ -27,6 +27,8 @@
 	hears []string
 	brief bool // it was last asked briefly
 	asked int
+	knows bool // the caller
+	told  int  // how often the caller told of itself
 }
 
 // Sync answers after a moment.
@@ -34,6 +36,15 @@
 	s.mu.Lock()
 	s.brief = args.Brief
 	s.asked++
+	if args.Known && !s.knows {
+		*reply = follow.SyncReply{Stranger: true}
+		s.mu.Unlock()
+		return nil
+	}
+	if !args.Known {
+		s.told++
+		s.knows = true
+	}
 	*reply = follow.SyncReply{Life: s.self.Name, Self: s.self, Hears: s.hears}
 	if !args.Brief {
 		reply.Number, reply.Roster = 1, 1
@@ -114,3 +125,40 @@
 	stops["other"]()
 	want("the region's are lost", map[string]bool{"far": false})
 }
+
+// TestAHostTellsOfItselfOnce counts how often a control host is told who asks: once, and
+// again when it has forgotten.
+func TestAHostTellsOfItselfOnce(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group := pool.New()
+	defer group.Wait()
+	defer cancel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s, server := &teller{self: roster.Host{Name: "own"}}, wire.NewServer()
+	must.NoError(t, server.Register(follow.Service, s))
+	group.Go(func() { _ = server.Serve(ctx, listener) })
+	follower := follow.New(follow.Deps{
+		Self:  func() roster.Host { return roster.Host{Name: "g", Life: "1", Role: roster.RoleGateway} },
+		Seeds: func() []string { return []string{listener.Addr().String()} }, Calls: wire.NewClient(&net.Dialer{}), Engines: registry.New("x", time.Second, time.Now),
+		Took: func(ledger.State) {}, Log: zap.NewNop(), Clock: time.Now, Steady: steady.Now,
+	})
+	group.Go(func() { _ = follower.Run(ctx) })
+	want := func(told int) {
+		t.Helper()
+		for until := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+			s.mu.Lock()
+			done := s.asked > 5 && s.told == told
+			s.mu.Unlock()
+			if done {
+				return
+			}
+			must.True(t, time.Now().Before(until), must.Sprintf("told %d times", told))
+		}
+	}
+	want(1)
+	s.mu.Lock()
+	s.knows, s.asked = false, 0
+	s.mu.Unlock()
+	want(2)
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -157,6 +157,9 @@
 			duty.Pause(ctx, retryPause)
 			continue
 		}
+		if f.meet(l, reply) {
+			continue
+		}
 		if f.take(l, args, reply, asked) {
 			f.fetch(ctx, l)
 		}
@@ -179,6 +182,10 @@
 	if f.Took == nil {
 		args.Index = math.MaxUint64 // no state is news to a host that has its own
 	}
+	if self == l.told {
+		args.Self, args.Known = roster.Host{Name: self.Name, Life: self.Life}, true
+	}
+	l.telling = self
 	return args
 }
 
@@ -204,6 +211,7 @@
 	}
 	f.Engines.Merge(engines)
 	f.Engines.Confirm(reply.Life)
+	region := f.Self().Region
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if l.down || l.life == "" {
@@ -221,7 +229,7 @@
 		l.number = reply.Number
 		l.takeHosts(reply, reply.Life != args.Life)
 	}
-	return f.worthFetching(l, args.Self.Region, reply.Index, now)
+	return f.worthFetching(l, region, reply.Index, now)
 }
 
 // worthFetching tells whether to fetch the state from a control host that has a
--- a/follow/link.go
+++ b/follow/link.go
@@ -27,6 +27,8 @@
 	ahead    time.Time              // since when it has had a newer state
 	down     bool                   // its loss has been logged
 	sure     []sure                 // of which states it was sure, the newest last
+	told     roster.Host            // what it knows of this host
+	telling  roster.Host            // what it is being told
 	hears    []string               // control hosts of this host's region, by name
 }
 
@@ -78,6 +80,18 @@
 	return l.life != "" && now.Sub(l.answered) <= l.silence()
 }
 
+// meet notes what the control host knows of this host. It tells whether that is nothing,
+// so that the answer holds nothing either.
+func (f *Follower) meet(l *link, reply SyncReply) (stranger bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l.told = l.telling
+	if reply.Stranger {
+		l.told = roster.Host{}
+	}
+	return reply.Stranger
+}
+
 // forgetNews forgets what a control host told before it was asked briefly: it would
 // be out of date when it is asked for it again.
 func (l *link) forgetNews() {
--- a/follow/messages.go
+++ b/follow/messages.go
@@ -20,7 +20,10 @@
 
 // SyncArgs tells a control host of the caller, and asks for what is new.
 type SyncArgs struct {
-	Self    roster.Host
+	Self roster.Host
+	// Known says that Self is as it was told before, and holds just its name and life: to
+	// tell all of it with every question was most of what gateways sent to other regions.
+	Known   bool
 	Life    string        // of the control host that Engines counts for
 	Engines uint64        // number up to which the caller knows its engines
 	Index   uint64        // of the ledger's state that the caller has
@@ -36,16 +39,17 @@
 
 // SyncReply is what a control host knows and the caller doesn't.
 type SyncReply struct {
-	Life    string
-	Index   uint64 // of the ledger's state that can be fetched
-	Engines []EngineNews
-	Number  uint64        // up to which Engines reaches
-	Hosts   []roster.Host // that came or changed, without times
-	Gone    []string      // names of hosts that went
-	Roster  uint64        // up to which Hosts and Gone reach
-	Sure    Surety
-	Self    roster.Host // the control host
-	Hears   []string    // names of other control hosts of the caller's region that it is in touch with
+	Life     string
+	Index    uint64 // of the ledger's state that can be fetched
+	Engines  []EngineNews
+	Number   uint64        // up to which Engines reaches
+	Hosts    []roster.Host // that came or changed, without times
+	Gone     []string      // names of hosts that went
+	Roster   uint64        // up to which Hosts and Gone reach
+	Stranger bool          // the control host doesn't know the caller, who must tell of itself
+	Sure     Surety
+	Self     roster.Host // the control host
+	Hears    []string    // names of other control hosts of the caller's region that it is in touch with
 }
 
 // Surety says up to when a control host is sure of the ledger's state.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -106,6 +106,16 @@
 	r.changed = make(chan struct{})
 }
 
+// Known gives a host that has told of itself in this life, or none.
+func (r *Roster) Known(name, life string) Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known, ok := r.hosts[name]; ok && !known.gone && known.Life == life {
+		return known.Host
+	}
+	return Host{}
+}
+
 // Expire takes the hosts off that were not heard for the given time, or for as long as
 // they may be silent, and gives them.
 func (r *Roster) Expire(after time.Duration) []Host {
