A gateway that was frozen for a minute believes one window of others' use, not a minute of it

Found by reading: after a freeze of 60 s all of it was counted as of now, and an account that used half of its allowance was refused for 8 s. The test fails before.

--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -205,3 +205,17 @@
 	w.play(time.Second)
 	must.LessEq(t, 0.01*w.admitted, w.wrongly, must.Sprint(w))
 }
+
+// TestAGatewayThatWasFrozenServes freezes a gateway for a minute, during which others
+// admitted half of what an account may do.
+func TestAGatewayThatWasFrozenServes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := newMeter("lagos")
+	m.Take([]catalog.Account{{Name: "club", Allowance: catalog.Allowance{Unit: catalog.UnitRequests, Rate: 100, Burst: 100}}}, now)
+	uses := map[string]allowance.Use{"club": {Admitted: 50, Asked: 50}}
+	m.HearNear(uses, 1, now)
+	now = now.Add(time.Minute)
+	m.HearNear(uses, 1, now)
+	_, err := m.Ask("club", 1, now)
+	must.NoError(t, err)
+}
--- a/allowance/standing.go
+++ b/allowance/standing.go
@@ -19,7 +19,8 @@
 // standing brings the window up to now and gives what holds. The lock is held.
 func (m *Meter) standing(name string, a *account, now time.Time) standing {
 	others, part, regions := m.near.uses[name], 1.0, []string{m.Region}
-	passed := now.Sub(a.filled).Seconds()
+	// A gateway that was frozen for longer has forgotten what has left the window since.
+	passed := min(now.Sub(a.filled), m.Policy.Window).Seconds()
 	a.filled = now
 	a.add(m.Region, others.Admitted*passed, m.Policy.Window, now)
 	for _, region := range m.Regions {
@@ -58,7 +59,10 @@
 func (s standing) admits(cost float64) float64 {
 	left := s.most - s.used
 	if s.alone || s.asked <= 0 {
-		return map[bool]float64{true: 1, false: 0}[left >= min(cost, s.most)]
+		if left >= min(cost, s.most) {
+			return 1
+		}
+		return 0
 	}
 	wanted := s.leaving + (left-s.coming)/settleTime.Seconds()
 	return max(0, min(1, wanted/s.asked))
