Bring only the accounts up to date that somebody uses

Cause: at 14,000 accounts, which the target has, a gateway brought all of them up to date with each word of other gateways: 24 ms, eighteen times a second, of a host that has 0.19 of a core. Ruled out: the cost of counting a request (0.5 us), the size of words. Change: the meter keeps the accounts that anybody used within a window apart. The others are brought up to date when they are asked for, and all of them when a region is heard again that was not, since it may have used its share of each. Before and after, three words at 14,000 accounts with one in ten in use, beside other load: 71 ms and 9 ms. A new test hears of a region again after 30 s: its share counts, and leaves the window.

--- a/allowance/account.go
+++ b/allowance/account.go
@@ -58,13 +58,15 @@
 	return used, leaving
 }
 
-// tidy drops the windows in which nothing is left.
-func (a *account) tidy(now time.Time) {
+// tidy drops the windows in which nothing is left. It tells whether that is all, and
+// nobody asks for anything here.
+func (a *account) tidy(now time.Time) (idle bool) {
 	for region, w := range a.used {
 		if w.advance(now); w.sum == 0 {
 			delete(a.used, region)
 		}
 	}
+	return len(a.used) == 0 && a.own(now).Asked < 1
 }
 
 // until gives how long it takes until so much has left the windows of those regions.
--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -219,3 +219,29 @@
 	_, err := m.Ask("club", 1, now)
 	must.NoError(t, err)
 }
+
+// TestAnAccountThatRestedIsUpToDate leaves an account alone for longer than a window while
+// another region can't be heard, and then hears that region again: what that one may have
+// admitted counts.
+func TestAnAccountThatRestedIsUpToDate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := newMeter("lagos", "kano")
+	m.Take([]catalog.Account{{Name: "club", Allowance: catalog.Allowance{Unit: catalog.UnitRequests, Rate: 100, Burst: 100}}}, now)
+	hear := func(seconds int) {
+		for range seconds * 10 {
+			now = now.Add(100 * time.Millisecond)
+			m.HearNear(nil, 1, now)
+		}
+	}
+	m.HearFar("kano", nil, now, now)
+	hear(30)
+	m.HearFar("kano", nil, now, now)
+	must.Between(t, 400, m.Statuses(now)[0].Used, 500)
+	for range 20 {
+		hear(1)
+		m.HearFar("kano", nil, now, now)
+		now = now.Add(400 * time.Millisecond)
+		m.HearFar("kano", nil, now, now)
+	}
+	must.Less(t, 500, m.Statuses(now)[0].Used)
+}
--- a/allowance/bench_test.go
+++ b/allowance/bench_test.go
@@ -9,8 +9,9 @@
 	"github.com/linenscale/linenscale/catalog"
 )
 
-// BenchmarkHear hears of the other gateways of the region, with 14,000 accounts of which one
-// in ten does anything: ten times a second. It takes 90 ms; with 16 accounts 33 us.
+// BenchmarkHear hears of the other gateways of the region and of two others, with 14,000
+// accounts of which one in ten does anything. With all brought up to date it took 71 ms;
+// with those in use 9 ms.
 func BenchmarkHear(b *testing.B) {
 	now := time.Unix(1000, 0)
 	m := newMeter("lagos", "abuja", "kano")
@@ -24,12 +25,18 @@
 		}
 	}
 	m.Take(accounts, now)
-	for b.Loop() {
+	hear := func() {
 		now = now.Add(100 * time.Millisecond)
 		m.HearNear(uses, 1, now)
 		m.HearFar("abuja", uses, now, now)
 		m.HearFar("kano", uses, now, now)
 	}
+	for range 100 { // until what is believed at the start has left the window
+		hear()
+	}
+	for b.Loop() {
+		hear()
+	}
 }
 
 // BenchmarkAsk counts one request of one account, beside 14,000 others.
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -39,6 +39,7 @@
 	Deps
 	mu       sync.Mutex
 	accounts map[string]*account
+	active   map[string]*account // of those, the ones that somebody has used within a window
 	near     near
 	far      map[string]word // by region
 }
@@ -96,7 +97,7 @@
 
 // New makes a meter that knows no account.
 func New(deps Deps) *Meter {
-	return &Meter{Deps: deps, accounts: make(map[string]*account), near: near{coverage: 1}, far: make(map[string]word)}
+	return &Meter{Deps: deps, accounts: make(map[string]*account), active: make(map[string]*account), near: near{coverage: 1}, far: make(map[string]word)}
 }
 
 // Take takes over the accounts that are declared. Of one that is new here nothing is
@@ -115,13 +116,14 @@
 		a, ok := m.accounts[declared.Name]
 		if !ok {
 			a = newAccount(inside, m.Policy.Window, m.Regions, now)
-			m.accounts[declared.Name] = a
+			m.accounts[declared.Name], m.active[declared.Name] = a, a
 		}
 		a.most = inside + aimShare*(m.Policy.Overage*inside+m.Policy.Slack)
 	}
 	for name := range m.accounts {
 		if !named[name] {
 			delete(m.accounts, name)
+			delete(m.active, name)
 		}
 	}
 }
@@ -155,6 +157,7 @@
 	if !ok {
 		return nil, nil
 	}
+	m.active[name] = a
 	s := m.standing(name, a, now)
 	a.asked.add(cost, now)
 	if share := s.admits(cost); share < 1 && float64(m.Random()>>11)/(1<<53) >= share {
@@ -175,7 +178,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := make(map[string]Use)
-	for name, a := range m.accounts {
+	for name, a := range m.active {
 		if u := a.own(now); u.Asked >= 1 || u.Admitted >= 1 {
 			out[name] = u
 		}
@@ -188,7 +191,8 @@
 func (m *Meter) HearNear(uses map[string]Use, coverage float64, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.fill(now)
+	m.fill(m.active, now)
+	m.wake(uses)
 	switch {
 	case coverage >= 1:
 		m.near = near{uses: uses, coverage: 1, all: uses, allAt: now}
@@ -213,16 +217,34 @@
 func (m *Meter) HearFar(region string, uses map[string]Use, at, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.fill(now)
+	if m.heard(region, now) {
+		m.fill(m.active, now)
+	} else {
+		m.fill(m.accounts, now) // the region is believed to have used its share of each
+	}
+	m.wake(uses)
 	m.far[region] = word{at, uses}
 	m.share(now)
 }
 
-// fill brings all accounts up to date before what is known changes. The lock is held.
-func (m *Meter) fill(now time.Time) {
-	for name, a := range m.accounts {
+// wake notes that somebody uses these accounts.
+func (m *Meter) wake(uses map[string]Use) {
+	for name := range uses {
+		if a, ok := m.accounts[name]; ok {
+			m.active[name] = a
+		}
+	}
+}
+
+// fill brings accounts up to date before what is known changes. The others, which nobody
+// has used within a window, are when they are asked for: to bring 14,000 up to date, of
+// which one in ten is used, takes 24 ms for each word instead of 3. The lock is held.
+func (m *Meter) fill(accounts map[string]*account, now time.Time) {
+	for name, a := range accounts {
 		m.standing(name, a, now)
-		a.tidy(now)
+		if a.tidy(now) {
+			delete(m.active, name)
+		}
 	}
 }
 
@@ -239,7 +261,7 @@
 			return
 		}
 	}
-	for name, a := range m.accounts {
+	for name, a := range m.active {
 		here := a.own(now).plus(m.near.uses[name])
 		asked := map[string]float64{m.Region: here.Asked}
 		sum := here.Asked
