The soak takes keys away and asks too much; the platform's words out of ingress's tests

Cause: the soak checked neither promise of client accounts, and tests of ingress spelled the platform's headers. Change: each version of the soak's declaration takes a key away, which callers go on showing at all gateways; another account asks for more than its rate. Checked at the engines: nothing ran that was sent over 5 s after its key was taken away, no key arrived, no window holds more than it may. The platform's headers stand in platformtest.

--- a/ingress/accounts_test.go
+++ b/ingress/accounts_test.go
@@ -35,13 +35,9 @@
 	g.server.Take(ledger.State{Index: 2, Catalog: c})
 }
 
-// showing is a request with a key.
-func showing(path, key string) platformtest.Request {
-	r := platformtest.Request{Path: path, Header: http.Header{}}
-	if key != "" {
-		r.Header.Set("Authorization", "Token "+key)
-	}
-	return r
+// showing is a request with keys.
+func showing(path string, keys ...string) platformtest.Request {
+	return platformtest.Request{Path: path, Header: platformtest.Showing(keys...)}
 }
 
 // TestKeysAreAskedFor looks at the status, and at the account that the engine is told.
@@ -52,11 +48,11 @@
 		account string
 	}{
 		"known":               {showing("/safe/1", "k-club"), 200, "club"},
-		"none":                {showing("/safe/1", ""), 401, ""},
+		"none":                {showing("/safe/1"), 401, ""},
 		"unknown":             {showing("/safe/1", "k-other"), 401, ""},
 		"of another scheme":   {platformtest.Request{Path: "/safe/1", Header: http.Header{"Authorization": {"Basic k-club"}}}, 401, ""},
-		"two":                 {platformtest.Request{Path: "/safe/1", Header: http.Header{"Authorization": {"Token k-club", "Token k-bound"}}}, 401, ""},
-		"public without":      {showing("/public/1", ""), 200, ""},
+		"two":                 {showing("/safe/1", "k-club", "k-bound"), 401, ""},
+		"public without":      {showing("/public/1"), 200, ""},
 		"public unknown":      {showing("/public/1", "k-other"), 200, ""},
 		"public known":        {showing("/public/1", "k-club"), 200, "club"},
 		"no region in common": {showing("/home/1", "k-bound"), 503, ""},
@@ -66,15 +62,15 @@
 			g, engines := setUp(t)
 			g.server.Regions = []string{"lagos", "kano"}
 			withAccounts(g, accounts)
-			c.request.Header["X-Linenscale-Tenant"] = []string{"forged", "again"}
+			platformtest.Forge(c.request.Header, "forged", "again")
 			result := do(t, g, c.request)
 			must.Eq(t, c.status, result.Status)
 			arrived := 0
 			for _, e := range engines {
 				for _, a := range e.Arrivals() {
 					arrived++
-					must.Eq(t, c.account, a.Header.Get("X-Linenscale-Tenant"))
-					must.SliceEmpty(t, a.Header.Values("Authorization"))
+					must.Eq(t, c.account, a.Account())
+					must.SliceEmpty(t, a.Keys())
 				}
 			}
 			must.Eq(t, c.status == 200, arrived > 0)
@@ -85,7 +81,7 @@
 // TestWithoutAccountsNobodyNeedsAKey passes on what a caller shows, as ever.
 func TestWithoutAccountsNobodyNeedsAKey(t *testing.T) {
 	g, _ := setUp(t)
-	must.Eq(t, http.StatusOK, do(t, g, showing("/safe/1", "")).Status)
+	must.Eq(t, http.StatusOK, do(t, g, showing("/safe/1")).Status)
 }
 
 // TestKeysAreServedUnderALease moves a clock that no catalog has been confirmed on for
@@ -110,7 +106,7 @@
 		if status == http.StatusServiceUnavailable {
 			must.NotEq(t, "", result.Header.Get("Retry-After"), must.Sprint(note))
 		}
-		must.Eq(t, http.StatusOK, do(t, g, showing("/public/1", "")).Status, must.Sprint(note))
+		must.Eq(t, http.StatusOK, do(t, g, showing("/public/1")).Status, must.Sprint(note))
 	}
 	want(503, "no word has come yet")
 	must.Eq(t, http.StatusServiceUnavailable, do(t, g, showing("/safe/1", "k-other")).Status, must.Sprint("it may be new"))
@@ -140,8 +136,8 @@
 	must.Eq(t, http.StatusOK, result.Status)
 	for _, e := range engines {
 		for _, a := range e.Arrivals() {
-			must.Eq(t, "away", a.Header.Get("X-Linenscale-Tenant"))
-			must.SliceEmpty(t, a.Header.Values("Authorization"))
+			must.Eq(t, "away", a.Account())
+			must.SliceEmpty(t, a.Keys())
 		}
 	}
 	withAccounts(kano, accounts[:1])
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -168,13 +168,14 @@
 
 func TestWhatOnlyTheSystemSetsIsTakenOff(t *testing.T) {
 	g, engines := setUp(t)
-	forged := http.Header{"X-Linenscale-Hold": {"h1"}, "Kv-From": {"10.0.0.1:1/x"}, "X-Linenscale-Target-Instance": {"i-other"}, "X-Other": {"kept"}, "Linenscale-Handover-Path": {"g9"}}
+	forged := platformtest.Reserved()
+	forged["X-Other"], forged["Linenscale-Handover-Path"] = []string{"kept"}, []string{"g9"}
 	result := do(t, g, platformtest.Request{Path: "/safe/1", Header: forged})
 	must.Eq(t, http.StatusOK, result.Status)
 	for _, e := range engines {
 		for _, a := range e.Arrivals() {
-			must.Eq(t, "", a.Header.Get("X-Linenscale-Hold")+a.Header.Get("Kv-From")+a.Header.Get("Linenscale-Handover-Path"))
-			must.Eq(t, e.ID, a.Header.Get("X-Linenscale-Target-Instance"))
+			must.Eq(t, "", a.Forged()+a.Header.Get("Linenscale-Handover-Path"))
+			must.Eq(t, e.ID, a.Target())
 			must.Eq(t, "kept", a.Header.Get("X-Other"))
 		}
 	}
@@ -314,7 +315,7 @@
 	for n := range callers {
 		conn, err := net.Dial("tcp", listener.Addr().String())
 		must.NoError(t, err)
-		_, err = fmt.Fprintf(conn, "POST /unsafe/1 HTTP/1.1\r\nHost: h\r\nX-Linenscale-Request-Id: left%d\r\nX-Linenscale-Deadline-Ms: 900\r\nContent-Length: 2\r\n\r\nxy", n)
+		_, err = conn.Write([]byte(platformtest.Raw("/unsafe/1", fmt.Sprintf("left%d", n), 900)))
 		must.NoError(t, err)
 		must.NoError(t, conn.Close())
 	}
--- /dev/null
+++ b/soak/accounts.go
@@ -0,0 +1,137 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/linenscale/linenscale/platform/platformtest"
+	"github.com/linenscale/linenscale/settings"
+)
+
+// Client accounts of every declaration: one whose key always holds, one whose key is
+// another with each version, and one that may ask for little.
+const (
+	memberKey = "member"
+	smallKey  = "small"
+	smallName = "small"
+	smallRate = 20 // requests a second, and as many on top
+	keyBound  = 5 * time.Second
+	// mayBeShown is how many versions ago a key may have been declared that is shown.
+	mayBeShown = 6
+	smallPause = 20 * time.Millisecond
+)
+
+// bounds are those of the hosts' settings.
+var bounds = settings.Allowances{Window: 4 * time.Second, Overage: 0.1, Slack: 20}
+
+// fleetingKey is held by one version of the declaration only.
+func fleetingKey(version int64) string { return fmt.Sprintf("fleeting-%d", version) }
+
+// tenants gives the accounts of a version.
+func tenants(version int64) []platformtest.Tenant {
+	return []platformtest.Tenant{
+		{Name: "members", APIKeys: []string{memberKey, fleetingKey(version)}},
+		{Name: smallName, APIKeys: []string{smallKey}, Unit: "requests", RatePerS: smallRate, Burst: smallRate},
+	}
+}
+
+// shown is a request with a key that is taken away by the next version.
+type shown struct {
+	sent    time.Time
+	version int64 // that holds the key
+}
+
+// showKeys sends requests with keys of late versions to one gateway.
+func (w *World) showKeys(ctx context.Context, h *Host, r *rand.Rand) {
+	var caller platformtest.Caller
+	for ctx.Err() == nil {
+		version := max(1, w.Check.Newest()-r.Int64N(mayBeShown))
+		began := time.Now()
+		result, err := caller.Do(ctx, h.settings.Listen.Callers, platformtest.Request{Host: "soak", Path: "/safe/1", Header: platformtest.Showing(fleetingKey(version)), Deadline: 3 * time.Second})
+		w.Check.Shown(result.ID, shown{began, version})
+		if err == nil && result.Status == 200 {
+			w.Check.Answer(kinds[0], h.Name, result)
+		}
+		pause(ctx, callPause)
+	}
+}
+
+// askTooMuch sends requests of the account that may ask for little.
+func (w *World) askTooMuch(ctx context.Context, h *Host) {
+	var caller platformtest.Caller
+	for ctx.Err() == nil {
+		_, _ = caller.Do(ctx, h.settings.Listen.Callers, platformtest.Request{Host: "soak", Path: "/safe/1", Header: platformtest.Showing(smallKey)}) // how it ends is seen at the engines
+		pause(ctx, smallPause)
+	}
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
+// Shown notes a request whose key is taken away by the next version.
+func (c *Checker) Shown(request string, s shown) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shown[request] = s
+}
+
+// takenAway gives when a later version than this was first accepted; false where none
+// has been.
+func (c *Checker) takenAway(version int64) (at time.Time, ok bool) {
+	for later, accepted := range c.acceptedAt {
+		if later > version && (!ok || accepted.Before(at)) {
+			at, ok = accepted, true
+		}
+	}
+	return at, ok
+}
+
+// accounts checks what the engines ran for accounts: no key that was taken away too long
+// before the request was sent, no key passed on, and no more than may be in any window.
+func (c *Checker) accounts(engines []*Engine) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var small []time.Time
+	for _, e := range engines {
+		for _, a := range e.Arrivals() {
+			if len(a.Keys()) > 0 {
+				c.problems = append(c.problems, fmt.Sprintf("request %s brought its key to %s", a.Request, e.ID))
+			}
+			if !a.Ran {
+				continue
+			}
+			if a.Account() == smallName {
+				small = append(small, a.At)
+			}
+			s, known := c.shown[a.Request]
+			if at, taken := c.takenAway(s.version); known && taken && s.sent.Sub(at) > keyBound {
+				c.problems = append(c.problems, fmt.Sprintf("request %s ran at %s with the key of version %d, which was taken away %v before it was sent", a.Request, e.ID, s.version, s.sent.Sub(at)))
+			}
+		}
+	}
+	most := (smallRate*bounds.Window.Seconds()+smallRate)*(1+bounds.Overage) + bounds.Slack
+	if fullest := fullest(small, bounds.Window); float64(fullest) > most {
+		c.problems = append(c.problems, fmt.Sprintf("%d requests of account %s ran within %v, and %.0f are the most", fullest, smallName, bounds.Window, most))
+	}
+	c.SmallRan = len(small)
+}
+
+// fullest gives the most times within any window.
+func fullest(times []time.Time, window time.Duration) int {
+	slices.SortFunc(times, time.Time.Compare)
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
--- a/soak/check.go
+++ b/soak/check.go
@@ -42,19 +42,22 @@
 // Checker holds the promises against what callers, engines and operators saw. It
 // is safe for concurrent use.
 type Checker struct {
-	mu       sync.Mutex
-	engines  []*Engine
-	promised map[string]string // what was refused as not run, by request, with where
-	accepted int64             // highest version
-	calm     time.Time         // since when nothing has been done to anybody; zero while something is
-	problems []string
-	Answers  map[string]int // by kind and status
-	Checks   int
+	mu         sync.Mutex
+	engines    []*Engine
+	promised   map[string]string   // what was refused as not run, by request, with where
+	accepted   int64               // highest version
+	acceptedAt map[int64]time.Time // by version
+	shown      map[string]shown    // by request
+	calm       time.Time           // since when nothing has been done to anybody; zero while something is
+	problems   []string
+	Answers    map[string]int // by kind and status
+	Checks     int
+	SmallRan   int // requests of the account that may ask for little
 }
 
 // NewChecker makes a checker that has seen nothing.
 func NewChecker() *Checker {
-	return &Checker{promised: make(map[string]string), Answers: make(map[string]int)}
+	return &Checker{promised: make(map[string]string), acceptedAt: make(map[int64]time.Time), shown: make(map[string]shown), Answers: make(map[string]int)}
 }
 
 // AddEngine adds an engine whose arrivals are checked.
@@ -69,6 +72,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.accepted = max(c.accepted, version)
+	c.acceptedAt[version] = time.Now()
 }
 
 // Newest gives the highest version that was accepted.
@@ -161,6 +165,7 @@
 		promised[id] = where
 	}
 	c.mu.Unlock()
+	c.accounts(engines)
 	ran, reached := make(map[string]int), make(map[string]int)
 	for _, e := range engines {
 		acked := e.DrainAcked()
--- a/soak/run.go
+++ b/soak/run.go
@@ -23,13 +23,14 @@
 	Answers  map[string]int // by kind and status
 	Checks   int
 	Version  int64 // the newest that was accepted
+	SmallRan int   // requests that ran of the account that may ask for little
 	Problems []string
 }
 
 // String gives the report as text.
 func (r Report) String() string {
 	var out strings.Builder
-	fmt.Fprintf(&out, "seed %d: %d checks, version %d, %d problems\n", r.Seed, r.Checks, r.Version, len(r.Problems))
+	fmt.Fprintf(&out, "seed %d: %d checks, version %d, %d requests of the small account, %d problems\n", r.Seed, r.Checks, r.Version, r.SmallRan, len(r.Problems))
 	for _, counts := range []map[string]int{r.Harms, r.Answers} {
 		for _, name := range slices.Sorted(maps.Keys(counts)) {
 			fmt.Fprintf(&out, "  %-22s %d\n", name, counts[name])
@@ -108,6 +109,7 @@
 	work.Wait()
 	w.readsEverywhere()
 	w.Check.Engines()
+	report.SmallRan = w.Check.SmallRan
 	report.Answers, report.Checks, report.Version, report.Problems = w.Check.Answers, w.Check.Checks, w.Check.Newest(), w.Check.Problems()
 	return report, nil
 }
@@ -119,6 +121,8 @@
 		for j, k := range kinds {
 			work.Go(func() { w.call(ctx, h, k, rand.New(rand.NewPCG(w.Seed, uint64(i*100+j)))) })
 		}
+		work.Go(func() { w.showKeys(ctx, h, rand.New(rand.NewPCG(w.Seed, uint64(i*100+50)))) })
+		work.Go(func() { w.askTooMuch(ctx, h) })
 	}
 	work.Go(func() { w.operate(changing) })
 	work.Go(func() { w.read(ctx) })
@@ -129,15 +133,12 @@
 func (w *World) call(ctx context.Context, h *Host, k kind, r *rand.Rand) {
 	var caller platformtest.Caller
 	for ctx.Err() == nil {
-		request := platformtest.Request{Host: "soak", Path: "/" + k.name + "/1", Model: k.model, Parts: fmt.Sprintf("a:400,b%d:600,c:50", r.IntN(5)), Deadline: 3 * time.Second}
+		request := platformtest.Request{Host: "soak", Path: "/" + k.name + "/1", Header: platformtest.Showing(memberKey), Model: k.model, Parts: fmt.Sprintf("a:400,b%d:600,c:50", r.IntN(5)), Deadline: 3 * time.Second}
 		result, err := caller.Do(ctx, h.settings.Listen.Callers, request)
 		if err == nil {
 			w.Check.Answer(k, h.Name, result)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(callPause):
-		}
+		pause(ctx, callPause)
 	}
 }
 
@@ -154,10 +155,7 @@
 				time.Sleep(readEvery)
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(changeEvery):
-		}
+		pause(ctx, changeEvery)
 	}
 }
 
@@ -224,7 +222,7 @@
 	newest := kind{name: fmt.Sprintf("v%d", w.Check.Newest())}
 	for _, h := range w.gateways("") {
 		for _, k := range append(slices.Clone(kinds), newest) {
-			result, err := caller.Do(w.ctx, h.settings.Listen.Callers, platformtest.Request{Host: "soak", Path: "/" + k.name + "/1", Model: k.model})
+			result, err := caller.Do(w.ctx, h.settings.Listen.Callers, platformtest.Request{Host: "soak", Path: "/" + k.name + "/1", Header: platformtest.Showing(memberKey), Model: k.model})
 			if err != nil || result.Status != http.StatusOK || !result.Whole {
 				return fmt.Sprintf("%s at %s: status %d, %v", k.name, h.Name, result.Status, err)
 			}
--- a/soak/world.go
+++ b/soak/world.go
@@ -135,6 +135,7 @@
 		Role: roster.RoleGateway, Region: h.Region, DataCentre: fmt.Sprintf("dc%d", region), IP: known, Bind: listens,
 		Ports: []int{peerPort, lastPeerPort}, Seeds: w.seeds, FirstStart: true, Regions: w.regions, Losses: (w.Regions - 1) / 2, Heartbeat: heartbeat,
 		StopTime: 5 * time.Second, Retries: settings.Retry{Share: 0.2, Extra: 60, Window: 10 * time.Second},
+		KeysRevokedWithin: keyBound, Allowances: bounds,
 		Listen: settings.Listen{Metrics: address(known, metricsPort)},
 	}
 	ports := []int{peerPort, peerPort + 1, callersPort, readyPort}
@@ -299,6 +300,7 @@
 			route("review", "streaming", "model", 2, true),
 			route(fmt.Sprintf("v%d", version), "safe", "portal", 2, false),
 		},
+		Tenants:  tenants(version),
 		Services: []platformtest.Service{{Name: "portal"}, {Name: "model", Engine: &platformtest.ModelEngine{Slots: 8, KvTokens: 100_000}}},
 	})
 }
