Tell what accounts use in hundredths of a unit

Ruled out: restarts and cuts (the fullest windows hold none). Change: hundredths, and the least that is told is one of them. Tokens, by thousands, hardly change.

--- a/allowance/account.go
+++ b/allowance/account.go
@@ -66,7 +66,7 @@
 			delete(a.used, region)
 		}
 	}
-	return len(a.used) == 0 && a.own(now).Asked < 1
+	return len(a.used) == 0 && a.own(now).Asked < leastUse
 }
 
 // until gives how long it takes until so much has left the windows of those regions.
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -89,6 +89,8 @@
 	// processes that were killed are back after a second, and until then those that are
 	// left serve their callers.
 	holdTime = 1200 * time.Millisecond
+	// leastUse is what is told at least, in units a second.
+	leastUse = 0.01
 	// leastWait and mostWait bound when to come back: a share of the requests gets
 	// through near the limit, and callers wait for some seconds at most.
 	leastWait = 200 * time.Millisecond
@@ -179,7 +181,7 @@
 	defer m.mu.Unlock()
 	out := make(map[string]Use)
 	for name, a := range m.active {
-		if u := a.own(now); u.Asked >= 1 || u.Admitted >= 1 {
+		if u := a.own(now); u.Asked >= leastUse || u.Admitted >= leastUse {
 			out[name] = u
 		}
 	}
@@ -269,7 +271,7 @@
 			asked[region] = w.uses[name].Asked
 			sum += asked[region]
 		}
-		if sum < 1 {
+		if sum < leastUse {
 			continue
 		}
 		for _, region := range m.Regions {
--- a/dispatch/accounts.go
+++ b/dispatch/accounts.go
@@ -3,6 +3,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,7 +22,7 @@
 	}
 	var out []rollup.AccountUse
 	for name, use := range d.Allowances.Uses(now) {
-		out = append(out, rollup.AccountUse{Account: hashAccount(name), Admitted: int(use.Admitted), Asked: int(use.Asked)})
+		out = append(out, rollup.AccountUse{Account: hashAccount(name), Admitted: told(use.Admitted), Asked: told(use.Asked)})
 	}
 	return out
 }
@@ -76,10 +77,16 @@
 	d.Allowances.HearFar(region, uses, at, d.Clock())
 }
 
-func useOf(told rollup.AccountUse) allowance.Use {
-	return allowance.Use{Admitted: float64(max(0, told.Admitted)), Asked: float64(max(0, told.Asked))}
+func useOf(use rollup.AccountUse) allowance.Use {
+	return allowance.Use{Admitted: float64(max(0, use.Admitted)) / useScale, Asked: float64(max(0, use.Asked)) / useScale}
 }
 
+// useScale is in how many parts of a unit uses are told: with whole ones, an account that
+// is counted in requests was not heard of where each gateway had less than one a second.
+const useScale = 100
+
+func told(unitsPerSecond float64) int { return int(math.Round(unitsPerSecond * useScale)) }
+
 // takeAccounts takes over the accounts of a catalog. The lock is held.
 func (d *Dispatcher) takeAccounts() {
 	clear(d.accounts)
--- a/rollup/report.go
+++ b/rollup/report.go
@@ -18,7 +18,8 @@
 	Accounts []AccountUse `cbor:"5,keyasint,omitempty"`
 }
 
-// AccountUse is what the callers of one client account do, in units a second.
+// AccountUse is what the callers of one client account do, in hundredths of a unit a
+// second.
 type AccountUse struct {
 	_        struct{} `cbor:",toarray"`
 	Account  uint32   // hash of its name
