Count requests by client account, with bounded labels

Cause: operators could see accounts by asking gateways only, not in metrics (issue on accounts). Change: linenscale_account_requests by account and outcome; beyond 256 accounts of a gateway all others count as one. A request that was handed over counts where it came in.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -172,7 +172,7 @@
 	ticket.Done(outcome)
 	s.Metrics.Attempt(x.service, outcome.String())
 	if err == nil {
-		s.Metrics.Request(x.service, "answered")
+		s.ended(x, "answered")
 		s.Metrics.First(x.service, x.first, 0)
 		s.Metrics.Predicted(x.service, x.first-ticket.Wait)
 		s.Log.Info("answered", x.fields(zap.String("engine", ticket.Engine), zap.Duration("expected", ticket.Wait), zap.Duration("first", x.first), zap.Duration("longest_pause", x.pause), zap.Duration("took", time.Since(x.began)))...)
--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -92,7 +92,7 @@
 		err = s.pass(x, resp, nil)
 	}
 	if err == nil {
-		s.Metrics.Request(x.service, "answered_elsewhere")
+		s.ended(x, "answered_elsewhere")
 		return false, nil
 	}
 	s.Log.Warn("hand-over failed", x.fields(zap.String("gateway", gateway.Name), zap.Bool("started", x.started), telemetry.Cause(err))...)
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -38,6 +38,15 @@
 	return &out
 }
 
+// ended counts a request that has ended; one that was handed over counts for its account
+// where it came in.
+func (s *Server) ended(x *exchange, outcome string) {
+	s.Metrics.Request(x.service, outcome)
+	if x.account.Name != "" && !x.fixed {
+		s.Metrics.Account(x.account.Name, outcome)
+	}
+}
+
 // refuse writes the final answer of a request that no engine answers.
 func (s *Server) refuse(x *exchange, refusal request.Refusal) {
 	outcome := request.OutcomeUnknownValue
@@ -48,7 +57,7 @@
 	if n, ok := refusal.(*request.NotRun); ok {
 		outcome, reason, wait = request.NotRunValue, string(n.Reason), n.RetryAfter
 	}
-	s.Metrics.Request(x.service, reason)
+	s.ended(x, reason)
 	s.Log.Info("refused", x.fields(zap.String("reason", reason), zap.Bool("started", x.started), zap.Duration("come_back", wait), zap.String("why", refusal.Error()))...)
 	if x.started {
 		x.breakOff(outcome)
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -27,6 +27,8 @@
 	changes  metric.Int64Counter
 	revision metric.Int64Gauge
 	wrong    metric.Float64Histogram
+	accounts metric.Int64Counter
+	named    labels // accounts that have counters of their own
 }
 
 // NewMetrics makes the instruments and a scrape handler of their own registry.
@@ -39,7 +41,7 @@
 	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
 	meter := provider.Meter("linenscale")
 	m := &Metrics{provider: provider, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
-	var errs [8]error
+	var errs [9]error
 	m.requests, errs[0] = meter.Int64Counter("linenscale_requests", metric.WithDescription("requests that have ended, by service and outcome"))
 	m.attempts, errs[1] = meter.Int64Counter("linenscale_attempts", metric.WithDescription("attempts sent to engines and entry hosts, by service and outcome"))
 	m.duration, errs[2] = meter.Float64Histogram("linenscale_first_byte_seconds", metric.WithDescription("time to the first byte of an answer"), metric.WithUnit("s"))
@@ -48,6 +50,7 @@
 	m.changes, errs[5] = meter.Int64Counter("linenscale_changes", metric.WithDescription("changes decided, by outcome"))
 	m.revision, errs[6] = meter.Int64Gauge("linenscale_revision", metric.WithDescription("revision of the configuration in force on this host"))
 	m.wrong, errs[7] = meter.Float64Histogram("linenscale_predicted_error_seconds", metric.WithDescription("seen less expected time to the first byte of an engine's answer"), metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(predictedBuckets...))
+	m.accounts, errs[8] = meter.Int64Counter("linenscale_account_requests", metric.WithDescription("requests that have ended, by client account and outcome"))
 	for _, err := range errs {
 		if err != nil {
 			return nil, errors.Annotate(err, "metrics")
@@ -82,6 +85,11 @@
 	m.requests.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("outcome", outcome)))
 }
 
+// Account counts a request of a client account that has ended.
+func (m *Metrics) Account(account, outcome string) {
+	m.accounts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("account", m.named.of(account)), attribute.String("outcome", outcome)))
+}
+
 // Attempt counts an attempt that has ended.
 func (m *Metrics) Attempt(service, outcome string) {
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("outcome", outcome)))
