Sight of the limits that engines name in their answers

Cause: no line and no counter told that an engine had named how many requests a second it takes, so that it couldn't be told whether anybody read it (hypothesis 1) or each gateway kept to it by itself (2). Change: the adapter decodes Server-Limit of every answer, refusals among them, into a typed word (package ratelimit: a number, none, or one that can't be read); gateways log 'engine named a limit' with request, engine and limit, and count such answers by engine (linenscale_limited_engines, 256 engines at most). No decision changes.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/linenscale/linenscale/dispatch"
+	"github.com/linenscale/linenscale/ratelimit"
 	"github.com/linenscale/linenscale/relay"
 	"github.com/linenscale/linenscale/request"
 	"github.com/linenscale/linenscale/telemetry"
@@ -160,6 +161,7 @@
 // judge looks at the head of an engine's answer.
 func (s *Server) judge(x *exchange, done *progress, resp *http.Response) error {
 	v := s.Dialect.Judge(resp)
+	x.limit = v.Limit
 	switch {
 	case v.Misdirected:
 		return &misdirected{v.Engine}
@@ -180,11 +182,23 @@
 	return resp.StatusCode >= http.StatusInternalServerError && x.route.Repeatable() && done.sends+1 < x.route.Attempts
 }
 
+// noteLimit logs and counts an answer that names a limit of its engine. Most name none.
+func (s *Server) noteLimit(x *exchange, ticket *dispatch.Ticket) {
+	word := x.limit
+	x.limit = nil
+	if _, unlimited := word.(ratelimit.Unlimited); unlimited || word == nil {
+		return
+	}
+	s.Metrics.Limited(ticket.Engine, "answered")
+	s.Log.Info("engine named a limit", x.fields(zap.String("engine", ticket.Engine), zap.Stringer("limit", word))...)
+}
+
 // conclude gives the ticket back with what the attempt showed, and tells
 // whether there may be another.
 func (s *Server) conclude(x *exchange, done *progress, ticket *dispatch.Ticket, err error) (again bool) {
 	outcome, notRun := s.outcome(x, done, err)
 	ticket.Done(outcome)
+	s.noteLimit(x, ticket)
 	s.Metrics.Attempt(x.service, outcome.String())
 	if err == nil {
 		s.ended(x, "answered")
--- a/ingress/dialect.go
+++ b/ingress/dialect.go
@@ -9,6 +9,7 @@
 
 	"github.com/linenscale/linenscale/catalog"
 	"github.com/linenscale/linenscale/dispatch"
+	"github.com/linenscale/linenscale/ratelimit"
 	"github.com/linenscale/linenscale/request"
 )
 
@@ -43,6 +44,7 @@
 	Misdirected bool   // another engine answers at this address
 	Cold        time.Duration
 	RetryAfter  time.Duration
+	Limit       ratelimit.Word // what the engine takes from all gateways together
 }
 
 // Dialect speaks the protocol of callers and engines.
--- /dev/null
+++ b/ratelimit/word_test.go
@@ -0,0 +1,43 @@
+package ratelimit_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/linenscale/linenscale/ratelimit"
+)
+
+func ExampleParse() {
+	fmt.Println(ratelimit.Parse([]string{"1.5"}))
+	fmt.Println(ratelimit.Parse(nil))
+	fmt.Println(ratelimit.Parse([]string{"few"}))
+	// Output:
+	// 1.5/s
+	// none
+	// unclear: "few"
+}
+
+func TestWhatAnAnswerSaysOfItsLimit(t *testing.T) {
+	for _, test := range []struct {
+		named []string
+		want  ratelimit.Word
+	}{
+		{nil, ratelimit.Unlimited{}},
+		{[]string{"1"}, ratelimit.Limited{PerSecond: 1}},
+		{[]string{" 0.25 "}, ratelimit.Limited{PerSecond: 0.25}},
+		{[]string{"0"}, ratelimit.Limited{}},
+		{[]string{"1e3"}, ratelimit.Limited{PerSecond: 1000}},
+		{[]string{"20", "3"}, ratelimit.Limited{PerSecond: 3}},
+		{[]string{"20, 3"}, ratelimit.Limited{PerSecond: 3}},
+		{[]string{""}, ratelimit.Unclear{}},
+		{[]string{"-1"}, ratelimit.Unclear{Text: "-1"}},
+		{[]string{"NaN"}, ratelimit.Unclear{Text: "NaN"}},
+		{[]string{"Inf"}, ratelimit.Unclear{Text: "Inf"}},
+		{[]string{"5/s"}, ratelimit.Unclear{Text: "5/s"}},
+		{[]string{"3", "many"}, ratelimit.Unclear{Text: "many"}},
+	} {
+		must.Eq(t, test.want, ratelimit.Parse(test.named), must.Sprint(test.named))
+	}
+}
--- a/telemetry/labels.go
+++ b/telemetry/labels.go
@@ -2,11 +2,11 @@
 
 import "sync"
 
-// mostLabels bounds the client accounts that have counters of their own: each takes some
-// 400 bytes for each outcome, and hosts are small.
+// mostLabels bounds the client accounts, and the engines that name limits, that have counters
+// of their own: each takes some 400 bytes for each outcome, and hosts are small.
 const mostLabels = 256
 
-// otherLabel stands for the accounts beyond the bound.
+// otherLabel stands for those beyond the bound.
 const otherLabel = "other"
 
 // labels bounds the values of a label. The zero value has seen none. It is safe for
