--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -57,20 +57,26 @@
 
 func newGateway(t *testing.T, name, region string) *gateway {
 	t.Helper()
-	g := &gateway{engines: registry.New("life", time.Minute, time.Now)}
+	return newGatewayAt(t, name, region, time.Now)
+}
+
+// newGatewayAt makes a gateway that goes by a clock of the test's.
+func newGatewayAt(t *testing.T, name, region string, clock func() time.Time) *gateway {
+	t.Helper()
+	g := &gateway{engines: registry.New("life", time.Minute, clock)}
 	metrics, err := telemetry.NewMetrics()
 	must.NoError(t, err)
 	self := roster.Host{Name: name, Role: roster.RoleGateway, Region: region}
 	dispatcher := dispatch.New(dispatch.Deps{
 		Name: name, Region: region, Regions: map[string]string{"a": "lagos", "b": "kano"}, Engines: g.engines,
 		Peers: func() []roster.Host { return g.peers }, Trip: func(string) (time.Duration, bool) { return 0, false }, Budget: retry.Policy{Share: 0.2, Extra: 100, Window: 10 * time.Second},
-		Log: zap.NewNop(), Clock: time.Now,
+		Log: zap.NewNop(), Clock: clock,
 	})
 	dialer := &net.Dialer{Timeout: 300 * time.Millisecond}
 	g.server = ingress.New(ingress.Deps{
 		Self: self, Dialect: platform.Dialect{}, Dispatcher: dispatcher, Gateways: func() []roster.Host { return g.peers },
 		Engines: relay.New(dialer, relay.Options{}), Dialer: dialer, Peers: relay.New(dialer, relay.Options{}), Log: zap.NewNop(), Metrics: metrics,
-		Random: func() uint64 { return 1 }, Clock: time.Now, StopTime: time.Second,
+		Random: func() uint64 { return 1 }, Clock: clock, StopTime: time.Second,
 	})
 	g.callers, g.handover = httptest.NewServer(g.server.CallersHandler()), httptest.NewServer(g.server.HandoverHandler())
 	t.Cleanup(g.callers.Close)
