Declared engines that name limits; the limits shown to operators; one in the soak

What callers saw: nothing; a declared engine that named a limit of two requests a second got a half of ten (TestADeclaredEngineGetsWhatItTakes). Change: relay shows each answer's head before it is judged (Engine-Rate-Limit), fleet keeps shares among the region's declared hosts, which all agree on, hosts tell each other of limits with their status, and route refuses with the reason 'limited'. 'linenscale limits' and the path /limits beside the metrics show limit, share, and what was sent and kept away. The soak has an engine that names a limit all the time. Bodies passed on as they come, and keyed calls, take the same way.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -236,7 +236,7 @@
 func (a *Agent) status() leader.HostStatus {
 	status := leader.HostStatus{
 		Host: a.Host.Name, DataCentre: a.Host.DataCentre, Region: a.Host.Region,
-		InFlight: int(a.InFlight()), Replica: a.Replica, Services: a.ownLoads(), Crashes: a.Fleet.TellCrashes(),
+		InFlight: int(a.InFlight()), Replica: a.Replica, Services: a.ownLoads(), Crashes: a.Fleet.TellCrashes(), Limits: a.Fleet.TellLimits(),
 	}
 	status.KeyReplica, status.KeyLeader = a.KeyReplica()
 	a.mu.Lock()
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -53,6 +53,9 @@
 	for _, f := range a.Fleet.HearCrashes(status.Crashes, status.Age) {
 		a.Log.Warn("request kept from engines", zap.Stringer("fingerprint", f), zap.String("last_crash_seen_by", status.Host))
 	}
+	if status.Region == a.Host.Region {
+		a.Fleet.HearLimits(status.Limits, status.Age)
+	}
 	at := steady.Time().Add(-status.Age)
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/cmd/linenscale/accounts.go
+++ b/cmd/linenscale/accounts.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -20,9 +18,6 @@
 	"github.com/linenscale/linenscale/daemon"
 )
 
-// accountsLimit bounds an answer: some 300 bytes for each of 14,000 accounts.
-const accountsLimit = 16 << 20
-
 // gatewayAccounts is what one gateway shows.
 type gatewayAccounts struct {
 	Gateway  string             `json:"gateway"`
@@ -41,7 +36,7 @@
 		var all []gatewayAccounts
 		client := &http.Client{Timeout: *timeout}
 		for _, address := range strings.Split(*hosts, ",") {
-			accounts, err := readAccounts(ctx, client, address)
+			accounts, err := readMetrics[[]allowance.Status](ctx, client, address, daemon.AccountsPath)
 			if err != nil {
 				return errors.Annotatef(err, "gateway %s", address)
 			}
@@ -54,24 +49,6 @@
 	}}
 }
 
-func readAccounts(ctx context.Context, client *http.Client, address string) ([]allowance.Status, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+daemon.AccountsPath, nil)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("answered with status %d: is it a gateway's address of metrics?", resp.StatusCode)
-	}
-	var out []allowance.Status
-	err = json.NewDecoder(io.LimitReader(resp.Body, accountsLimit)).Decode(&out)
-	return out, errors.Annotate(err, "accounts")
-}
-
 // accountRows gives a table's rows.
 func accountRows(all []gatewayAccounts) [][]string {
 	var rows [][]string
--- /dev/null
+++ b/cmd/linenscale/limits.go
@@ -0,0 +1,58 @@
+// This file defines the subcommand that shows the limits that engines name.
+
+package main
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/juju/errors"
+
+	"github.com/linenscale/linenscale/daemon"
+	"github.com/linenscale/linenscale/dispatch"
+)
+
+// gatewayLimits is what one gateway shows.
+type gatewayLimits struct {
+	Gateway string                 `json:"gateway"`
+	Limits  []dispatch.LimitStatus `json:"limits"`
+}
+
+func limitsCommand(hosts *string, timeout *time.Duration) subcommand {
+	command := flaggy.NewSubcommand("limits")
+	command.Description = "engines that name how many requests a second they take, as gateways know them; -H names their metrics' addresses"
+	return subcommand{command, func(ctx context.Context, t *tool) error {
+		if *hosts == "" {
+			return errors.NotValidf("no gateway: name their metrics' addresses by -H, which")
+		}
+		var all []gatewayLimits
+		client := &http.Client{Timeout: *timeout}
+		for _, address := range strings.Split(*hosts, ",") {
+			limits, err := readMetrics[[]dispatch.LimitStatus](ctx, client, address, daemon.LimitsPath)
+			if err != nil {
+				return errors.Annotatef(err, "gateway %s", address)
+			}
+			all = append(all, gatewayLimits{address, limits})
+		}
+		return t.print(all, []string{"GATEWAY", "ENGINE", "SERVICE", "LIMIT", "SHARE", "SHARERS", "AGE", "SENT", "KEPT AWAY"}, limitRows(all))
+	}}
+}
+
+// limitRows gives a table's rows.
+func limitRows(all []gatewayLimits) [][]string {
+	var rows [][]string
+	for _, g := range all {
+		for _, l := range g.Limits {
+			rate := func(perSecond float64) string { return strconv.FormatFloat(perSecond, 'f', 2, 64) }
+			rows = append(rows, []string{
+				g.Gateway, l.Engine, l.Service, rate(l.PerSecond), rate(l.Share), strconv.Itoa(l.Sharers),
+				l.Age.Round(time.Millisecond).String(), strconv.Itoa(l.Sent), strconv.Itoa(l.KeptAway),
+			})
+		}
+	}
+	return rows
+}
--- a/cmd/linenscale/main.go
+++ b/cmd/linenscale/main.go
@@ -53,9 +53,12 @@
 		applyCommand(), diffCommand(), deleteCommand(), labelCommand(), getCommand(), statusCommand(),
 		hostsCommand(), historyCommand(), waitCommand(), explainCommand(),
 	}
-	trace, accounts := traceCommand(), accountsCommand(&hosts, &timeout)
+	trace := traceCommand()
+	ofMetrics := []subcommand{accountsCommand(&hosts, &timeout), limitsCommand(&hosts, &timeout)}
 	flaggy.AttachSubcommand(trace.command, 1)
-	flaggy.AttachSubcommand(accounts.command, 1)
+	for _, c := range ofMetrics {
+		flaggy.AttachSubcommand(c.command, 1)
+	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.command, 1)
 	}
@@ -66,8 +69,10 @@
 	if hosts == "" {
 		flaggy.ShowHelpAndExit("name the entry hosts by -H or $LINENSCALE_HOSTS")
 	}
-	if accounts.command.Used { // asks gateways' metrics
-		exit(accounts.run(context.Background(), t))
+	for _, c := range ofMetrics {
+		if c.command.Used {
+			exit(c.run(context.Background(), t))
+		}
 	}
 	t.client = operator.NewClient(strings.Split(hosts, ","), timeout)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -135,7 +135,7 @@
 	group.Go(d.controlSender.Run)
 	group.Go(d.keySender.Run)
 	group.Go(func(ctx context.Context) error { return server.Serve(ctx, control) })
-	d.fleet = fleet.New(d.host.Region, time.Now, route.PrefixBounded{}, d.seed)
+	d.fleet = fleet.New(d.host.Name, d.host.Region, time.Now, route.PrefixBounded{}, d.seed)
 	if d.host.Disk {
 		if err := d.openControl(ctx); err != nil {
 			return errors.Trace(err)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"github.com/linenscale/linenscale/declare"
 	"github.com/linenscale/linenscale/permit"
 	"github.com/linenscale/linenscale/quarantine"
+	"github.com/linenscale/linenscale/ratelimit"
 	"github.com/linenscale/linenscale/request"
 	"github.com/linenscale/linenscale/route"
 )
@@ -37,14 +38,16 @@
 	pools    map[string]*pool
 	suspects *quarantine.Table
 	watch    *quarantine.Watch
+	limits   *ratelimit.Table // that engines name
+	sharing  []string         // the hosts of this region that share them, as declared
 }
 
 // queueLimit bounds the requests that wait in one pool.
 const queueLimit = 512
 
-// New makes an empty fleet for the engines of a region. seed makes its random
-// choices repeatable.
-func New(region string, clock Clock, policy route.Policy, seed uint64) *Fleet {
+// New makes an empty fleet of an entry host, for the engines of its region. seed makes its
+// random choices repeatable.
+func New(host, region string, clock Clock, policy route.Policy, seed uint64) *Fleet {
 	return &Fleet{
 		region: region,
 		clock:  clock,
@@ -54,6 +57,7 @@
 
 		suspects: quarantine.New(),
 		watch:    quarantine.NewWatch(),
+		limits:   ratelimit.New(host),
 	}
 }
 
@@ -63,6 +67,7 @@
 func (f *Fleet) Apply(config declare.Config, held func(engine string) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.shareAmong(config)
 	wanted := map[string][]declare.Engine{}
 	for _, e := range declare.Each[declare.Engine](config) {
 		if held != nil && held(e.Name) {
@@ -166,7 +171,7 @@
 		}
 	}
 	if err := p.enqueue(w, now); err != nil {
-		ready(Served{Err: err})
+		ready(Served{Err: f.limitedRefusal(p, err, now)})
 		return func() bool { return false }
 	}
 	f.dispatch(p, now)
@@ -180,6 +185,7 @@
 // grant gives the waiter a slot if an engine has one. The lock is held.
 func (f *Fleet) grant(p *pool, w *waiter, now time.Time) *Ticket {
 	p.view.Now = now
+	f.markLimited(p, now)
 	choice := route.Choose(f.policy, &p.view, &w.Tag.ask, f.random.Uint64())
 	if choice.Index < 0 {
 		return nil
@@ -190,6 +196,7 @@
 	p.view.Cached.Add(w.Tag.ask.PrefixChain, choice.Index)
 	p.started(now)
 	f.suspects.Begin(w.Tag.fingerprint)
+	f.limits.Take(limitKey(p.service, e.Name), now)
 	return &Ticket{
 		Engine: e.Name, Address: e.Address, Choice: choice,
 		pool: p, fleet: f, index: choice.Index, began: now, chain: w.Tag.ask.PrefixChain, fingerprint: w.Tag.fingerprint,
@@ -219,7 +226,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock()
+	f.limits.SetMembers(f.sharing, now)
 	for _, p := range f.pools {
+		f.markLimited(p, now)
 		p.judge(now)
 		p.queue.Expire(now, p.refuseLate)
 		f.dispatch(p, now)
@@ -276,6 +285,7 @@
 		return nil
 	}
 	p.view.Now = f.clock()
+	f.markLimited(p, p.view.Now)
 	return route.Explain(&p.view, &p.newWaiter(ask, nil).Tag.ask)
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -41,7 +41,7 @@
 func newFleet(t *testing.T, engines ...declare.Engine) (*fleet.Fleet, *clock) {
 	t.Helper()
 	c := &clock{time.Unix(1_700_000_000, 0)}
-	f := fleet.New("r", c.get, route.PrefixBounded{}, 1)
+	f := fleet.New("h", "r", c.get, route.PrefixBounded{}, 1)
 	f.Apply(config(t, engines...), nil)
 	return f, c
 }
--- /dev/null
+++ b/fleet/limits_test.go
@@ -0,0 +1,108 @@
+package fleet_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/linenscale/linenscale/declare"
+	"github.com/linenscale/linenscale/fleet"
+	"github.com/linenscale/linenscale/ratelimit"
+	"github.com/linenscale/linenscale/request"
+	"github.com/linenscale/linenscale/route"
+)
+
+// sharing makes the fleets of three entry hosts of one region, which know the same engines.
+func sharing(t *testing.T, c *clock, engines ...declare.Engine) []*fleet.Fleet {
+	t.Helper()
+	change := declare.Change{Puts: []declare.Envelope{
+		{Object: declare.Region{Name: "r"}},
+		{Object: declare.DataCentre{Name: "d", Region: "r"}},
+		{Object: declare.Service{Name: "s", Type: declare.ServiceModel}},
+	}}
+	names := []string{"h1", "h2", "h3"}
+	for _, name := range names {
+		change.Puts = append(change.Puts, declare.Envelope{Object: declare.Host{Name: name, DataCentre: "d", Callers: "127.0.0.1:1", Handover: "127.0.0.1:2", Control: "127.0.0.1:3", Operators: "127.0.0.1:4"}})
+	}
+	for _, e := range engines {
+		change.Puts = append(change.Puts, declare.Envelope{Object: e})
+	}
+	config, err := declare.Config{}.With(change)
+	must.NoError(t, err)
+	var all []*fleet.Fleet
+	for i, name := range names {
+		f := fleet.New(name, "r", c.get, route.PrefixBounded{}, uint64(i))
+		f.Apply(config, nil)
+		all = append(all, f)
+	}
+	return all
+}
+
+// TestADeclaredEngineGetsWhatItTakes has a declared engine name a limit of two requests a
+// second before three entry hosts, while another serves all that comes. Nobody read it, and it
+// got a half of ten requests a second.
+func TestADeclaredEngineGetsWhatItTakes(t *testing.T) {
+	c := &clock{time.Unix(1_700_000_000, 0)}
+	fleets := sharing(t, c, engine("needy", 8), engine("well", 8))
+	sent := 0
+	for i := range 200 {
+		c.now = c.now.Add(100 * time.Millisecond)
+		f := fleets[i%3]
+		f.Tick()
+		ticket := acquire(t, f, c)
+		if ticket.Engine == "needy" {
+			ticket.HeardLimit(ratelimit.Limited{PerSecond: 2})
+			if i >= 60 {
+				sent++
+			}
+		} else {
+			ticket.HeardLimit(ratelimit.Unlimited{})
+		}
+		ticket.Done(fleet.Result{Outcome: fleet.Answered})
+		if i%10 == 0 {
+			for _, to := range fleets {
+				to.HearLimits(f.TellLimits(), time.Second)
+			}
+		}
+	}
+	must.Between(t, 14, sent, 28+5, must.Sprint("of 14 seconds"))
+}
+
+// TestARequestForLimitedEnginesAloneIsRefusedAtOnce has the only engine name a limit. Who is
+// over isn't held in the queue, and is told when to come back.
+func TestARequestForLimitedEnginesAloneIsRefusedAtOnce(t *testing.T) {
+	c := &clock{time.Unix(1_700_000_000, 0)}
+	for _, f := range sharing(t, c, engine("needy", 8)) {
+		ticket := acquire(t, f, c)
+		ticket.HeardLimit(ratelimit.Limited{PerSecond: 0.25})
+		ticket.Done(fleet.Result{Outcome: fleet.Answered})
+		_, err := f.Acquire(context.Background(), c.ask())
+		var refusal *request.NotRun
+		must.True(t, errors.As(err, &refusal))
+		must.Eq(t, request.ReasonNoEngine, refusal.Reason)
+		must.GreaterEq(t, time.Second, refusal.RetryAfter)
+		must.Eq(t, route.RefusedLimited.String(), f.Explain(c.ask())[0].Refused)
+	}
+}
+
+// TestARequestThatIsNotSentUsesNothingUp gives a ticket back unsent.
+func TestARequestThatIsNotSentUsesNothingUp(t *testing.T) {
+	c := &clock{time.Unix(1_700_000_000, 0)}
+	served := 0
+	for _, f := range sharing(t, c, engine("needy", 8)) {
+		ticket := acquire(t, f, c)
+		ticket.HeardLimit(ratelimit.Limited{PerSecond: 1})
+		ticket.Done(fleet.Result{Outcome: fleet.Answered})
+		c.now = c.now.Add(1500 * time.Millisecond)
+		for range 5 {
+			if ticket, err := f.Acquire(context.Background(), c.ask()); err == nil {
+				ticket.Done(fleet.Result{Outcome: fleet.Unsent})
+				served++
+			}
+		}
+	}
+	must.Eq(t, 5, served, must.Sprint("at the one host that has the share"))
+}
--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -227,7 +227,7 @@
 func (p *pool) anyFree() bool {
 	for i := range p.view.Engines {
 		e := &p.view.Engines[i]
-		if e.Health == route.Healthy && !e.Full() {
+		if e.Health == route.Healthy && !e.Limited && !e.Full() {
 			return true
 		}
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -20,6 +20,7 @@
 	"github.com/linenscale/linenscale/fleet"
 	"github.com/linenscale/linenscale/permit"
 	"github.com/linenscale/linenscale/quarantine"
+	"github.com/linenscale/linenscale/ratelimit"
 	"github.com/linenscale/linenscale/relay"
 	"github.com/linenscale/linenscale/request"
 	"github.com/linenscale/linenscale/retry"
@@ -242,9 +243,21 @@
 		Attempt: uuid.NewString(),
 		Echoes:  x.service.Type == declare.ServiceModel,
 		Fresh:   !x.req.Repeatable,
+		Head:    func(header http.Header) { s.hearLimit(x, ticket, header) },
 	}
 }
 
+// hearLimit tells the fleet what an answer says of how many requests its engine takes.
+func (s *Server) hearLimit(x *exchange, ticket *fleet.Ticket, header http.Header) {
+	word := ratelimit.Parse(header.Values(relay.HeaderLimit))
+	ticket.HeardLimit(word)
+	if _, unlimited := word.(ratelimit.Unlimited); unlimited {
+		return
+	}
+	s.Metrics.Limited(ticket.Engine, "answered")
+	s.Log.Info("engine named a limit", zap.String("request", x.req.ID), zap.String("engine", ticket.Engine), zap.Stringer("limit", word))
+}
+
 // attemptFailed notes a failure for the engine and decides whether the
 // request may be sent again.
 func (s *Server) attemptFailed(x *exchange, p *payload, done *progress, ticket *fleet.Ticket, err error) (bool, error) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -452,3 +452,16 @@
 	must.Eq(t, 1, plain.Ran("o1"))
 	must.Eq(t, 1, b.arrived.Load())
 }
+
+// TestAnEngineThatNamesALimitIsSpared has the only engine name a limit in its answers. A host
+// that has no share of it, since it isn't declared in this region, sends it nothing more, and
+// tells callers when to come back.
+func TestAnEngineThatNamesALimitIsSpared(t *testing.T) {
+	e, engine, _ := one(t)
+	engine.SetLimit("0.25")
+	must.True(t, whole(e.call(t, http.MethodPost, chatPath, chatBody(false)), false))
+	a := e.call(t, http.MethodPost, chatPath, chatBody(false))
+	must.Eq(t, http.StatusServiceUnavailable, a.status)
+	must.NotEq(t, "", a.header.Get("Retry-After"))
+	must.Eq(t, 1, engine.Stats().Started)
+}
--- a/gateway/system_test.go
+++ b/gateway/system_test.go
@@ -176,7 +176,7 @@
 	rules, err := permit.New(e.config)
 	must.NoError(t, err)
 	e.guard = permit.Guard{Current: rules}
-	e.fleet = fleet.New(region, time.Now, route.PrefixBounded{}, 1)
+	e.fleet = fleet.New("host-"+region, region, time.Now, route.PrefixBounded{}, 1)
 	e.fleet.Apply(e.config, nil)
 	metrics, err := telemetry.NewMetrics()
 	must.NoError(t, err)
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -181,7 +181,7 @@
 		return 0, err
 	}
 	before := heap()
-	f := fleet.New("r", time.Now, route.PrefixBounded{}, 1)
+	f := fleet.New("h", "r", time.Now, route.PrefixBounded{}, 1)
 	f.Apply(full, nil)
 	used := heap() - before
 	runtime.KeepAlive(f)
--- a/leader/types.go
+++ b/leader/types.go
@@ -13,6 +13,7 @@
 	"github.com/linenscale/linenscale/declare"
 	"github.com/linenscale/linenscale/quarantine"
 	"github.com/linenscale/linenscale/raft"
+	"github.com/linenscale/linenscale/ratelimit"
 )
 
 // HostStatus is what a host tells of itself beside its acknowledgement.
@@ -34,6 +35,8 @@
 	Services []ServiceLoad
 	// Crashes are what is new to the host of requests under which engines crashed.
 	Crashes []quarantine.Note
+	// Limits are what the host knows of limits that engines of its region name.
+	Limits []ratelimit.Note
 }
 
 // ServiceLoad is the state of one service's engines in a region.
--- a/ratelimit/notes.go
+++ b/ratelimit/notes.go
@@ -55,6 +55,18 @@
 	return out
 }
 
+// Standing gives what a host tells that is asked now and then: the engines that were heard of
+// last, as many as one message holds.
+func (t *Table) Standing(now time.Time) []Note {
+	all := t.sorted()
+	slices.SortStableFunc(all, func(a, b uint64) int { return t.engines[b].at.Compare(t.engines[a].at) })
+	var out []Note
+	for _, id := range all[:min(len(all), mostNotes)] {
+		out = append(out, t.engines[id].note(id, now))
+	}
+	return out
+}
+
 func (e *engine) note(id uint64, now time.Time) Note {
 	n := Note{Engine: id, PerSecond: lifted, Age: uint16(min(maxAge, max(0, now.Sub(e.at).Milliseconds())))}
 	if limit, ok := e.word.(Limited); ok {
--- a/ratelimit/share.go
+++ b/ratelimit/share.go
@@ -118,6 +118,11 @@
 	b.tokens--
 }
 
+func (b *bucket) giveBack(now time.Time) {
+	b.fill(now)
+	b.tokens = min(b.most, b.tokens+1)
+}
+
 // next gives how long it takes until the next request is allowed; false for never.
 func (b *bucket) next(now time.Time) (time.Duration, bool) {
 	if b.allows(now) {
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -152,6 +152,14 @@
 	}
 }
 
+// GiveBack takes a request off again that was not sent in the end.
+func (t *Table) GiveBack(id uint64, now time.Time) {
+	if e := t.limited(id, now); e != nil {
+		e.share.giveBack(now)
+		e.sent--
+	}
+}
+
 // KeptAway counts a request that may not be sent to an engine now.
 func (t *Table) KeptAway(id uint64, now time.Time) {
 	if e := t.limited(id, now); e != nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,6 +29,10 @@
 // has run any of it.
 const HeaderNotRun = "Engine-Not-Run"
 
+// HeaderLimit is how many requests a second an engine takes from all hosts together, for as
+// long as its answers name it.
+const HeaderLimit = "Engine-Rate-Limit"
+
 // HeaderStream names a stream that can be resumed.
 const HeaderStream = "Engine-Stream-Id"
 
@@ -69,6 +73,9 @@
 	// can't be passed on. Nil is the judgement of the product's own protocol
 	// towards engines, which also sets HeaderAttempt.
 	Judge func(*http.Response) error
+	// Head is shown the head of an engine's answer to this attempt before it is judged, also
+	// of a refusal; nil for none.
+	Head func(http.Header)
 }
 
 // Client sends calls. New makes one.
@@ -172,6 +179,9 @@
 	if err != nil {
 		return nil, &Failure{NotRun: !connected.Load(), Broken: connected.Load() && ctx.Err() == nil, cause: errors.Annotatef(err, "send to %s", req.URL.Host)}
 	}
+	if call.Head != nil && (!call.Echoes || call.Judge != nil || resp.Header.Get(HeaderAttempt) == call.Attempt) {
+		call.Head(resp.Header)
+	}
 	judge := call.Judge
 	if judge == nil {
 		judge = func(resp *http.Response) error { return checkAnswer(call, resp) }
--- a/route/route.go
+++ b/route/route.go
@@ -50,6 +50,7 @@
 	ServiceTime time.Duration // smoothed time that a request holds a slot
 	Health      Health
 	Ramp        float64 // share of Slots open to this host; 0 means all
+	Limited     bool    // it names a limit of which this host has no share, or has used it
 }
 
 // Load estimates how many requests the engine has now: those of this host,
@@ -171,12 +172,13 @@
 	RefusedModel
 	RefusedSelector
 	RefusedTried
+	RefusedLimited
 	RefusedFull
 )
 
 // String gives the word used in logs and by explain.
 func (r Refused) String() string {
-	return [...]string{"considered", "health", "model", "selector", "tried", "full"}[r]
+	return [...]string{"considered", "health", "model", "selector", "tried", "limited", "full"}[r]
 }
 
 // judge tells whether one engine can take the request at all.
@@ -196,6 +198,9 @@
 	if a.Permitted != nil && !a.Permitted(e) {
 		return RefusedSelector
 	}
+	if e.Limited {
+		return RefusedLimited
+	}
 	if e.Full() {
 		return RefusedFull
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -54,6 +54,8 @@
 	Checks     int
 	SmallRan   int // requests of the account that may ask for little
 	PoisonRan  int // runs of the request that crashes engines
+	NeedyMost  int // requests within limitWindow at the engine that names a limit, while calm
+	needy      *Engine
 }
 
 // NewChecker makes a checker that has seen nothing.
@@ -168,6 +170,7 @@
 	c.mu.Unlock()
 	c.accounts(engines)
 	c.poisoned(engines)
+	c.limited()
 	ran, reached := make(map[string]int), make(map[string]int)
 	for _, e := range engines {
 		acked := e.DrainAcked()
--- a/soak/harm.go
+++ b/soak/harm.go
@@ -234,7 +234,7 @@
 	e := pick(r, w.liveEngines())
 	w.removeEngine(e)
 	region := int(e.Region[len(e.Region)-1] - '0')
-	if err := w.addEngine(e.Service, region); err != nil {
+	if _, err := w.addEngine(e.Service, region); err != nil {
 		w.Check.Problem("engine: %v", err)
 	}
 	if drain == 0 {
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -48,7 +48,7 @@
 	if w.ctx.Err() != nil {
 		return
 	}
-	if err := w.addEngine(e.Service, region); err != nil {
+	if _, err := w.addEngine(e.Service, region); err != nil {
 		w.Check.Problem("engine: %v", err)
 	}
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -25,13 +25,14 @@
 	Version  int64 // the newest that was accepted
 	SmallRan int   // requests that ran of the account that may ask for little
 	Crashed  int   // engines that the request crashed which crashes all
+	Needy    int   // requests within four seconds at the engine that names a limit
 	Problems []string
 }
 
 // String gives the report as text.
 func (r Report) String() string {
 	var out strings.Builder
-	fmt.Fprintf(&out, "seed %d: %d checks, version %d, %d requests of the small account, %d engines crashed by a request, %d problems\n", r.Seed, r.Checks, r.Version, r.SmallRan, r.Crashed, len(r.Problems))
+	fmt.Fprintf(&out, "seed %d: %d checks, version %d, %d requests of the small account, %d engines crashed by a request, %d at the engine that takes few, %d problems\n", r.Seed, r.Checks, r.Version, r.SmallRan, r.Crashed, r.Needy, len(r.Problems))
 	for _, counts := range []map[string]int{r.Harms, r.Answers} {
 		for _, name := range slices.Sorted(maps.Keys(counts)) {
 			fmt.Fprintf(&out, "  %-22s %d\n", name, counts[name])
@@ -110,7 +111,7 @@
 	work.Wait()
 	w.readsEverywhere()
 	w.Check.Engines()
-	report.SmallRan, report.Crashed = w.Check.SmallRan, w.Check.PoisonRan
+	report.SmallRan, report.Crashed, report.Needy = w.Check.SmallRan, w.Check.PoisonRan, w.Check.NeedyMost
 	report.Answers, report.Checks, report.Version, report.Problems = w.Check.Answers, w.Check.Checks, w.Check.Newest(), w.Check.Problems()
 	return report, nil
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -117,13 +117,13 @@
 	for r := range opts.Regions {
 		for range opts.Engines {
 			for _, service := range []string{"portal", "model"} {
-				if err := w.addEngine(service, r); err != nil {
+				if _, err := w.addEngine(service, r); err != nil {
 					return nil, err
 				}
 			}
 		}
 	}
-	return w, nil
+	return w, w.addNeedy()
 }
 
 // addHost makes a host's settings and the ways to it. The first of each region is
@@ -226,7 +226,7 @@
 }
 
 // addEngine starts an engine that registers with all control hosts.
-func (w *World) addEngine(service string, region int) error {
+func (w *World) addEngine(service string, region int) (*Engine, error) {
 	ctx, cancel := context.WithCancel(w.ctx)
 	group := pool.New()
 	e, err := platformtest.StartEngine(ctx, group, "127.0.0.1:0", platformtest.EngineOptions{
@@ -234,7 +234,7 @@
 	})
 	if err != nil {
 		cancel()
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	w.group.Go(func() { e.Register(ctx, slices.Clone(w.seeds)) })
 	w.group.Go(group.Wait)
@@ -244,7 +244,7 @@
 	defer w.mu.Unlock()
 	w.engines = append(w.engines, one)
 	w.Check.AddEngine(one)
-	return nil
+	return one, nil
 }
 
 // liveEngines gives the engines that have not been stopped.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -71,6 +71,7 @@
 	streams map[string]*stream
 	stats   EngineStats
 	orders  orders
+	limit   string // that its answers name; "" for none
 }
 
 // EngineStats counts what an engine has done.
@@ -134,7 +135,22 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.router.ServeHTTP(w, r) }
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	limit := e.limit
+	e.mu.Unlock()
+	if limit != "" {
+		w.Header().Set(relay.HeaderLimit, limit)
+	}
+	e.router.ServeHTTP(w, r)
+}
+
+// SetLimit makes answers name how many requests a second the engine takes; "" for none.
+func (e *Engine) SetLimit(limit string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = limit
+}
 
 // Stats gives what the engine has done so far.
 func (e *Engine) Stats() EngineStats {
