Hold an account that stays hot within its allowance

Change: where four times what may be in a window is asked for within one, no more than 1.1 of an even flow is admitted; shares follow over 16 s.

--- a/allowance/account.go
+++ b/allowance/account.go
@@ -14,18 +14,20 @@
 	asked    average            // by them
 	refused  float64            // units so far
 	shares   map[string]float64 // of the regions, when all were last heard
+	parted   time.Time          // when those shares were last brought up to date
 	share    float64            // of the requests admitted of late, by all who decide alike
 	shared   time.Time          // when that was noted
 	jump     jump               // of what is asked for here
 	known    float64            // units a second that others have told to be asked for, of late
+	demand   *window            // what all that are heard have asked for, admitted or not
 }
 
 // newAccount makes an account of which nothing is known: as if all that is inside the
 // allowance had been admitted, as much in each region. length is that of its window.
 func newAccount(inside float64, length time.Duration, regions []string, now time.Time) *account {
 	a := &account{
-		used: make(map[string]*window), filled: now, shares: make(map[string]float64), share: 1, shared: now,
-		asked: average{over: askedOver},
+		used: make(map[string]*window), filled: now, shares: make(map[string]float64), parted: now, share: 1, shared: now,
+		asked: average{over: askedOver}, demand: newWindow(length, 0, now),
 	}
 	for _, region := range regions {
 		part := 1 / float64(len(regions))
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"sync"
 	"time"
 
@@ -91,6 +92,10 @@
 	// rest is equal, so that a region that is cut off can serve an account which it
 	// hardly knew.
 	demandShare = 0.75
+	// sharesOver is over which time the regions' shares follow what is asked for in each. A
+	// region knows its own callers at once and the others' half a second later; followed at
+	// once, each of three that were cut off as an account turned hot had 0.83 of it.
+	sharesOver = 16 * time.Second
 	// holdTime is for how long gateways that fall silent are believed to go on as they did:
 	// processes that were killed are back after a second, and until then those that are
 	// left serve their callers.
@@ -169,6 +174,7 @@
 	m.active[name] = a
 	s := m.standing(name, a, now)
 	a.asked.add(cost, now)
+	a.demand.add(cost, now)
 	if a.jump.note(now) && a.known < knownShare*s.most/m.Policy.Window.Seconds() {
 		before := a.admitted.within(now, jumpOver)
 		left := max(0, s.most-s.used) + before + s.leaving*blindTime.Seconds()
@@ -298,8 +304,11 @@
 		if sum < leastUse {
 			continue
 		}
+		part := 1 - math.Exp(-float64(now.Sub(a.parted))/float64(sharesOver))
+		a.parted = now
 		for _, region := range m.Regions {
-			a.shares[region] = demandShare*asked[region]/sum + (1-demandShare)/float64(len(m.Regions))
+			target := demandShare*asked[region]/sum + (1-demandShare)/float64(len(m.Regions))
+			a.shares[region] += part * (target - a.shares[region])
 		}
 	}
 }
--- a/allowance/standing.go
+++ b/allowance/standing.go
@@ -4,6 +4,21 @@
 
 import "time"
 
+const (
+	// hotShare is how many times what may be in a window callers must have asked for within
+	// one for an account to count as hot. Below that what leaves a window at once may come
+	// back at once; an account that asks for 4.2 times its rate so loses nothing.
+	hotShare = 4
+	// evenShare is how much of an even flow is admitted then at most. What was admitted at
+	// once leaves the window at once, and what all gateways admit in its place before they
+	// hear of each other is beyond it, again with each window. Six gateways that are asked for
+	// twelve times the rate for half a minute, are started again, paused and cut off admitted
+	// more than may be in 132 of 400 runs, and in 9 with this and sharesOver; they admit 24.9
+	// units a second where 25 are allowed, and 26.9 without (TestAnAccountThatStaysHotIsHeld
+	// with 400 seeds).
+	evenShare = 1.1
+)
+
 // standing is what holds of an account at one moment.
 type standing struct {
 	regions  []string // that are heard, this one included
@@ -14,6 +29,7 @@
 	asked    float64  // units a second, by all of them
 	admitted float64  // units a second
 	alone    bool     // nearly all is asked for at this gateway
+	evenly   float64  // units a second that are admitted at most; 0 for no such bound
 }
 
 // standing brings the window up to now and gives what holds. The lock is held.
@@ -49,6 +65,10 @@
 		foreign := others.Asked / s.asked
 		s.coming = lag.Seconds() * (a.share*others.Asked - foreign*s.leaving)
 	}
+	a.demand.add(others.Asked*passed, now)
+	if a.demand.sum > hotShare*s.most {
+		s.evenly = evenShare * s.most / m.Policy.Window.Seconds()
+	}
 	a.noteShare(s.admits(0), others.Asked, now)
 	return s
 }
@@ -65,5 +85,8 @@
 		return 0
 	}
 	wanted := s.leaving + (left-s.coming)/settleTime.Seconds()
+	if s.evenly > 0 {
+		wanted = min(wanted, s.evenly)
+	}
 	return max(0, min(1, wanted/s.asked))
 }
--- a/allowance/world_test.go
+++ b/allowance/world_test.go
@@ -85,7 +85,11 @@
 			return
 		}
 		cost := w.cost()
-		if all[w.random.IntN(len(all))].ask(cost, w.now) {
+		chosen := all[w.random.IntN(len(all))]
+		if m, ok := chosen.(*metered); ok && m.paused {
+			continue
+		}
+		if chosen.ask(cost, w.now) {
 			w.admitted += cost
 			w.arrivals = append(w.arrivals, arrival{w.now, cost})
 		} else if w.inWindow()+cost <= w.inside() {
@@ -145,6 +149,7 @@
 	region   int
 	history  []stamped
 	heardFar time.Time
+	paused   bool
 }
 
 type stamped struct {
@@ -169,6 +174,9 @@
 
 // tick tells what this gateway does, and hears of the others.
 func (m *metered) tick(now time.Time) {
+	if m.paused {
+		return
+	}
 	m.history = append(m.history, stamped{now, m.Uses(now)["club"]})
 	sums := make([]allowance.Use, regions)
 	heard := 1
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,11 +24,12 @@
 	{1009, "as 1005"},
 	{1011, "a stream that was handed over broke, and how often it had been sent to engines wasn't told"},
 	{22, "an account began at once to ask for twelve times its rate at all gateways, each of which admitted all until it heard of the others: 131 to 141 requests within 4 s, where 130 are the most"},
-	{5000, "as 22, once in three runs: 136 requests, of which 54 in the first half second, as many as may be then, and 68 in the two after; known red"},
-	{5005, "the same account, hot for eight seconds while gateways are cut off and restarted: 131 requests; known red"},
-	{5015, "as 5005, 132 requests; known red"},
-	{5032, "as 5005, 131 requests; known red"},
-	{5041, "as 5005, 142 requests; known red"},
+	{5000, "the same account, hot for longer: what left the window at once was admitted again at once by all gateways, 132 to 136 requests"},
+	{5005, "as 5000, while gateways are cut off and restarted: 131 requests"},
+	{5015, "as 5005, 132 requests"},
+	{5032, "as 5005, 131 requests"},
+	{5041, "as 5005, 142 requests"},
+	{7, "as 5000, in each of two runs: 137 and 138 requests"},
 }
 
 // build builds linenscaled.
