--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -148,7 +148,7 @@
 	group.Go(func(ctx context.Context) error { return words.Run(ctx, dispatcher.Hear) })
 	group.Go(func(ctx context.Context) error { return m.tellLoad(ctx, dispatcher, words) })
 	m.serve(group, m.settings.Listen.Ready, platform.NewReady(server.Ready))
-	m.serve(group, m.settings.Listen.Metrics, withLimits(withAccounts(m.metrics.Handler(), meter), dispatcher))
+	m.serve(group, m.settings.Listen.Metrics, withShown(m.metrics.Handler(), meter, dispatcher))
 	group.Go(func(context.Context) error {
 		defer stopBelow()
 		return server.Run(ctx, callers, handover)
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -192,7 +192,7 @@
 	PerSecond float64       `json:"per_second"` // that it takes
 	Share     float64       `json:"share"`      // of it that is this gateway's, in requests a second
 	Sharers   int           `json:"sharers"`    // gateways that have one
-	Age       time.Duration `json:"age"`        // of the newest word here
+	Age       time.Duration `json:"age_ns"`     // of the newest word here
 	Sent      int           `json:"sent"`       // requests, under a limit
 	KeptAway  int           `json:"kept_away"`
 }
