A test of the limits that a real gateway shows and keeps to

Cause: the path /limits and the whole way from an engine's header to it had no test with whole processes' parts. Change: a step of TestMembersServeADay. Conclusion: an engine that names a limit is spared, shown, and used again when it names none.

--- a/daemon/member_test.go
+++ b/daemon/member_test.go
@@ -172,6 +172,17 @@
 	return result
 }
 
+// read gives what a host shows at a URL.
+func read(t *testing.T, url string) string {
+	t.Helper()
+	resp, err := http.Get(url)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	return string(text)
+}
+
 var (
 	portalRoute = platformtest.Route{Name: "p", Host: "h", PathPrefix: "/p/", Kind: "unsafe", TimeoutMs: 2000, TargetLatencyMs: 500, MaxAttempts: 1, Service: "portal"}
 	modelRoute  = platformtest.Route{Name: "m", Host: "h", PathPrefix: "/m/", Kind: "streaming", TimeoutMs: 2000, TargetLatencyMs: 500, MaxAttempts: 2, Service: "model", Resumable: true}
@@ -204,10 +215,10 @@
 		d.eventually("the dropped route is gone", func() bool { return d.ask(centre, "/b/1", false).Status == http.StatusNotFound })
 	}
 	for _, seed := range d.seeds {
-		read, status, err := d.operator.Read(context.Background(), seed)
+		shown, status, err := d.operator.Read(context.Background(), seed)
 		must.NoError(t, err)
 		must.Eq(t, http.StatusOK, status)
-		must.Eq(t, d.version, read.ConfigVersion)
+		must.Eq(t, d.version, shown.ConfigVersion)
 	}
 
 	t.Log("an evacuated region's requests go elsewhere")
@@ -225,6 +236,20 @@
 	})
 	d.eventually("served at home", func() bool { return d.ask("ikeja", "/p/1", false).Engine == portal["ikeja"].ID })
 
+	t.Log("an engine that names a limit is spared and shown, until it names none")
+	portal["ikeja"].SetLimit("1")
+	d.eventually("spared", func() bool {
+		result := d.ask("ikeja", "/p/1", false)
+		return result.Status == http.StatusOK && result.Engine != portal["ikeja"].ID
+	})
+	limits := "http://" + d.hosts["front-ikeja"].settings.Listen.Metrics + daemon.LimitsPath
+	must.StrContains(t, read(t, limits), portal["ikeja"].ID)
+	portal["ikeja"].SetLimit("")
+	d.eventually("lifted", func() bool {
+		d.ask("ikeja", "/p/1", false)
+		return !strings.Contains(read(t, limits), portal["ikeja"].ID)
+	})
+
 	t.Log("an engine that drains gets nothing after it was acknowledged")
 	portal["ikeja"].SetDraining()
 	d.eventually("acknowledged", func() bool { return !portal["ikeja"].DrainAcked().IsZero() })
@@ -242,12 +267,7 @@
 		got, err := d.operator.Resolve(context.Background(), d.hosts["core-wuse"].settings.Listen.Directory, "h", "lagos", "ikeja")
 		return err == nil && len(got) == 2
 	})
-	metrics, err := http.Get("http://" + d.hosts["front-wuse"].settings.Listen.Metrics)
-	must.NoError(t, err)
-	defer metrics.Body.Close()
-	text, err := io.ReadAll(metrics.Body)
-	must.NoError(t, err)
-	must.StrContains(t, string(text), "linenscale_requests")
+	must.StrContains(t, read(t, "http://"+d.hosts["front-wuse"].settings.Listen.Metrics), "linenscale_requests")
 
 	t.Log("hosts stop and start again in turn, one of them with an empty disk")
 	for i, centre := range []string{"ikeja", "wuse", "nassarawa"} {
@@ -260,8 +280,8 @@
 		d.start(again, false)
 		d.declare(portalRoute, modelRoute)
 		d.eventually("it shows the newest", func() bool {
-			read, _, err := d.operator.Read(context.Background(), again.Listen.Operators)
-			return err == nil && read.ConfigVersion == d.version
+			shown, _, err := d.operator.Read(context.Background(), again.Listen.Operators)
+			return err == nil && shown.ConfigVersion == d.version
 		})
 	}
 	d.start(d.member("front-ikeja", "ikeja", memberNet+"0.2", roster.RoleGateway), false)
