Hold an account to its part for as long as others' words are of before

Cause: traced in its logs: for 0.9 to 1.2 s a gateway believes what it heard last, which told of no requests, and takes all that is left; the jump's bound ended after 0.6 s. Change: the bound lasts while words count that were told before the jump. A test brings it about in virtual time.

--- a/allowance/hot_test.go
+++ b/allowance/hot_test.go
@@ -8,10 +8,9 @@
 	"github.com/shoenig/test/must"
 )
 
-// harmedWorld is six gateways of three regions before an account that asks all of them at once
-// for twelve times its rate, for half a minute, while gateways are paused or started again and
-// regions cut off.
-func harmedWorld(seed uint64) *world {
+// hotWorld is six gateways of three regions before an account that asks all of them at once
+// for twelve times its rate, from the second on.
+func hotWorld(seed uint64) *world {
 	w := newSmallWorld(20)
 	w.random = rand.New(rand.NewPCG(seed, 1))
 	for region, all := range w.meters {
@@ -21,6 +20,13 @@
 	}
 	w.play(time.Second)
 	w.demand = []float64{80, 80, 80}
+	return w
+}
+
+// harmedWorld is a hot world for half a minute, while gateways are paused or started again and
+// regions cut off.
+func harmedWorld(seed uint64) *world {
+	w := hotWorld(seed)
 	harm := rand.New(rand.NewPCG(seed, 2))
 	for range 14 {
 		region, i := harm.IntN(regions), harm.IntN(2)
@@ -75,3 +81,23 @@
 	w := harmedWorld(wakingSeed)
 	must.LessEq(t, 1, w.worst(), must.Sprint(w))
 }
+
+// TestAGatewayThatIsCutOffAloneHoldsAnAccount cuts one gateway off from all others as, or just
+// after, an account turns hot. Seen with real processes (135 requests, where 130 are the most):
+// for as long as it believed that it heard the others, whose last words were of the time before,
+// it took what they all had taken to be left, 35 requests in four seconds instead of 18.
+func TestAGatewayThatIsCutOffAloneHoldsAnAccount(t *testing.T) {
+	worst := 0.0
+	for seed := range uint64(40) {
+		w := hotWorld(seed)
+		w.play(time.Duration(seed%5) * 100 * time.Millisecond)
+		alone := w.meters[seed%regions][seed%2].(*metered)
+		alone.alone = true
+		w.play(time.Duration(1+seed%4) * time.Second)
+		alone.alone = false
+		w.play(5 * time.Second)
+		t.Log(seed, w)
+		worst = max(worst, w.worst())
+	}
+	must.LessEq(t, 1, worst)
+}
--- a/allowance/jump.go
+++ b/allowance/jump.go
@@ -10,6 +10,9 @@
 	// is known of all gateways: words of other regions are 0.4 s old and come four times a
 	// second.
 	blindTime = 600 * time.Millisecond
+	// toldTime is how long after a jump another gateway's word must have been told to hold
+	// what began there.
+	toldTime = 200 * time.Millisecond
 	// jumpOver is over which time requests are counted to see a jump, and usualOver over
 	// which their usual rate is taken.
 	jumpOver  = 500 * time.Millisecond
@@ -63,7 +66,8 @@
 	j.since, j.admitted, j.most = now, admitted, most
 }
 
-// admits tells whether a request may be admitted beside what was since the jump.
-func (j *jump) admits(cost float64, now time.Time) bool {
-	return now.Sub(j.since) >= blindTime || j.admitted+cost <= j.most
+// admits tells whether a request may be admitted beside what was since the jump; blind says
+// whether others can't have told of theirs.
+func (j *jump) admits(cost float64, blind bool) bool {
+	return !blind || j.admitted+cost <= j.most
 }
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -181,7 +181,7 @@
 		a.jump.begin(before, left/float64(max(1, m.gateways)), now)
 	}
 	share := s.admits(cost)
-	if !a.jump.admits(cost, now) {
+	if !a.jump.admits(cost, m.blind(a.jump.since, now)) {
 		share = 0
 	}
 	if share < 1 && float64(m.Random()>>11)/(1<<53) >= share {
@@ -198,6 +198,27 @@
 	return &Grant{meter: m, account: a, cost: cost}, nil
 }
 
+// blind tells whether what began at a time isn't known of the others yet: for blindTime, and
+// as long as others are believed to be heard whose last words were told before. One gateway of
+// six that is cut off from all others as an account turns hot took more than its part in 19 of
+// 40 runs with blindTime alone, at worst 1.10 of what may be, and in 5 with this, at worst 1.02
+// (TestAGatewayThatIsCutOffAloneHoldsAnAccount). The lock is held.
+func (m *Meter) blind(since, now time.Time) bool {
+	if now.Sub(since) < blindTime {
+		return true
+	}
+	told := since.Add(toldTime)
+	if m.near.coverage >= 1 && !m.near.allAt.IsZero() && m.near.allAt.Before(told) {
+		return true
+	}
+	for _, region := range m.Regions {
+		if region != m.Region && m.heard(region, now) && m.far[region].at.Before(told) {
+			return true
+		}
+	}
+	return false
+}
+
 // Uses gives what this gateway's callers do, by account, of those who do anything.
 func (m *Meter) Uses(now time.Time) map[string]Use {
 	m.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,6 +29,7 @@
 	{5015, "as 5005, 132 requests"},
 	{5032, "as 5005, 131 requests"},
 	{5041, "as 5005, 142 requests"},
+	{6026, "one gateway was cut off from all others as the account turned hot, and took what they had taken to be left: 135 requests"},
 	{7, "as 5000, in each of two runs: 137 and 138 requests"},
 }
 
