--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -24,7 +24,7 @@
 
 // engine is what is known of one incarnation of an engine that has named a limit.
 type engine struct {
-	word    Word      // *Limited or *Unlimited
+	word    Word      // Limited or Unlimited
 	at      time.Time // since when that holds, or was confirmed here
 	left    int       // how often still to tell it
 	version int       // of the members that the share was worked out for
--- a/ratelimit/word.go
+++ b/ratelimit/word.go
@@ -8,8 +8,8 @@
 	"strings"
 )
 
-// Word is what one answer says of how many requests its engine takes: *Limited, *Unlimited or
-// *Unclear.
+// Word is what one answer says of how many requests its engine takes: Limited, Unlimited or
+// Unclear.
 type Word interface {
 	// String is what logs show.
 	String() string
