Sight: what an engine's answer asks for is read, logged and counted

Logs couldn't tell the three hypotheses of the incident apart: no line said for how long an engine had asked to be left alone. The head of an answer gives a typed word now (package pushback: seconds, fractions, dates of HTTP, several lines, what can't be read), and whether the engine leaves; 'engine asked for rest' and 'engine said that it leaves' name request, engine, time and status, and linenscale_pushback counts them by engine. Nothing is decided by them yet: the seconds go where they went before, into the caller's refusal. Ruled out by this: nothing yet.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -160,12 +160,12 @@
 // judge looks at the head of an engine's answer.
 func (s *Server) judge(x *exchange, done *progress, ticket *dispatch.Ticket, resp *http.Response) error {
 	v := s.Dialect.Judge(resp)
-	s.hearLimit(x, ticket, v)
+	s.hear(x, ticket, resp, v)
 	switch {
 	case v.Misdirected:
 		return &misdirected{v.Engine}
 	case v.NotRun:
-		return relay.NewFailure(true, true, v.RetryAfter, errors.Errorf("engine refused with status %d", resp.StatusCode))
+		return relay.NewFailure(true, true, restOf(v.Pushback), errors.Errorf("engine refused with status %d", resp.StatusCode))
 	case v.ID != x.identity.ID:
 		return relay.NewFailure(false, false, 0, errors.Errorf("the answer is for request %q", v.ID))
 	case x.started && resp.StatusCode != http.StatusOK, s.triesAgain(x, done, resp):
--- a/ingress/dialect.go
+++ b/ingress/dialect.go
@@ -9,6 +9,7 @@
 
 	"github.com/linenscale/linenscale/catalog"
 	"github.com/linenscale/linenscale/dispatch"
+	"github.com/linenscale/linenscale/pushback"
 	"github.com/linenscale/linenscale/ratelimit"
 	"github.com/linenscale/linenscale/request"
 )
@@ -43,8 +44,9 @@
 	NotRun      bool   // the engine says that it did not run the request
 	Misdirected bool   // another engine answers at this address
 	Cold        time.Duration
-	RetryAfter  time.Duration
 	Limit       ratelimit.Word // what the engine takes from all gateways together
+	Pushback    pushback.Word  // for how long it wants nothing from this gateway
+	Leaving     bool           // it leaves, and wants nothing any more
 }
 
 // Dialect speaks the protocol of callers and engines.
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -31,6 +31,7 @@
 	crashes  metric.Int64Counter
 	crashed  metric.Int64Counter
 	limited  metric.Int64Counter
+	pushback metric.Int64Counter
 	named    labels // accounts that have counters of their own
 	engines  labels // engines that have
 }
@@ -45,7 +46,7 @@
 	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
 	meter := provider.Meter("linenscale")
 	m := &Metrics{provider: provider, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
-	var errs [12]error
+	var errs [13]error
 	m.requests, errs[0] = meter.Int64Counter("linenscale_requests", metric.WithDescription("requests that have ended, by service and outcome"))
 	m.attempts, errs[1] = meter.Int64Counter("linenscale_attempts", metric.WithDescription("attempts sent to engines and entry hosts, by service and outcome"))
 	m.duration, errs[2] = meter.Float64Histogram("linenscale_first_byte_seconds", metric.WithDescription("time to the first byte of an answer"), metric.WithUnit("s"))
@@ -58,6 +59,7 @@
 	m.crashes, errs[9] = meter.Int64Counter("linenscale_engine_crashes", metric.WithDescription("engines that ended while this host had requests on them"))
 	m.crashed, errs[10] = meter.Int64Counter("linenscale_crashed_requests", metric.WithDescription("requests of this host that were on engines that ended"))
 	m.limited, errs[11] = meter.Int64Counter("linenscale_limited_engines", metric.WithDescription("what came of the limits that engines name, by engine and event"))
+	m.pushback, errs[12] = meter.Int64Counter("linenscale_pushback", metric.WithDescription("what came of engines that ask for rest or leave, by engine and event"))
 	for _, err := range errs {
 		if err != nil {
 			return nil, errors.Annotate(err, "metrics")
@@ -120,6 +122,11 @@
 	m.limited.Add(context.Background(), 1, metric.WithAttributes(attribute.String("engine", m.engines.of(engine)), attribute.String("event", event)))
 }
 
+// Pushback counts an event of an engine that asks for rest or leaves.
+func (m *Metrics) Pushback(engine, event string) {
+	m.pushback.Add(context.Background(), 1, metric.WithAttributes(attribute.String("engine", m.engines.of(engine)), attribute.String("event", event)))
+}
+
 // Change counts a decided change.
 func (m *Metrics) Change(outcome string) {
 	m.changes.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
