Leave an engine alone for as long as it asks for

What callers saw: refusals by engines that had asked for seconds of rest, while others of the region served; each gateway went on sending them requests, 5 to 8 within three seconds, where two are allowed. Cause: an engine's Retry-After was read as a word to the caller. The choice avoided an engine that had refused for a constant 150 ms, and its other users (last resort, copies, what other regions are told) each kept a list of reasons of their own. Ruled out by the logs: second sends and hand-overs (38 of 41 sends were first ones of the gateway's own callers), and a word overwritten by another (the same step of 150 ms from the first refusal on). Mend: package pushback keeps the longest rest that an engine asked this gateway for; neither a shorter word nor an answer to an earlier request ends it, and after it one request goes first. All that may send or count capacity asks one function (dispatch, standing.go). A request that waited for a connection is asked about again before a byte is written. Where all rest, callers are refused at once, with the time until the first may be had, and no engine's own word is passed through to a caller whom others may serve. A reason to avoid an engine no longer shortens another. Tests: words in any order (property), last resort, all resting, first request after it, an earlier request's answer, another life, copies, a late connection. Why it holds: the answer to 'may this engine get a request' is decided in one place, for this and the next reason.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -14,56 +14,6 @@
 	"github.com/linenscale/linenscale/registry"
 )
 
-// Reasons not to use an engine for a moment.
-const (
-	whyFailing = "failing" // it has failed lately
-	whyCold    = "cold"    // another gateway warms it up, or it is too soon
-	whyLimited = "limited" // this gateway has no part of the limit that it names, or has used it
-)
-
-// usable tells whether an engine may get the request, and why not.
-func (d *Dispatcher) usable(p *pool, e *engine, now time.Time) (bool, string) {
-	switch {
-	case e.Phase >= registry.Draining:
-		return false, e.Phase.String()
-	case d.state.IsEvacuated(e.DataCentre):
-		return false, "evacuated"
-	case !e.GoneAt.IsZero() && now.After(e.GoneAt):
-		return false, "taken away"
-	case e.misdirected:
-		return false, "replaced"
-	case !d.limits.Allows(e.hash, now):
-		return false, whyLimited
-	case now.Before(e.avoidUntil):
-		return false, whyFailing
-	case d.isCold(p, e, now) && !d.mayWarm(e, now):
-		return false, whyCold
-	default:
-		return true, ""
-	}
-}
-
-// clearedCold is how long after the end of an evacuation engines count as cold
-// without having said so: until a heartbeat sent since has come.
-const clearedCold = 3 * time.Second
-
-// isCold tells whether an engine bears only few requests.
-func (d *Dispatcher) isCold(p *pool, e *engine, now time.Time) bool {
-	if p.service.ColdRate <= 0 {
-		return false
-	}
-	if at, ok := d.cleared[e.DataCentre]; ok && now.Sub(at) < clearedCold {
-		return true
-	}
-	return e.IsCold(now)
-}
-
-// mayWarm tells whether a cold engine may get a request now: from one gateway
-// only, which all agree on, and no faster than the engine bears.
-func (d *Dispatcher) mayWarm(e *engine, now time.Time) bool {
-	return !now.Before(e.warmNext) && d.near.warmer(e) == d.Name
-}
-
 // near are the names of the gateways of this region, this one included, as of the
 // last refresh.
 type near struct {
@@ -172,7 +122,7 @@
 	id := hashOf(ask.ID)
 	s := sample{candidates: d.draw(p, ask, id, now), first: d.first(p, ask, now)}
 	keepers := p.keepersOf(ask.Prompt, now)
-	s.source = p.sourceOf(ask.Prompt, keepers, now)
+	s.source = d.sourceOf(p, ask.Prompt, keepers, now)
 	for _, e := range keepers {
 		if d.mayTake(p, e, ask, now) {
 			s.kept = true
@@ -237,8 +187,7 @@
 
 // mayTake tells whether an engine may get this request.
 func (d *Dispatcher) mayTake(p *pool, e *engine, ask Ask, now time.Time) bool {
-	ok, _ := d.usable(p, e, now)
-	return ok && !slices.Contains(ask.Tried, e.ID)
+	return !d.bar(p, e, now).stands() && !slices.Contains(ask.Tried, e.ID)
 }
 
 // spare gives, of the engines that failed lately, the one to use where no other can
@@ -246,8 +195,7 @@
 func (d *Dispatcher) spare(p *pool, ask Ask, now time.Time) *engine {
 	var spare *engine
 	for _, e := range p.open {
-		_, why := d.usable(p, e, now)
-		if why == whyFailing && !slices.Contains(ask.Tried, e.ID) && (spare == nil || e.avoidUntil.Before(spare.avoidUntil)) {
+		if d.bar(p, e, now).why == whyFailing && !slices.Contains(ask.Tried, e.ID) && (spare == nil || e.avoidUntil.Before(spare.avoidUntil)) {
 			spare = e
 		}
 	}
@@ -255,14 +203,14 @@
 }
 
 // refusals tells why no engine can be used, by the number of engines.
-func (d *Dispatcher) refusals(p *pool, ask Ask, now time.Time) map[string]int {
-	refused := make(map[string]int)
+func (d *Dispatcher) refusals(p *pool, ask Ask, now time.Time) map[why]int {
+	refused := make(map[why]int)
 	for _, e := range p.ordered {
-		ok, why := d.usable(p, e, now)
-		if ok && slices.Contains(ask.Tried, e.ID) {
-			ok, why = false, "tried"
+		why := d.bar(p, e, now).why
+		if why == "" && slices.Contains(ask.Tried, e.ID) {
+			why = whyTried
 		}
-		if !ok {
+		if why != "" {
 			refused[why]++
 		}
 	}
@@ -273,19 +221,21 @@
 // request, and counts those that aren't cold. Such that name limits count where there are
 // no others. The lock is held.
 func (d *Dispatcher) sortOut(p *pool, now time.Time) {
-	p.ready, p.open, p.limited = 0, p.open[:0], p.limited[:0]
+	p.ready, p.open, p.limited, p.asked = 0, p.open[:0], p.limited[:0], p.asked[:0]
 	for _, e := range p.ordered {
-		ok, why := d.usable(p, e, now)
-		switch {
-		case d.limits.Limited(e.hash):
-			if ok || why == whyLimited {
-				p.limited = append(p.limited, e)
-				continue
-			}
-		case ok && !d.isCold(p, e, now):
+		b := d.bar(p, e, now)
+		if b.why.pushback() {
+			p.asked = append(p.asked, e)
+		}
+		limited := d.limits.Limited(e.hash)
+		if !b.stands() && !limited && !d.isCold(p, e, now) {
 			p.ready++
 		}
-		if ok || why == whyFailing || (why == whyCold && d.near.warmer(e) == d.Name) {
+		switch {
+		case b.stands() && !b.why.passes() && !(b.why == whyCold && d.near.warmer(e) == d.Name):
+		case limited && b.why != whyFailing && b.why != whyCold:
+			p.limited = append(p.limited, e)
+		default:
 			p.open = append(p.open, e)
 		}
 	}
@@ -295,13 +245,13 @@
 }
 
 // counts gives "2 draining, 1 cold" in the order of the words.
-func counts(refused map[string]int) string {
+func counts(refused map[why]int) string {
 	if len(refused) == 0 {
 		return "none is registered"
 	}
 	var out []string
-	for _, why := range slices.Sorted(maps.Keys(refused)) {
-		out = append(out, fmt.Sprintf("%d %s", refused[why], why))
+	for _, reason := range slices.Sorted(maps.Keys(refused)) {
+		out = append(out, fmt.Sprintf("%d %s", refused[reason], reason))
 	}
 	return strings.Join(out, ", ")
 }
--- a/dispatch/copies.go
+++ b/dispatch/copies.go
@@ -33,14 +33,14 @@
 // sourceOf gives the engine to copy a prompt's shared parts from: of those known to keep
 // them, the one that has done so last, since parts give way to others. It gives none
 // where the service's engines can't copy.
-func (p *pool) sourceOf(prompt Prompt, keepers []*engine, now time.Time) source {
+func (d *Dispatcher) sourceOf(p *pool, prompt Prompt, keepers []*engine, now time.Time) source {
 	if p.service.Model == nil || !p.service.Model.Copies() || prompt.sharedTokens() < leastCopied {
 		return source{}
 	}
 	hash := hashPart(prompt.Affinity())
 	var best source
 	for _, e := range keepers {
-		if e.Phase != registry.Ready || e.misdirected || now.Before(e.avoidUntil) || (!e.GoneAt.IsZero() && now.After(e.GoneAt)) {
+		if e.Phase == registry.Silent || !d.bar(p, e, now).allowsCopies() {
 			continue
 		}
 		if best.engine == nil || e.kept[hash].After(best.engine.kept[hash]) {
@@ -50,6 +50,12 @@
 	return best
 }
 
+// allowsCopies tells whether an engine's keep may be read by others: also where it bears only
+// few requests itself, but not where it wants nothing, is about to end or fails.
+func (b bar) allowsCopies() bool {
+	return !b.stands() || b.why == whyLimited || b.why == whyCold
+}
+
 // offer gives what an engine could copy from the source: 0 tokens where that is nothing.
 func (s source) offer(to *engine, kept int) int {
 	if s.engine == nil || s.engine == to || s.tokens-kept < leastCopied {
--- a/dispatch/copies_test.go
+++ b/dispatch/copies_test.go
@@ -10,6 +10,7 @@
 	"github.com/linenscale/linenscale/catalog"
 	"github.com/linenscale/linenscale/dispatch"
 	"github.com/linenscale/linenscale/ledger"
+	"github.com/linenscale/linenscale/pushback"
 	"github.com/linenscale/linenscale/registry"
 )
 
@@ -73,6 +74,21 @@
 	}
 }
 
+// TestAKeeperThatWantsNothingIsNotCopiedFrom has the keeper ask for rest, or leave.
+func TestAKeeperThatWantsNothingIsNotCopiedFrom(t *testing.T) {
+	for name, says := range map[string]func(answered *dispatch.Ticket){
+		"resting": func(answered *dispatch.Ticket) { answered.HeardPushback(pushback.Rest{For: time.Second}) },
+		"leaving": func(answered *dispatch.Ticket) { answered.HeardLeaving() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(1, 4)
+			w.copying()
+			says(keeper(t, w))
+			must.Eq(t, "", acquire(t, w.gateways[0], long("r", "p")).CopyFrom)
+		})
+	}
+}
+
 // TestAKeeperThatFailsIsNotCopiedFrom can't reach the keeper.
 func TestAKeeperThatFailsIsNotCopiedFrom(t *testing.T) {
 	w := newWorld(1, 4)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/linenscale/linenscale/allowance"
 	"github.com/linenscale/linenscale/catalog"
 	"github.com/linenscale/linenscale/ledger"
+	"github.com/linenscale/linenscale/pushback"
 	"github.com/linenscale/linenscale/quarantine"
 	"github.com/linenscale/linenscale/ratelimit"
 	"github.com/linenscale/linenscale/registry"
@@ -62,6 +63,7 @@
 	// suspects are the requests under which engines crashed.
 	suspects *quarantine.Table
 	limits   *ratelimit.Table // that engines name
+	pushback *pushback.Table  // what engines ask of this gateway
 }
 
 // New makes a dispatcher that knows no service.
@@ -71,7 +73,7 @@
 		Deps: deps, table: catalog.NewTable(catalog.Catalog{}), pools: make(map[string]*pool),
 		board:   rollup.New(rollup.Deps{Self: self, Hosts: deps.Peers, Clock: deps.Clock}),
 		cleared: make(map[string]time.Time), alike: 1, far: make(map[string]*farRegion), byHash: make(map[uint64]*engine), accounts: make(map[uint32]string),
-		watch: quarantine.NewWatch(), doubts: make(chan Doubt, mostDoubts), suspects: quarantine.New(), limits: ratelimit.New(deps.Name),
+		watch: quarantine.NewWatch(), doubts: make(chan Doubt, mostDoubts), suspects: quarantine.New(), limits: ratelimit.New(deps.Name), pushback: pushback.New(),
 	}
 }
 
@@ -137,7 +139,7 @@
 	d.lookNear(now)
 	d.index()
 	if forget {
-		d.forgetLimits(now)
+		d.forgetGone(now)
 	}
 	for _, p := range d.pools {
 		d.sortOut(p, now)
@@ -175,7 +177,7 @@
 	}
 	chosen, best := d.choose(p, ask, now)
 	if chosen == nil {
-		return nil, &request.NotRun{Reason: request.ReasonNoEngine, Message: "no engine can be used: " + counts(d.refusals(p, ask, now)), RetryAfter: max(retrySoon, d.limitedFor(p, now))}
+		return nil, &request.NotRun{Reason: request.ReasonNoEngine, Message: "no engine can be used: " + counts(d.refusals(p, ask, now)), RetryAfter: max(retrySoon, d.opens(p, now))}
 	}
 	if err := ask.admits(best); err != nil {
 		return nil, err
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -3,7 +3,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -76,27 +75,14 @@
 		zap.Float64("per_second", s.PerSecond), zap.Float64("share", s.Share), zap.Int("sharers", s.Sharers))
 }
 
-// limitedFor gives how long it takes until this gateway may send a request to any of a
-// pool's engines that name limits; 0 where none does, or it has a share of none.
-func (d *Dispatcher) limitedFor(p *pool, now time.Time) time.Duration {
-	soonest := time.Duration(math.MaxInt64)
-	for _, e := range p.limited {
-		if wait, ok := d.limits.Next(e.hash, now); ok {
-			soonest = min(soonest, wait)
-		}
-	}
-	if soonest == math.MaxInt64 {
-		return 0
-	}
-	return soonest
-}
-
-// forgetLimits drops the limits of engines that are gone. The lock is held.
-func (d *Dispatcher) forgetLimits(now time.Time) {
-	d.limits.Forget(func(hash uint64) bool {
+// forgetGone drops what engines that are gone have said of themselves. The lock is held.
+func (d *Dispatcher) forgetGone(now time.Time) {
+	known := func(hash uint64) bool {
 		_, known := d.byHash[hash]
 		return known
-	}, now)
+	}
+	d.limits.Forget(known, now)
+	d.pushback.Forget(known, now)
 }
 
 // LimitStatus is what operators are shown of one engine that names a limit.
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -37,6 +37,14 @@
 	sign          time.Time // when this gateway last had a byte from it
 }
 
+// avoid keeps requests away until a time, or for as long as they were kept away before if that is
+// longer: one reason doesn't end another.
+func (e *engine) avoid(until time.Time) {
+	if until.After(e.avoidUntil) {
+		e.avoidUntil = until
+	}
+}
+
 // load gives all that the engine is known to do.
 func (e *engine) load(now time.Time) Load {
 	own := e.own
@@ -51,6 +59,7 @@
 	ordered []*engine            // by ID
 	open    []*engine            // of those, as of the last refresh, what requests may be sent to
 	limited []*engine            // that name limits and could be used else, as of the last refresh; not in open
+	asked   []*engine            // that had asked for rest, or left, as of the last refresh
 	keepers map[uint32][]*engine // by part: engines that may keep it
 	budget  *retry.Window
 	speeds  *speeds
--- /dev/null
+++ b/dispatch/pushback.go
@@ -0,0 +1,95 @@
+// This file defines how a gateway keeps to what engines ask of it in their answers.
+
+package dispatch
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/linenscale/linenscale/pushback"
+)
+
+// HeardPushback takes what the head of the engine's answer asks for. It is called as soon as the
+// head is there: the next request may be chosen an engine for before the answer ends.
+func (t *Ticket) HeardPushback(word pushback.Word) {
+	d, e := t.dispatcher, t.engine
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock()
+	if d.pushback.Hear(e.hash, word, now) {
+		d.Log.Info("engine rests", zap.String("engine", e.ID), zap.Stringer("for", word))
+	}
+}
+
+// HeardLeaving takes that the engine says that it leaves. A heartbeat which was sent before and
+// says that it is ready doesn't lift it.
+func (t *Ticket) HeardLeaving() {
+	d, e := t.dispatcher, t.engine
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leaves(e, "its answer", d.Clock())
+}
+
+// leaves takes over that an engine leaves. The lock is held.
+func (d *Dispatcher) leaves(e *engine, by string, now time.Time) {
+	if d.pushback.HearLeaving(e.hash, now) {
+		d.Log.Info("engine leaves", zap.String("engine", e.ID), zap.String("told_by", by))
+	}
+}
+
+// isLeaving tells whether an engine says in its answers that it leaves. The lock is held.
+func (d *Dispatcher) isLeaving(hash uint64, now time.Time) bool {
+	bar, barred := d.pushback.Bar(hash, now)
+	return barred && bar.Reason == pushback.Leaving
+}
+
+// Unwanted says that an engine wants no more requests, or will end, since it was chosen.
+type Unwanted struct{ Engine, Why string }
+
+// Error implements error.
+func (u *Unwanted) Error() string { return "engine " + u.Engine + " is " + u.Why + " by now" }
+
+// Wanted tells whether the engine may still get the request, which has waited for a connection.
+// The error is an *Unwanted. What the choice has weighed isn't weighed again.
+func (t *Ticket) Wanted() error {
+	d := t.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch b := d.bar(t.pool, t.engine, d.Clock()); b.why {
+	case "", whyTrying, whyLimited, whyFailing, whyCold:
+		return nil
+	default:
+		return &Unwanted{t.Engine, string(b.why)}
+	}
+}
+
+// Taken notes that the engine has not refused the request: it takes requests again if it rested
+// before.
+func (t *Ticket) Taken() {
+	d := t.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pushback.Taken(t.engine.hash, t.began)
+}
+
+// beginPushedBack counts a ticket towards what engines ask for. The lock is held.
+func (d *Dispatcher) beginPushedBack(t *Ticket, now time.Time) {
+	for _, e := range t.pool.asked {
+		if e != t.engine && d.bar(t.pool, e, now).why.pushback() {
+			d.pushback.KeptAway(e.hash)
+			d.countPushback(e, "kept_away")
+		}
+	}
+	if d.bar(t.pool, t.engine, now).why.pushback() {
+		d.countPushback(t.engine, "sent_in_spite")
+		d.Log.Error("request sent to an engine that wants none", zap.String("engine", t.engine.ID))
+	}
+	t.trial = d.pushback.Begin(t.engine.hash, now)
+}
+
+func (d *Dispatcher) countPushback(e *engine, event string) {
+	if d.Metrics != nil {
+		d.Metrics.Pushback(e.ID, event)
+	}
+}
--- /dev/null
+++ b/dispatch/pushback_test.go
@@ -0,0 +1,170 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/shoenig/test/must"
+
+	"github.com/linenscale/linenscale/dispatch"
+	"github.com/linenscale/linenscale/pushback"
+	"github.com/linenscale/linenscale/registry"
+	"github.com/linenscale/linenscale/request"
+)
+
+// others are all engines of a service but one.
+func (w *world) others(service, engine string) []string {
+	var out []string
+	for _, e := range w.engines.All() {
+		if e.Service == service && e.ID != engine {
+			out = append(out, e.ID)
+		}
+	}
+	return out
+}
+
+// rest has an engine refuse a gateway's request and ask for rest.
+func (w *world) rest(t *testing.T, gateway int, engine string, length time.Duration) {
+	t.Helper()
+	ask := plain("refused")
+	ask.Tried = w.others("review", engine)
+	ticket := acquire(t, w.gateways[gateway], ask)
+	must.Eq(t, engine, ticket.Engine)
+	ticket.HeardPushback(pushback.Rest{For: length})
+	ticket.Done(dispatch.Shed)
+}
+
+// TestARestingEngineIsNoLastResort has the others of a service fail: the one that asked for rest
+// isn't taken instead, and callers are told to come back when the first is to be had.
+func TestARestingEngineIsNoLastResort(t *testing.T) {
+	w := newWorld(1, 3)
+	w.rest(t, 0, "i-0", 3*time.Second)
+	w.rest(t, 0, "i-1", 2*time.Second)
+	for range 3 {
+		ask := plain("r")
+		ask.Tried = w.others("review", "i-2")
+		ticket, err := w.gateways[0].Acquire(ask)
+		must.NoError(t, err)
+		ticket.Done(dispatch.Unreached)
+		w.pass(100 * time.Millisecond)
+	}
+	ticket := acquire(t, w.gateways[0], plain("last"))
+	must.Eq(t, "i-2", ticket.Engine, must.Sprint("it fails, and is all that is left"))
+	ask := plain("again")
+	ask.Tried = []string{"i-2"}
+	_, err := w.gateways[0].Acquire(ask)
+	must.StrContains(t, notRun(t, err).Message, "1 failing, 2 resting")
+}
+
+// TestAllRest refuses at once, with the time until the first rest ends.
+func TestAllRest(t *testing.T) {
+	w := newWorld(2, 2)
+	w.rest(t, 0, "i-0", 3*time.Second)
+	w.pass(500 * time.Millisecond)
+	w.rest(t, 0, "i-1", time.Second)
+	_, err := w.gateways[0].Acquire(plain("r"))
+	refusal := notRun(t, err)
+	must.Eq(t, request.ReasonNoEngine, refusal.Reason)
+	must.Eq(t, time.Second, refusal.RetryAfter)
+	must.Eq(t, time.Second, w.gateways[0].Opens("review"))
+	acquire(t, w.gateways[1], plain("r")) // it was asked for nothing
+	must.Eq(t, 0, enginesTold(t, w.gateways[0], "review"), must.Sprint("none of them is capacity that others may use"))
+	w.pass(time.Second)
+	must.Eq(t, "i-1", acquire(t, w.gateways[0], plain("s")).Engine)
+}
+
+// TestAfterARestOneRequestGoesFirst has ten requests wait for the end of the only engine's rest.
+func TestAfterARestOneRequestGoesFirst(t *testing.T) {
+	w := newWorld(1, 1)
+	w.rest(t, 0, "i-0", time.Second)
+	w.pass(time.Second)
+	first := acquire(t, w.gateways[0], plain("first"))
+	for i := range 9 {
+		_, err := w.gateways[0].Acquire(plain(fmt.Sprint(i)))
+		must.StrContains(t, notRun(t, err).Message, "1 trying")
+	}
+	first.HeardPushback(pushback.Rest{For: time.Second})
+	first.Done(dispatch.Shed)
+	w.pass(999 * time.Millisecond)
+	_, err := w.gateways[0].Acquire(plain("early"))
+	must.StrContains(t, notRun(t, err).Message, "1 resting")
+	w.pass(time.Millisecond)
+	second := acquire(t, w.gateways[0], plain("second"))
+	second.Taken()
+	acquire(t, w.gateways[0], plain("third"))
+}
+
+// TestAnAnswerToAnEarlierRequestEndsNoRest has an engine answer a request well that it got before
+// it asked for rest.
+func TestAnAnswerToAnEarlierRequestEndsNoRest(t *testing.T) {
+	w := newWorld(1, 1)
+	before := acquire(t, w.gateways[0], plain("before"))
+	w.rest(t, 0, "i-0", time.Second)
+	before.Taken()
+	before.Begun(true)
+	before.Done(dispatch.Answered)
+	_, err := w.gateways[0].Acquire(plain("r"))
+	must.StrContains(t, notRun(t, err).Message, "1 resting")
+}
+
+// TestAnotherLifeHasAskedForNothing starts an engine again under its ID.
+func TestAnotherLifeHasAskedForNothing(t *testing.T) {
+	w := newWorld(1, 2)
+	w.rest(t, 0, "i-0", time.Hour)
+	w.leave(t, 0, "i-1")
+	_, err := w.gateways[0].Acquire(plain("r"))
+	must.StrContains(t, notRun(t, err).Message, "1 leaving, 1 resting")
+	w.beat(registry.Engine{ID: "i-0", Born: 5})
+	w.beat(registry.Engine{ID: "i-1", Born: 6})
+	ask := plain("r")
+	ask.Tried = []string{"i-0"}
+	must.Eq(t, "i-1", acquire(t, w.gateways[0], ask).Engine)
+	must.Eq(t, "i-0", acquire(t, w.gateways[0], dispatch.Ask{ID: "s", Route: ask.Route, Service: ask.Service, Tried: []string{"i-1"}}).Engine)
+}
+
+// enginesTold gives how many engines of a service a gateway tells other regions of.
+func enginesTold(t *testing.T, g *dispatch.Dispatcher, service string) int {
+	t.Helper()
+	var digests []dispatch.Digest
+	must.NoError(t, cbor.Unmarshal(g.RegionWord().Far[0].Body, &digests))
+	for _, one := range digests {
+		if one.Service == service {
+			return one.Engines
+		}
+	}
+	return 0
+}
+
+// leave has an engine answer a gateway's request well and say that it leaves.
+func (w *world) leave(t *testing.T, gateway int, engine string) {
+	t.Helper()
+	ask := plain("answered")
+	ask.Tried = w.others("review", engine)
+	ticket := acquire(t, w.gateways[gateway], ask)
+	must.Eq(t, engine, ticket.Engine)
+	ticket.HeardLeaving()
+	ticket.Taken()
+	ticket.Done(dispatch.Answered)
+}
+
+// TestWhatWaitedForAConnectionIsAskedAgain has an engine ask for rest, leave, and say that it
+// drains, while another request waits for a connection to it.
+func TestWhatWaitedForAConnectionIsAskedAgain(t *testing.T) {
+	cases := map[string]func(t *testing.T, w *world){
+		"resting":  func(t *testing.T, w *world) { w.rest(t, 0, "i-0", time.Second) },
+		"leaving":  func(t *testing.T, w *world) { w.leave(t, 0, "i-0") },
+		"draining": func(_ *testing.T, w *world) { w.beat(registry.Engine{ID: "i-0", Phase: registry.Draining}) },
+	}
+	for why, happens := range cases {
+		t.Run(why, func(t *testing.T) {
+			w := newWorld(1, 1)
+			waits := acquire(t, w.gateways[0], plain("waits"))
+			must.NoError(t, waits.Wanted())
+			happens(t, w)
+			must.Eq(t, error(&dispatch.Unwanted{Engine: "i-0", Why: why}), waits.Wanted())
+			waits.Done(dispatch.Unsent)
+		})
+	}
+}
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -36,6 +36,8 @@
 	fingerprint quarantine.Fingerprint
 	// limit is what was known of the limit that the engine names; nil where it names none.
 	limit *ratelimit.Status
+	// trial is true for the one request that shows whether the engine takes any after a rest.
+	trial bool
 }
 
 // grant gives a ticket for an engine. The dispatcher's lock is held.
@@ -58,6 +60,7 @@
 	e.own = e.own.plus(t.load)
 	d.suspects.Begin(ask.Fingerprint)
 	d.takeLimited(t, now)
+	d.beginPushedBack(t, now)
 	if t.Cold {
 		e.warmNext = now.Add(time.Duration(float64(time.Second) / p.service.ColdRate))
 	}
@@ -100,11 +103,12 @@
 	Misdirected         // another incarnation answered
 	Abandoned           // the caller went away: says nothing of the engine
 	Broken              // the connection ended before the answer did
+	Unsent              // nothing was sent: the engine wanted nothing any more
 )
 
 // String gives the word used in logs.
 func (o Outcome) String() string {
-	return [...]string{"answered", "failed", "unreached", "shed", "misdirected", "abandoned", "broken"}[o]
+	return [...]string{"answered", "failed", "unreached", "shed", "misdirected", "abandoned", "broken", "unsent"}[o]
 }
 
 const (
@@ -112,7 +116,8 @@
 	// to; it doubles with each time in a row up to avoidMost.
 	avoidBase = 300 * time.Millisecond
 	avoidMost = 4 * time.Second
-	// shedTime is how long an engine is avoided that refused for load.
+	// shedTime is how long an engine is avoided that refused for load and doesn't say for how
+	// long it wants nothing.
 	shedTime = 150 * time.Millisecond
 )
 
@@ -125,6 +130,9 @@
 	e := t.engine
 	e.own = e.own.minus(t.load)
 	d.suspects.End(t.fingerprint, outcome == Answered, now)
+	if t.trial {
+		d.pushback.End(e.hash)
+	}
 	switch outcome {
 	case Answered:
 		t.pool.noteOutcome(e, t.route, false, now)
@@ -139,14 +147,16 @@
 	case Unreached:
 		e.unreached++
 		e.unreachedAt = now
-		e.avoidUntil = now.Add(min(avoidBase<<min(e.unreached-1, 10), avoidMost))
+		e.avoid(now.Add(min(avoidBase<<min(e.unreached-1, 10), avoidMost)))
 		d.Log.Warn("engine avoided", zap.String("engine", e.ID), zap.String("address", e.Address), zap.Int("unreached", e.unreached), zap.Duration("for", e.avoidUntil.Sub(now)))
 	case Shed:
-		e.avoidUntil = now.Add(shedTime)
+		e.avoid(now.Add(shedTime))
 	case Misdirected:
 		e.misdirected, e.misdirectedAt = true, now
 		d.crashed(e.Incarnation(), "another answers at its address", now)
 		d.Log.Warn("engine replaced", zap.String("engine", e.ID), zap.String("address", e.Address))
+	case Unsent:
+		d.limits.GiveBack(e.hash, now)
 	case Abandoned:
 	}
 }
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -41,13 +41,14 @@
 		}
 		done.last = err
 		if !again || x.r.Context().Err() != nil {
-			return giveUp(x, done)
+			return s.giveUp(x, done)
 		}
 	}
 }
 
-// giveUp turns the last failure into the final answer.
-func giveUp(x *exchange, done *progress) error {
+// giveUp turns the last failure into the final answer. How long one engine wants nothing is no
+// matter of the caller's, whom others may serve sooner.
+func (s *Server) giveUp(x *exchange, done *progress) error {
 	if done.unknown || x.started {
 		late := errors.Is(x.r.Context().Err(), context.DeadlineExceeded)
 		return &request.OutcomeUnknown{Message: done.last.Error(), Late: late}
@@ -56,11 +57,7 @@
 	if errors.As(done.last, &refusal) {
 		return refusal
 	}
-	wait := retryEngine
-	var failure *relay.Failure
-	if errors.As(done.last, &failure) && failure.RetryAfter > 0 {
-		wait = failure.RetryAfter
-	}
+	wait := max(retryEngine, s.Dispatcher.Opens(x.service))
 	return &request.NotRun{Reason: request.ReasonNoEngine, Message: done.last.Error(), RetryAfter: wait}
 }
 
@@ -141,7 +138,8 @@
 		// one that crashed, and be the last; to open one tells that it can't have got it. Of 41
 		// sends that were reset when 12 of 28 engines crashed, 9 were second ones.
 		Echoes: true, Fresh: !x.route.Repeatable() || done.sends > 0,
-		Judge: func(resp *http.Response) error { return s.judge(x, done, ticket, resp) },
+		Wanted: ticket.Wanted,
+		Judge:  func(resp *http.Response) error { return s.judge(x, done, ticket, resp) },
 	})
 	if err != nil {
 		return err
@@ -165,11 +163,11 @@
 	case v.Misdirected:
 		return &misdirected{v.Engine}
 	case v.NotRun:
-		return relay.NewFailure(true, true, restOf(v.Pushback), errors.Errorf("engine refused with status %d", resp.StatusCode))
+		return relay.NewFailure(true, true, errors.Errorf("engine refused with status %d", resp.StatusCode))
 	case v.ID != x.identity.ID:
-		return relay.NewFailure(false, false, 0, errors.Errorf("the answer is for request %q", v.ID))
+		return relay.NewFailure(false, false, errors.Errorf("the answer is for request %q", v.ID))
 	case x.started && resp.StatusCode != http.StatusOK, s.triesAgain(x, done, resp):
-		return relay.NewFailure(false, false, 0, errors.Errorf("engine failed with status %d", resp.StatusCode))
+		return relay.NewFailure(false, false, errors.Errorf("engine failed with status %d", resp.StatusCode))
 	default:
 		return nil
 	}
@@ -208,9 +206,13 @@
 	var wrong *misdirected
 	var failure *relay.Failure
 	var gone *relay.CallerError
+	var unwanted *dispatch.Unwanted
 	switch {
 	case err == nil:
 		return dispatch.Answered, false
+	case errors.As(err, &unwanted):
+		done.unreached++
+		return dispatch.Unsent, true
 	case errors.As(err, &wrong):
 		done.sends++
 		return dispatch.Misdirected, true
--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -126,7 +126,7 @@
 	switch resp.Header.Get(request.HeaderOutcome) {
 	case "":
 		if x.started && resp.StatusCode != http.StatusOK {
-			return relay.NewFailure(false, false, 0, errors.Errorf("the stream was continued with status %d", resp.StatusCode))
+			return relay.NewFailure(false, false, errors.Errorf("the stream was continued with status %d", resp.StatusCode))
 		}
 		return nil
 	case request.NotRunValue:
--- a/ingress/hear.go
+++ b/ingress/hear.go
@@ -4,7 +4,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -26,6 +25,10 @@
 // hearPushback takes what the engine asks of this gateway. An answer to another request, which
 // comes late, says it as well: a rest that is heard late ends late, and who leaves won't stay.
 func (s *Server) hearPushback(x *exchange, ticket *dispatch.Ticket, resp *http.Response, v Verdict) {
+	ticket.HeardPushback(v.Pushback)
+	if !v.NotRun && resp.StatusCode != http.StatusServiceUnavailable && resp.StatusCode != http.StatusTooManyRequests {
+		ticket.Taken()
+	}
 	switch word := v.Pushback.(type) {
 	case pushback.Rest:
 		s.Metrics.Pushback(ticket.Engine, "rest_asked")
@@ -35,6 +38,7 @@
 	case pushback.Nothing:
 	}
 	if v.Leaving {
+		ticket.HeardLeaving()
 		s.Metrics.Pushback(ticket.Engine, "leaving_said")
 		s.Log.Info("engine said that it leaves", x.fields(zap.String("engine", ticket.Engine), zap.Int("status", resp.StatusCode))...)
 	}
@@ -53,11 +57,3 @@
 	s.Metrics.Limited(ticket.Engine, "answered")
 	s.Log.Info("engine named a limit", x.fields(zap.String("engine", ticket.Engine), zap.Stringer("limit", v.Limit))...)
 }
-
-// restOf gives the time that a word asks for; 0 for none.
-func restOf(word pushback.Word) time.Duration {
-	if rest, ok := word.(pushback.Rest); ok {
-		return rest.For
-	}
-	return 0
-}
--- a/ingress/pushback_test.go
+++ b/ingress/pushback_test.go
@@ -41,6 +41,13 @@
 // TestAnEngineThatAsksForRestIsLeftAlone plays what users saw: engines turned requests away and
 // asked for three seconds of rest, and got 5 to 8 more from each gateway within them, all of which
 // they refused. Callers were refused, while four of a region's six engines served.
+//
+// Evidence: no gateway sent to an engine within 150 ms of its refusal, and each did soon after,
+// whatever it had asked for; 38 of 41 sends within a rest were first sends of requests that had
+// come in there; and callers were told to come back after the very time that the engine had
+// asked for. So it was read, as a word to the caller, and the choice went by a constant of its own.
+// The engine's word is kept by itself now (package pushback), and everything that may send goes
+// by the one answer to whether an engine may get a request (dispatch, standing.go).
 func TestAnEngineThatAsksForRestIsLeftAlone(t *testing.T) {
 	w := newRegionWorld(t, 4)
 	w.run(t, time.Second, 20)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -73,6 +73,10 @@
 	// can't be passed on. Nil is the judgement of the product's own protocol
 	// towards engines, which also sets HeaderAttempt.
 	Judge func(*http.Response) error
+	// Wanted is asked once a connection for the call has been opened, before anything is written
+	// to it: what opens late may have been waited for while the engine said that it wants
+	// nothing. Its error ends the call as not run; nil for none.
+	Wanted func() error
 	// Head is shown the head of an engine's answer to this attempt before it is judged, also
 	// of a refusal; nil for none.
 	Head func(http.Header)
@@ -114,7 +118,7 @@
 		opts.IdlePerHost = idlePerHost
 	}
 	kept := &http.Transport{
-		DialContext:           dialer.DialContext,
+		DialContext:           wantedDialer{dialer}.DialContext,
 		MaxIdleConnsPerHost:   opts.IdlePerHost,
 		IdleConnTimeout:       opts.IdleTime,
 		ResponseHeaderTimeout: opts.AnswerTime,
@@ -154,6 +158,9 @@
 	case call.Judge != nil:
 		body = opaque{http.NoBody}
 	}
+	if call.Wanted != nil {
+		ctx = context.WithValue(ctx, wantedKey{}, call.Wanted)
+	}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.Method, call.URL, body)
 	if err != nil {
 		return nil, &Failure{NotRun: true, cause: errors.Annotate(err, "request")}
@@ -193,9 +200,32 @@
 	return resp, nil
 }
 
+// wantedKey is where a call's context carries its Wanted to the dialer.
+type wantedKey struct{}
+
+// wantedDialer opens connections and asks then whether the call is still wanted.
+type wantedDialer struct{ Dialer }
+
+// DialContext implements Dialer.
+func (d wantedDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := d.Dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	wanted, ok := ctx.Value(wantedKey{}).(func() error)
+	if !ok {
+		return conn, nil
+	}
+	if err := wanted(); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
 // NewFailure makes the failure of an attempt, for a Judge.
-func NewFailure(notRun, shed bool, retryAfter time.Duration, cause error) *Failure {
-	return &Failure{NotRun: notRun, Shed: shed, RetryAfter: retryAfter, cause: cause}
+func NewFailure(notRun, shed bool, cause error) *Failure {
+	return &Failure{NotRun: notRun, Shed: shed, cause: cause}
 }
 
 // opaque hides the concrete reader, so that net/http can't rewind the body.
