Tell all gateways that an engine says that it leaves

What callers would see: requests cut off at engines that had said in their answers that they leave. Each gateway would learn it from an answer of its own, or, a heartbeat and more later, from the control hosts; a late heartbeat that says 'ready' could lift it. Cause: the header is new on the users' pages. Mend: who reads it tells the region's gateways with its next reports for a second, as of engines that were replaced; it holds for this life of the engine, whatever heartbeats say, and an end of such an engine is no crash under a request. 'Connection: close' says the same at times and at times not, and isn't believed. Why it holds: leaving is one of the reasons in the one answer that everything asks.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -49,11 +49,13 @@
 func (d *Dispatcher) Refused(doubt Doubt) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if e, ok := d.byHash[hashOf(doubt.Incarnation)]; ok && e.Phase != registry.Ready {
+	now := d.Clock()
+	e, known := d.byHash[hashOf(doubt.Incarnation)]
+	if (known && e.Phase != registry.Ready) || d.isLeaving(hashOf(doubt.Incarnation), now) {
 		d.watch.Crashed(doubt.Incarnation) // it was about to end
 		return
 	}
-	d.crashed(doubt.Incarnation, "it refuses connections", d.Clock())
+	d.crashed(doubt.Incarnation, "it refuses connections", now)
 }
 
 // judgeDoubted looks for the engines in doubt among those that are registered. The lock
@@ -69,6 +71,8 @@
 	}
 	for _, incarnation := range doubted {
 		switch phase, registered := phases[incarnation]; {
+		case d.isLeaving(hashOf(incarnation), now) && (!registered || phase >= registry.Silent):
+			d.watch.Crashed(incarnation) // it ended as it had said in its answers
 		case !registered:
 			d.crashed(incarnation, "it is no longer registered", now)
 		case phase == registry.Silent:
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/linenscale/linenscale/pushback"
 	"github.com/linenscale/linenscale/rollup"
 )
 
@@ -16,8 +17,8 @@
 	// deadTold is for how long a gateway tells that it couldn't reach an engine:
 	// some five reports, each of which may be lost.
 	deadTold = 500 * time.Millisecond
-	// goneTold is the same for an engine that was replaced: for longer, since it is for
-	// good.
+	// goneTold is the same for an engine that was replaced or leaves: for longer, since it is
+	// for good.
 	goneTold = time.Second
 	// deadBelieved is for how long the others avoid the engine then. After it
 	// each may try for itself: the way may be cut for one gateway only.
@@ -38,6 +39,9 @@
 			if e.misdirected && now.Sub(e.misdirectedAt) < goneTold {
 				r.Gone = append(r.Gone, e.hash)
 			}
+			if b, barred := d.pushback.Bar(e.hash, now); barred && b.Reason == pushback.Leaving && now.Sub(b.Since) < goneTold {
+				r.Leaving = append(r.Leaving, e.hash)
+			}
 			reading := int(e.read.perSecond(now))
 			if e.own.Requests == 0 && reading == 0 {
 				continue
@@ -106,6 +110,11 @@
 			e.misdirected = true
 		}
 	}
+	for _, hash := range m.Report.Leaving {
+		if e, ok := d.byHash[hash]; ok {
+			d.leaves(e, m.From, now)
+		}
+	}
 	if m.Total || d.board.Few() {
 		d.takeOthers()
 	}
--- a/dispatch/pushback_test.go
+++ b/dispatch/pushback_test.go
@@ -149,6 +149,22 @@
 	ticket.Done(dispatch.Answered)
 }
 
+// TestALeavingEngineGetsNothingFromAnyGateway has one of 40 gateways read that an engine leaves,
+// while its heartbeats go on saying that it is ready: 0.4 s later all know, and for good.
+func TestALeavingEngineGetsNothingFromAnyGateway(t *testing.T) {
+	w := newWorld(40, 2)
+	w.leave(t, 3, "i-0")
+	w.tellAll()
+	w.beat(registry.Engine{ID: "i-0", Phase: registry.Ready})
+	w.pass(10 * time.Minute)
+	for _, g := range w.gateways {
+		ask := plain("r")
+		ask.Tried = []string{"i-1"}
+		_, err := g.Acquire(ask)
+		must.StrContains(t, notRun(t, err).Message, "1 leaving")
+	}
+}
+
 // TestWhatWaitedForAConnectionIsAskedAgain has an engine ask for rest, leave, and say that it
 // drains, while another request waits for a connection to it.
 func TestWhatWaitedForAConnectionIsAskedAgain(t *testing.T) {
--- a/rollup/report.go
+++ b/rollup/report.go
@@ -23,6 +23,8 @@
 	Crashes []quarantine.Note `cbor:"6,keyasint,omitempty"`
 	// Limits are what is new of limits that engines name, and in turn the others.
 	Limits []ratelimit.Note `cbor:"7,keyasint,omitempty"`
+	// Leaving are hashes of engines whose answers said lately that they leave.
+	Leaving []uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // AccountUse is what the callers of one client account do, in hundredths of a unit a
@@ -93,6 +95,7 @@
 	parts map[SentPart]bool
 	dead  map[uint64]bool
 	gone  map[uint64]bool
+	left  map[uint64]bool // engines that leave
 	uses  map[uint32]AccountUse
 	// crashes are by request and engine, each as old as the one who knows it best tells.
 	crashes map[crashKey]quarantine.Note
@@ -120,7 +123,7 @@
 }
 
 func newSum() *sum {
-	return &sum{make(map[uint64]EngineLoad), make(map[SentPart]bool), make(map[uint64]bool), make(map[uint64]bool), make(map[uint32]AccountUse), make(map[crashKey]quarantine.Note), make(map[uint64]ratelimit.Note)}
+	return &sum{make(map[uint64]EngineLoad), make(map[SentPart]bool), make(map[uint64]bool), make(map[uint64]bool), make(map[uint64]bool), make(map[uint32]AccountUse), make(map[crashKey]quarantine.Note), make(map[uint64]ratelimit.Note)}
 }
 
 // add adds a report times so many: -1 takes it away.
@@ -151,6 +154,9 @@
 	for _, hash := range r.Gone {
 		s.gone[hash] = true
 	}
+	for _, hash := range r.Leaving {
+		s.left[hash] = true
+	}
 	for _, n := range r.Crashes {
 		key := crashKey{n.Request, n.Engine}
 		if held, ok := s.crashes[key]; !ok || n.Age > held.Age {
@@ -178,6 +184,9 @@
 	for hash := range s.gone {
 		r.Gone = append(r.Gone, hash)
 	}
+	for hash := range s.left {
+		r.Leaving = append(r.Leaving, hash)
+	}
 	for _, u := range s.uses {
 		r.Accounts = append(r.Accounts, u)
 	}
