Declared hosts hear that an engine asks for rest or leaves

What callers saw: on the product's own path a refusal for load left no mark beyond a guess of the engine's load, and nobody read that an engine leaves (Engine-Leaving, new). Where all engines refused and asked for rest, a caller was held until its time was over (40 s in the test) instead of being told when to come back. Cause: the same as on the platform's path: an engine's word about itself was a word to the caller. Mend: fleet keeps it in the same table, route has two more reasons to refuse an engine, queues drop at once who can't last until the first engine may get a request, other regions aren't told of such capacity, and probes hear leaving as answers do. Declared engines don't tell their lives apart: an answer to a later question that no longer says so is the next life's. A plain service's 429 and 503 stay words to its caller, so the table reads only what turns a request away for the engine's own sake.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -18,6 +18,7 @@
 
 	"github.com/linenscale/linenscale/declare"
 	"github.com/linenscale/linenscale/permit"
+	"github.com/linenscale/linenscale/pushback"
 	"github.com/linenscale/linenscale/quarantine"
 	"github.com/linenscale/linenscale/ratelimit"
 	"github.com/linenscale/linenscale/request"
@@ -39,6 +40,7 @@
 	suspects *quarantine.Table
 	watch    *quarantine.Watch
 	limits   *ratelimit.Table // that engines name
+	pushback *pushback.Table  // what engines ask of this host
 	sharing  []string         // the hosts of this region that share them, as declared
 }
 
@@ -58,6 +60,7 @@
 		suspects: quarantine.New(),
 		watch:    quarantine.NewWatch(),
 		limits:   ratelimit.New(host),
+		pushback: pushback.New(),
 	}
 }
 
@@ -120,6 +123,7 @@
 	chain []uint64
 
 	fingerprint quarantine.Fingerprint
+	trial       bool // it shows whether the engine takes any after a rest
 }
 
 // Acquire gives a ticket for the best engine, waiting in the queue if none has
@@ -171,7 +175,7 @@
 		}
 	}
 	if err := p.enqueue(w, now); err != nil {
-		ready(Served{Err: f.limitedRefusal(p, err, now)})
+		ready(Served{Err: f.opensRefusal(p, err, now)})
 		return func() bool { return false }
 	}
 	f.dispatch(p, now)
@@ -185,7 +189,7 @@
 // grant gives the waiter a slot if an engine has one. The lock is held.
 func (f *Fleet) grant(p *pool, w *waiter, now time.Time) *Ticket {
 	p.view.Now = now
-	f.markLimited(p, now)
+	f.markAsked(p, now)
 	choice := route.Choose(f.policy, &p.view, &w.Tag.ask, f.random.Uint64())
 	if choice.Index < 0 {
 		return nil
@@ -196,10 +200,12 @@
 	p.view.Cached.Add(w.Tag.ask.PrefixChain, choice.Index)
 	p.started(now)
 	f.suspects.Begin(w.Tag.fingerprint)
-	f.limits.Take(limitKey(p.service, e.Name), now)
+	key := engineKey(p.service, e.Name)
+	f.limits.Take(key, now)
 	return &Ticket{
 		Engine: e.Name, Address: e.Address, Choice: choice,
 		pool: p, fleet: f, index: choice.Index, began: now, chain: w.Tag.ask.PrefixChain, fingerprint: w.Tag.fingerprint,
+		trial: f.pushback.Begin(key, now),
 	}
 }
 
@@ -228,9 +234,9 @@
 	now := f.clock()
 	f.limits.SetMembers(f.sharing, now)
 	for _, p := range f.pools {
-		f.markLimited(p, now)
+		f.markAsked(p, now)
 		p.judge(now)
-		p.queue.Expire(now, p.refuseLate)
+		p.queue.Expire(now.Add(f.opens(p, now)), p.refuseLate)
 		f.dispatch(p, now)
 	}
 }
@@ -285,7 +291,7 @@
 		return nil
 	}
 	p.view.Now = f.clock()
-	f.markLimited(p, p.view.Now)
+	f.markAsked(p, p.view.Now)
 	return route.Explain(&p.view, &p.newWaiter(ask, nil).Tag.ask)
 }
 
--- a/fleet/observe.go
+++ b/fleet/observe.go
@@ -43,8 +43,11 @@
 	t.pool.own[t.index].note(now, e.InFlight)
 	h := t.pool.health[t.index]
 	f.suspects.End(t.fingerprint, result.Outcome == Answered, now)
+	if t.trial {
+		f.pushback.End(engineKey(t.pool.service, t.Engine))
+	}
 	if result.Outcome == Unsent {
-		f.limits.GiveBack(limitKey(t.pool.service, t.Engine), now)
+		f.limits.GiveBack(engineKey(t.pool.service, t.Engine), now)
 	}
 	if result.Outcome == Broken {
 		f.watch.Broke(t.Engine, t.fingerprint, now)
--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -227,7 +227,7 @@
 func (p *pool) anyFree() bool {
 	for i := range p.view.Engines {
 		e := &p.view.Engines[i]
-		if e.Health == route.Healthy && !e.Limited && !e.Full() {
+		if e.Health == route.Healthy && !e.Limited && e.Asked == 0 && !e.Full() {
 			return true
 		}
 	}
@@ -261,7 +261,7 @@
 	n, load := 0, 0.0
 	for i := range p.view.Engines {
 		e := &p.view.Engines[i]
-		if e.Health != route.Healthy {
+		if e.Health != route.Healthy || e.Asked != 0 {
 			continue
 		}
 		d.Slots += e.Slots
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -20,7 +20,6 @@
 	"github.com/linenscale/linenscale/fleet"
 	"github.com/linenscale/linenscale/permit"
 	"github.com/linenscale/linenscale/quarantine"
-	"github.com/linenscale/linenscale/ratelimit"
 	"github.com/linenscale/linenscale/relay"
 	"github.com/linenscale/linenscale/request"
 	"github.com/linenscale/linenscale/retry"
@@ -84,11 +83,15 @@
 			break
 		}
 	}
-	return giveUp(&done)
+	return s.giveUp(x, &done)
 }
 
-// giveUp turns the last failure into the final answer.
-func giveUp(done *progress) error {
+// retryEngine is when to come back, at the soonest, after engines refused or could not be reached.
+const retryEngine = time.Second
+
+// giveUp turns the last failure into the final answer. How long one engine wants nothing is no
+// matter of the caller's, whom others may serve sooner.
+func (s *Server) giveUp(x *exchange, done *progress) error {
 	if done.sent {
 		return &request.OutcomeUnknown{Message: done.last.Error()}
 	}
@@ -98,7 +101,7 @@
 	}
 	var failure *relay.Failure
 	if errors.As(done.last, &failure) {
-		return &request.NotRun{Reason: request.ReasonNoEngine, Message: failure.Error(), RetryAfter: max(failure.RetryAfter, time.Second)}
+		return &request.NotRun{Reason: request.ReasonNoEngine, Message: failure.Error(), RetryAfter: max(retryEngine, s.Fleet.Opens(x.req.Service))}
 	}
 	return &request.OutcomeUnknown{Message: done.last.Error()}
 }
@@ -243,19 +246,8 @@
 		Attempt: uuid.NewString(),
 		Echoes:  x.service.Type == declare.ServiceModel,
 		Fresh:   !x.req.Repeatable,
-		Head:    func(header http.Header) { s.hearLimit(x, ticket, header) },
-	}
-}
-
-// hearLimit tells the fleet what an answer says of how many requests its engine takes.
-func (s *Server) hearLimit(x *exchange, ticket *fleet.Ticket, header http.Header) {
-	word := ratelimit.Parse(header.Values(relay.HeaderLimit))
-	ticket.HeardLimit(word)
-	if _, unlimited := word.(ratelimit.Unlimited); unlimited {
-		return
+		Head:    func(resp *http.Response) { s.hear(x, ticket, resp) },
 	}
-	s.Metrics.Limited(ticket.Engine, "answered")
-	s.Log.Info("engine named a limit", zap.String("request", x.req.ID), zap.String("engine", ticket.Engine), zap.Stringer("limit", word))
 }
 
 // attemptFailed notes a failure for the engine and decides whether the
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -43,6 +44,14 @@
 	return newEntry(t, "a", all), engine, plain
 }
 
+// two gives an entry host before two model engines.
+func two(t *testing.T) (*entry, *standin.Engine, *standin.Engine) {
+	t.Helper()
+	a, b := standin.NewEngine(standin.EngineOptions{Name: "e1"}), standin.NewEngine(standin.EngineOptions{Name: "e2"})
+	all := objects(anywhere, engineAt("e1", modelService, "da", serve(t, a)), engineAt("e2", modelService, "da", serve(t, b)))
+	return newEntry(t, "a", all), a, b
+}
+
 // whole tells whether an answer holds every token once, in order, and ends as
 // it should.
 func whole(a answer, stream bool) bool {
@@ -465,3 +474,37 @@
 	must.NotEq(t, "", a.header.Get("Retry-After"))
 	must.Eq(t, 1, engine.Stats().Started)
 }
+
+// TestAnEngineThatAsksForRestGetsIt has one of two engines turn all away and ask for a rest: it
+// went on getting each request first that it would have got, since a refusal for load left no mark.
+// It gets one now, and the other serves; where that asks for rest as well, callers are refused at
+// once, with the time until the first rest is over.
+func TestAnEngineThatAsksForRestGetsIt(t *testing.T) {
+	e, rests, other := two(t)
+	rests.SetRest("60")
+	for range 20 {
+		must.True(t, whole(e.call(t, http.MethodPost, chatPath, chatBody(false)), false))
+	}
+	must.LessEq(t, 1, rests.Stats().Refused)
+	other.SetRest("30.5")
+	must.Eq(t, http.StatusServiceUnavailable, e.call(t, http.MethodPost, chatPath, chatBody(false)).status)
+	last := e.call(t, http.MethodPost, chatPath, chatBody(false))
+	must.Eq(t, http.StatusServiceUnavailable, last.status)
+	wait, err := strconv.Atoi(last.header.Get("Retry-After"))
+	must.NoError(t, err)
+	must.Between(t, 25, wait, 31)
+	must.LessEq(t, 2, rests.Stats().Refused+other.Stats().Refused)
+}
+
+// TestAnEngineThatSaysThatItLeavesGetsNothingMore has one of two engines say so in its answers.
+func TestAnEngineThatSaysThatItLeavesGetsNothingMore(t *testing.T) {
+	e, leaves, _ := two(t)
+	for leaves.Stats().Started == 0 {
+		must.True(t, whole(e.call(t, http.MethodPost, chatPath, chatBody(false)), false))
+	}
+	leaves.SetLeaving(true)
+	for range 20 {
+		must.True(t, whole(e.call(t, http.MethodPost, chatPath, chatBody(false)), false))
+	}
+	must.LessEq(t, 2, leaves.Stats().Started)
+}
--- a/ingress/hear.go
+++ b/ingress/hear.go
@@ -26,7 +26,7 @@
 // comes late, says it as well: a rest that is heard late ends late, and who leaves won't stay.
 func (s *Server) hearPushback(x *exchange, ticket *dispatch.Ticket, resp *http.Response, v Verdict) {
 	ticket.HeardPushback(v.Pushback)
-	if !v.NotRun && resp.StatusCode != http.StatusServiceUnavailable && resp.StatusCode != http.StatusTooManyRequests {
+	if !v.NotRun && resp.StatusCode != http.StatusServiceUnavailable {
 		ticket.Taken()
 	}
 	switch word := v.Pushback.(type) {
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -22,6 +22,7 @@
 
 	"github.com/linenscale/linenscale/fleet"
 	"github.com/linenscale/linenscale/internal/duty"
+	"github.com/linenscale/linenscale/relay"
 	"github.com/linenscale/linenscale/telemetry"
 )
 
@@ -90,11 +91,14 @@
 func (p *Prober) engine(ctx context.Context, e fleet.Address, events bool) {
 	var report fleet.Report
 	sent := time.Now()
-	err := p.get(ctx, "http://"+e.Address+"/engine/load", &report)
+	head, err := p.get(ctx, "http://"+e.Address+"/engine/load", &report)
 	if ctx.Err() != nil {
 		return
 	}
 	p.fleet.Probe(e.Service, e.Engine, sent, err == nil)
+	if head != nil {
+		p.fleet.ProbedLeaving(e.Service, e.Engine, head.Get(relay.HeaderLeaving) == "true", sent)
+	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		p.fleet.Refused(e.Engine)
 	}
@@ -113,7 +117,7 @@
 	var events struct {
 		Evicted []uint64 `json:"evicted"`
 	}
-	if p.get(ctx, "http://"+e.Address+"/engine/events", &events) != nil {
+	if _, err := p.get(ctx, "http://"+e.Address+"/engine/events", &events); err != nil {
 		return
 	}
 	for _, prefix := range events.Evicted {
@@ -121,20 +125,21 @@
 	}
 }
 
-func (p *Prober) get(ctx context.Context, url string, into any) error {
+// get reads an answer. Its head is given as far as one came.
+func (p *Prober) get(ctx context.Context, url string, into any) (http.Header, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	resp, err := p.client.Do(req)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("status %d", resp.StatusCode)
+		return resp.Header, errors.Errorf("status %d", resp.StatusCode)
 	}
-	return errors.Trace(json.NewDecoder(resp.Body).Decode(into))
+	return resp.Header, errors.Trace(json.NewDecoder(resp.Body).Decode(into))
 }
 
 // List is the platform's answer to GET /hosts.
@@ -151,7 +156,7 @@
 
 func (p *Prober) hosts(ctx context.Context) {
 	var list List
-	if err := p.get(ctx, p.platform+"/hosts", &list); err != nil {
+	if _, err := p.get(ctx, p.platform+"/hosts", &list); err != nil {
 		p.log.Debug("no list from the platform", telemetry.Cause(err))
 		return
 	}
--- a/pushback/table.go
+++ b/pushback/table.go
@@ -93,6 +93,14 @@
 	return true
 }
 
+// Stays takes that a server which doesn't tell its lives apart says no more, in answer to what was
+// sent at a time, that it leaves: that is its next life.
+func (t *Table) Stays(id uint64, sent time.Time) {
+	if s, known := t.servers[id]; known && !s.leaving.IsZero() && sent.After(s.leaving) {
+		s.leaving = time.Time{}
+	}
+}
+
 // Begin counts a request that is sent to a server. It tells whether that is the one which shows
 // whether the server takes requests again after a rest; End must be called when that has ended.
 func (t *Table) Begin(id uint64, now time.Time) (trial bool) {
--- a/pushback/word.go
+++ b/pushback/word.go
@@ -43,11 +43,11 @@
 // same again; without an end a slip of its clock would take it out for good.
 const LongestRest = time.Hour
 
-// Read gives what the head of a backend server's answer asks for. Only one that turns a request
-// away can: elsewhere Retry-After means something else, or nothing (RFC 9110, 10.2.3). now is the time of
-// day, for a date in an answer that doesn't tell its own.
-func Read(status int, header http.Header, now time.Time) Word {
-	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+// Read gives what the head of a backend server's answer asks for. Only one that turns the request
+// away for its own sake can: elsewhere Retry-After (RFC 9110, 10.2.3) is a word to the caller, or
+// means nothing. now is the time of day, for a date in an answer that doesn't tell its own.
+func Read(turnedAway bool, header http.Header, now time.Time) Word {
+	if !turnedAway {
 		return Nothing{}
 	}
 	var longest Word = Nothing{}
--- a/pushback/word_test.go
+++ b/pushback/word_test.go
@@ -19,30 +19,29 @@
 	date := func(t time.Time) string { return t.Format(http.TimeFormat) }
 	cases := []struct {
 		name   string
-		status int
+		away   bool
 		values []string
 		date   string
 		want   pushback.Word
 	}{
-		{"seconds", 503, []string{"3"}, "", pushback.Rest{For: 3 * time.Second}},
-		{"a fraction", 503, []string{"0.25"}, "", pushback.Rest{For: 250 * time.Millisecond}},
-		{"blanks", 503, []string{" 2 "}, "", pushback.Rest{For: 2 * time.Second}},
-		{"too many requests", 429, []string{"1"}, "", pushback.Rest{For: time.Second}},
-		{"nothing said", 503, nil, "", pushback.Nothing{}},
-		{"no time at all", 503, []string{"0"}, "", pushback.Nothing{}},
-		{"a success", 200, []string{"3"}, "", pushback.Nothing{}},
-		{"another server's refusal", 421, []string{"3"}, "", pushback.Nothing{}},
-		{"two lines: the longer", 503, []string{"1", "3"}, "", pushback.Rest{For: 3 * time.Second}},
-		{"negative", 503, []string{"-3"}, "", pushback.Unclear{Text: "-3"}},
-		{"words", 503, []string{"soon"}, "", pushback.Unclear{Text: "soon"}},
-		{"empty", 503, []string{""}, "", pushback.Unclear{Text: ""}},
-		{"no number", 503, []string{"NaN"}, "", pushback.Unclear{Text: "NaN"}},
-		{"one line that can't be read", 503, []string{"3", "x"}, "", pushback.Unclear{Text: "x"}},
-		{"endless", 503, []string{"Inf"}, "", pushback.Rest{For: pushback.LongestRest}},
-		{"absurd", 503, []string{"1e300"}, "", pushback.Rest{For: pushback.LongestRest}},
-		{"a date by the gateway's clock", 503, []string{date(noon.Add(4 * time.Second))}, "", pushback.Rest{For: 4 * time.Second}},
-		{"a date by the server's clock", 503, []string{date(noon.Add(time.Minute))}, date(noon.Add(58 * time.Second)), pushback.Rest{For: 2 * time.Second}},
-		{"a date that has passed", 503, []string{date(noon.Add(-time.Second))}, "", pushback.Nothing{}},
+		{"seconds", true, []string{"3"}, "", pushback.Rest{For: 3 * time.Second}},
+		{"a fraction", true, []string{"0.25"}, "", pushback.Rest{For: 250 * time.Millisecond}},
+		{"blanks", true, []string{" 2 "}, "", pushback.Rest{For: 2 * time.Second}},
+		{"nothing said", true, nil, "", pushback.Nothing{}},
+		{"no time at all", true, []string{"0"}, "", pushback.Nothing{}},
+		{"a success", false, []string{"3"}, "", pushback.Nothing{}},
+		{"a refusal that is the caller's", false, []string{"3"}, "", pushback.Nothing{}},
+		{"two lines: the longer", true, []string{"1", "3"}, "", pushback.Rest{For: 3 * time.Second}},
+		{"negative", true, []string{"-3"}, "", pushback.Unclear{Text: "-3"}},
+		{"words", true, []string{"soon"}, "", pushback.Unclear{Text: "soon"}},
+		{"empty", true, []string{""}, "", pushback.Unclear{Text: ""}},
+		{"no number", true, []string{"NaN"}, "", pushback.Unclear{Text: "NaN"}},
+		{"one line that can't be read", true, []string{"3", "x"}, "", pushback.Unclear{Text: "x"}},
+		{"endless", true, []string{"Inf"}, "", pushback.Rest{For: pushback.LongestRest}},
+		{"absurd", true, []string{"1e300"}, "", pushback.Rest{For: pushback.LongestRest}},
+		{"a date by the gateway's clock", true, []string{date(noon.Add(4 * time.Second))}, "", pushback.Rest{For: 4 * time.Second}},
+		{"a date by the server's clock", true, []string{date(noon.Add(time.Minute))}, date(noon.Add(58 * time.Second)), pushback.Rest{For: 2 * time.Second}},
+		{"a date that has passed", true, []string{date(noon.Add(-time.Second))}, "", pushback.Nothing{}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -53,7 +52,7 @@
 			if c.date != "" {
 				header.Set("Date", c.date)
 			}
-			must.Eq(t, c.want, pushback.Read(c.status, header, noon))
+			must.Eq(t, c.want, pushback.Read(c.away, header, noon))
 		})
 	}
 }
@@ -61,6 +60,6 @@
 // ExampleRead shows a server that has no room for three seconds.
 func ExampleRead() {
 	header := http.Header{"Retry-After": {"3"}}
-	fmt.Println(pushback.Read(http.StatusServiceUnavailable, header, noon))
+	fmt.Println(pushback.Read(true, header, noon))
 	// Output: 3s
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -33,6 +33,10 @@
 // long as its answers name it.
 const HeaderLimit = "Engine-Rate-Limit"
 
+// HeaderLeaving is "true" in each answer of an engine that is about to end: it wants no more
+// requests.
+const HeaderLeaving = "Engine-Leaving"
+
 // HeaderStream names a stream that can be resumed.
 const HeaderStream = "Engine-Stream-Id"
 
@@ -44,9 +48,8 @@
 	// Shed is true where the engine refused for load: that is not ill health.
 	Shed bool
 	// Broken is true where the connection ended before the head of an answer came.
-	Broken     bool
-	RetryAfter time.Duration
-	cause      error
+	Broken bool
+	cause  error
 }
 
 // Error implements error.
@@ -77,9 +80,9 @@
 	// to it: what opens late may have been waited for while the engine said that it wants
 	// nothing. Its error ends the call as not run; nil for none.
 	Wanted func() error
-	// Head is shown the head of an engine's answer to this attempt before it is judged, also
-	// of a refusal; nil for none.
-	Head func(http.Header)
+	// Head is shown an engine's answer to this attempt before it is judged, also a refusal, for
+	// what its head says of the engine; nil for none.
+	Head func(*http.Response)
 }
 
 // Client sends calls. New makes one.
@@ -187,7 +190,7 @@
 		return nil, &Failure{NotRun: !connected.Load(), Broken: connected.Load() && ctx.Err() == nil, cause: errors.Annotatef(err, "send to %s", req.URL.Host)}
 	}
 	if call.Head != nil && (!call.Echoes || call.Judge != nil || resp.Header.Get(HeaderAttempt) == call.Attempt) {
-		call.Head(resp.Header)
+		call.Head(resp)
 	}
 	judge := call.Judge
 	if judge == nil {
@@ -234,10 +237,9 @@
 func checkAnswer(call Call, resp *http.Response) error {
 	if resp.Header.Get(HeaderNotRun) == "true" {
 		return &Failure{
-			NotRun:     true,
-			Shed:       resp.StatusCode == http.StatusTooManyRequests,
-			RetryAfter: retryAfter(resp),
-			cause:      errors.Errorf("engine refused with status %d", resp.StatusCode),
+			NotRun: true,
+			Shed:   resp.StatusCode == http.StatusTooManyRequests,
+			cause:  errors.Errorf("engine refused with status %d", resp.StatusCode),
 		}
 	}
 	if call.Echoes && resp.Header.Get(HeaderAttempt) != call.Attempt {
@@ -249,14 +251,6 @@
 	return nil
 }
 
-func retryAfter(resp *http.Response) time.Duration {
-	wait, err := time.ParseDuration(resp.Header.Get("Retry-After") + "s")
-	if err != nil || wait < 0 {
-		return 0
-	}
-	return wait
-}
-
 var chunks = sync.Pool{New: func() any { return new([chunkSize]byte) }}
 
 // chunkSize bounds what is read at once of a body that is passed on.
--- a/route/route.go
+++ b/route/route.go
@@ -12,6 +12,7 @@
 
 	"github.com/linenscale/linenscale/declare"
 	"github.com/linenscale/linenscale/permit"
+	"github.com/linenscale/linenscale/pushback"
 )
 
 // Health says whether an engine may get new requests.
@@ -51,6 +52,8 @@
 	Health      Health
 	Ramp        float64 // share of Slots open to this host; 0 means all
 	Limited     bool    // it names a limit of which this host has no share, or has used it
+	// Asked is what keeps this host's requests away by its own word; 0 for nothing.
+	Asked pushback.Reason
 }
 
 // Load estimates how many requests the engine has now: those of this host,
@@ -173,12 +176,14 @@
 	RefusedSelector
 	RefusedTried
 	RefusedLimited
+	RefusedResting
+	RefusedLeaving
 	RefusedFull
 )
 
 // String gives the word used in logs and by explain.
 func (r Refused) String() string {
-	return [...]string{"considered", "health", "model", "selector", "tried", "limited", "full"}[r]
+	return [...]string{"considered", "health", "model", "selector", "tried", "limited", "resting", "leaving", "full"}[r]
 }
 
 // judge tells whether one engine can take the request at all.
@@ -198,7 +203,12 @@
 	if a.Permitted != nil && !a.Permitted(e) {
 		return RefusedSelector
 	}
-	if e.Limited {
+	switch {
+	case e.Asked == pushback.Leaving:
+		return RefusedLeaving
+	case e.Asked != 0:
+		return RefusedResting
+	case e.Limited:
 		return RefusedLimited
 	}
 	if e.Full() {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -72,6 +72,8 @@
 	stats   EngineStats
 	orders  orders
 	limit   string // that its answers name; "" for none
+	rest    string // that it asks for as it refuses all; "" while it takes requests
+	leaving bool   // its answers say so
 }
 
 // EngineStats counts what an engine has done.
@@ -137,11 +139,14 @@
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	limit := e.limit
+	limit, leaving := e.limit, e.leaving
 	e.mu.Unlock()
 	if limit != "" {
 		w.Header().Set(relay.HeaderLimit, limit)
 	}
+	if leaving {
+		w.Header().Set(relay.HeaderLeaving, "true")
+	}
 	e.router.ServeHTTP(w, r)
 }
 
@@ -152,6 +157,20 @@
 	e.limit = limit
 }
 
+// SetRest makes the engine refuse all requests and ask for that rest; "" to take them again.
+func (e *Engine) SetRest(rest string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rest = rest
+}
+
+// SetLeaving makes answers say, or no longer say, that the engine leaves.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
 // Stats gives what the engine has done so far.
 func (e *Engine) Stats() EngineStats {
 	e.mu.Lock()
@@ -189,8 +208,12 @@
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	w.Header().Set(relay.HeaderAttempt, r.Header.Get(relay.HeaderAttempt))
 	fault := e.takeFault()
+	if rest := e.asksForRest(); rest != "" {
+		e.refuse(w, rest)
+		return
+	}
 	if fault == FaultRefuse || !e.enter() {
-		e.refuse(w)
+		e.refuse(w, fullRest)
 		return
 	}
 	var req completionRequest
@@ -280,9 +303,22 @@
 	return e.opts.FirstToken + time.Duration(coldBytes)*e.opts.PrefillByte
 }
 
-func (e *Engine) refuse(w http.ResponseWriter) {
+// fullRest is what an engine asks for whose queue is full, in seconds.
+const fullRest = "1"
+
+// asksForRest gives the rest that it asks for, counting the request that it refuses.
+func (e *Engine) asksForRest() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.rest != "" {
+		e.stats.Refused++
+	}
+	return e.rest
+}
+
+func (e *Engine) refuse(w http.ResponseWriter, rest string) {
 	w.Header().Set(relay.HeaderNotRun, "true")
-	w.Header().Set("Retry-After", "1")
+	w.Header().Set("Retry-After", rest)
 	w.WriteHeader(http.StatusTooManyRequests)
 }
 
