Soak: engines ask for rest, or say that they leave, and check what comes

Beside the harm that is drawn (its draws are unchanged), a duty of its own has engines refuse all and ask for 2 s of rest, or say only in their answers that they leave. What arrives is checked by the host it came from: two requests at most from half a second after an answer until its rest ends, none 4 s after one that said that its engine leaves; hosts whose process was started or signalled meanwhile are excused.

--- a/soak/check.go
+++ b/soak/check.go
@@ -56,11 +56,13 @@
 	PoisonRan  int // runs of the request that crashes engines
 	NeedyMost  int // requests within limitWindow at the engine that names a limit, while calm
 	needy      *Engine
+	Rests      int                    // that engines asked for
+	disturbed  map[string][]time.Time // by IP number: when a host's process was started or got a signal
 }
 
 // NewChecker makes a checker that has seen nothing.
 func NewChecker() *Checker {
-	return &Checker{promised: make(map[string]string), acceptedAt: make(map[int64]time.Time), shown: make(map[string]shown), Answers: make(map[string]int)}
+	return &Checker{promised: make(map[string]string), acceptedAt: make(map[int64]time.Time), shown: make(map[string]shown), Answers: make(map[string]int), disturbed: make(map[string][]time.Time)}
 }
 
 // AddEngine adds an engine whose arrivals are checked.
@@ -171,6 +173,7 @@
 	c.accounts(engines)
 	c.poisoned(engines)
 	c.limited()
+	c.pushedBack(engines)
 	ran, reached := make(map[string]int), make(map[string]int)
 	for _, e := range engines {
 		acked := e.DrainAcked()
--- a/soak/harm.go
+++ b/soak/harm.go
@@ -37,7 +37,7 @@
 	{"pause", 4, func(w *World, r *rand.Rand) string { return w.pauseFor(pick(r, w.Hosts), span(r, 300, 3000)) }},
 	{"reload", 1, func(w *World, _ *rand.Rand) string {
 		for _, h := range w.Hosts {
-			h.signal(syscall.SIGHUP)
+			w.signal(h, syscall.SIGHUP)
 		}
 		return "all"
 	}},
@@ -122,15 +122,15 @@
 		return ""
 	}
 	h.busy = true
-	h.signal(syscall.SIGCONT)
-	h.signal(s)
+	w.signal(h, syscall.SIGCONT)
+	w.signal(h, s)
 	exited, pause := h.exited, span(r, 100, 1500)
 	w.group.Go(func() {
 		select {
 		case <-exited:
 		case <-time.After(h.settings.StopTime + 3*time.Second):
 			w.Check.Problem("%s still runs %v after it was told to stop", h.Name, h.settings.StopTime+3*time.Second)
-			h.kill()
+			w.kill(h)
 		}
 		time.Sleep(pause)
 		w.startAgain(h)
@@ -166,7 +166,7 @@
 	}
 	w.wiped = time.Now()
 	w.mu.Unlock()
-	h.kill()
+	w.kill(h)
 	if err := os.RemoveAll(filepath.Join(w.Dir, h.Name)); err != nil {
 		w.Check.Problem("data folder of %s: %v", h.Name, err)
 	}
@@ -182,12 +182,12 @@
 		return ""
 	}
 	h.paused = true
-	h.signal(syscall.SIGSTOP)
+	w.signal(h, syscall.SIGSTOP)
 	w.after(wait, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		h.paused = false
-		h.signal(syscall.SIGCONT)
+		w.signal(h, syscall.SIGCONT)
 	})
 	return h.Name
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -26,13 +26,14 @@
 	SmallRan int   // requests that ran of the account that may ask for little
 	Crashed  int   // engines that the request crashed which crashes all
 	Needy    int   // requests within four seconds at the engine that names a limit
+	Rests    int   // that engines asked for
 	Problems []string
 }
 
 // String gives the report as text.
 func (r Report) String() string {
 	var out strings.Builder
-	fmt.Fprintf(&out, "seed %d: %d checks, version %d, %d requests of the small account, %d engines crashed by a request, %d at the engine that takes few, %d problems\n", r.Seed, r.Checks, r.Version, r.SmallRan, r.Crashed, r.Needy, len(r.Problems))
+	fmt.Fprintf(&out, "seed %d: %d checks, version %d, %d requests of the small account, %d engines crashed by a request, %d at the engine that takes few, %d rests asked for, %d problems\n", r.Seed, r.Checks, r.Version, r.SmallRan, r.Crashed, r.Needy, r.Rests, len(r.Problems))
 	for _, counts := range []map[string]int{r.Harms, r.Answers} {
 		for _, name := range slices.Sorted(maps.Keys(counts)) {
 			fmt.Fprintf(&out, "  %-22s %d\n", name, counts[name])
@@ -111,7 +112,7 @@
 	work.Wait()
 	w.readsEverywhere()
 	w.Check.Engines()
-	report.SmallRan, report.Crashed, report.Needy = w.Check.SmallRan, w.Check.PoisonRan, w.Check.NeedyMost
+	report.SmallRan, report.Crashed, report.Needy, report.Rests = w.Check.SmallRan, w.Check.PoisonRan, w.Check.NeedyMost, w.Check.Rests
 	report.Answers, report.Checks, report.Version, report.Problems = w.Check.Answers, w.Check.Checks, w.Check.Newest(), w.Check.Problems()
 	return report, nil
 }
@@ -127,6 +128,7 @@
 		work.Go(func() { w.askTooMuch(ctx, h) })
 	}
 	work.Go(func() { w.sendPoison(ctx, rand.New(rand.NewPCG(w.Seed, 17))) })
+	work.Go(func() { w.pushBack(changing, rand.New(rand.NewPCG(w.Seed, 23))) })
 	work.Go(func() { w.operate(changing) })
 	work.Go(func() { w.read(ctx) })
 }
@@ -180,6 +182,7 @@
 	w.Net.Heal()
 	for _, e := range w.liveEngines() {
 		e.SetFaults(platformtest.NewFaultPlan(platformtest.FaultNone, 0))
+		e.SetRest("")
 	}
 	for until := time.Now().Add(healPatience); time.Now().Before(until) && !w.allUp(); {
 		time.Sleep(lookEvery)
--- a/soak/world.go
+++ b/soak/world.go
@@ -182,6 +182,7 @@
 		return errors.Trace(err)
 	}
 	h.paused = false
+	w.Check.Disturbed(h.listens)
 	h.settings.FirstStart = false
 	exited, process := make(chan struct{}), h.process
 	h.exited = exited
@@ -203,15 +204,16 @@
 }
 
 // signal sends a signal to a host's process, by its ID.
-func (h *Host) signal(s syscall.Signal) {
+func (w *World) signal(h *Host, s syscall.Signal) {
+	w.Check.Disturbed(h.listens)
 	if h.up() {
 		_ = h.process.Process.Signal(s) // it may end just now
 	}
 }
 
 // kill ends a host's process at once and waits for its end.
-func (h *Host) kill() {
-	h.signal(syscall.SIGKILL)
+func (w *World) kill(h *Host) {
+	w.signal(h, syscall.SIGKILL)
 	<-h.exited
 }
 
@@ -219,8 +221,8 @@
 func (w *World) Stop() {
 	for _, h := range w.Hosts {
 		if h.process != nil {
-			h.signal(syscall.SIGCONT)
-			h.kill()
+			w.signal(h, syscall.SIGCONT)
+			w.kill(h)
 		}
 	}
 }
