Show operators why an engine gets nothing, since when and until when

Each gateway shows at /engines of its metrics' address, and 'linenscale engines' for several gateways in a table, the one answer that everything in it goes by: the reason, its age and its end, requests under way, rests asked for, requests kept away, and such as were sent in spite of an engine's word, which must stay 0. The three commands that read gateways share one function; their output is as before. A test has engines rest, leave and serve.

--- a/cmd/linenscale/accounts.go
+++ b/cmd/linenscale/accounts.go
@@ -5,14 +5,12 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
-	"github.com/juju/errors"
 
 	"github.com/linenscale/linenscale/allowance"
 	"github.com/linenscale/linenscale/daemon"
@@ -30,20 +28,14 @@
 	command.Description = "what gateways know of client accounts' allowances; -H names their metrics' addresses"
 	command.String(&name, "n", "name", "only this account")
 	return subcommand{command, func(ctx context.Context, t *tool) error {
-		if *hosts == "" {
-			return errors.NotValidf("no gateway: name their metrics' addresses by -H, which")
-		}
-		var all []gatewayAccounts
-		client := &http.Client{Timeout: *timeout}
-		for _, address := range strings.Split(*hosts, ",") {
-			accounts, err := readMetrics[[]allowance.Status](ctx, client, address, daemon.AccountsPath)
-			if err != nil {
-				return errors.Annotatef(err, "gateway %s", address)
-			}
+		all, err := readGateways(ctx, *hosts, *timeout, daemon.AccountsPath, func(gateway string, accounts []allowance.Status) gatewayAccounts {
 			if name != "" {
 				accounts = slices.DeleteFunc(accounts, func(s allowance.Status) bool { return s.Account != name })
 			}
-			all = append(all, gatewayAccounts{address, accounts})
+			return gatewayAccounts{gateway, accounts}
+		})
+		if err != nil {
+			return err
 		}
 		return t.print(all, []string{"GATEWAY", "ACCOUNT", "MOST", "USED", "ASKED", "ADMITTED", "REFUSED", "SHARE", "HEARS", "REGIONS"}, accountRows(all))
 	}}
--- /dev/null
+++ b/cmd/linenscale/engines.go
@@ -0,0 +1,62 @@
+// This file defines the subcommand that shows why engines get nothing.
+
+package main
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/linenscale/linenscale/daemon"
+	"github.com/linenscale/linenscale/dispatch"
+)
+
+// gatewayEngines is what one gateway shows.
+type gatewayEngines struct {
+	Gateway string                  `json:"gateway"`
+	Engines []dispatch.EngineStatus `json:"engines"`
+}
+
+func enginesCommand(hosts *string, timeout *time.Duration) subcommand {
+	barred := false
+	command := flaggy.NewSubcommand("engines")
+	command.Description = "engines as gateways know them, why each gets nothing and until when; -H names their metrics' addresses"
+	command.Bool(&barred, "b", "barred", "only engines that get nothing")
+	return subcommand{command, func(ctx context.Context, t *tool) error {
+		all, err := readGateways(ctx, *hosts, *timeout, daemon.EnginesPath, func(gateway string, engines []dispatch.EngineStatus) gatewayEngines {
+			if barred {
+				engines = slices.DeleteFunc(engines, func(e dispatch.EngineStatus) bool { return e.Why == "" })
+			}
+			return gatewayEngines{gateway, engines}
+		})
+		if err != nil {
+			return err
+		}
+		return t.print(all, []string{"GATEWAY", "ENGINE", "SERVICE", "WHY NOT", "SINCE", "ENDS IN", "REQUESTS", "OTHERS", "RESTS ASKED", "KEPT AWAY", "SENT IN SPITE"}, engineRows(all))
+	}}
+}
+
+// engineRows gives a table's rows.
+func engineRows(all []gatewayEngines) [][]string {
+	var rows [][]string
+	for _, g := range all {
+		for _, e := range g.Engines {
+			rows = append(rows, []string{
+				g.Gateway, e.Engine, e.Service, e.Why, span(e.For), span(e.Ends), strconv.Itoa(e.Requests), strconv.Itoa(e.Others),
+				strconv.Itoa(e.Asked), strconv.Itoa(e.KeptAway), strconv.Itoa(e.Sent),
+			})
+		}
+	}
+	return rows
+}
+
+// span gives a time for a table; "" for none.
+func span(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return d.Round(time.Millisecond).String()
+}
--- a/cmd/linenscale/limits.go
+++ b/cmd/linenscale/limits.go
@@ -4,13 +4,10 @@
 
 import (
 	"context"
-	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
-	"github.com/juju/errors"
 
 	"github.com/linenscale/linenscale/daemon"
 	"github.com/linenscale/linenscale/dispatch"
@@ -26,17 +23,11 @@
 	command := flaggy.NewSubcommand("limits")
 	command.Description = "engines that name how many requests a second they take, as gateways know them; -H names their metrics' addresses"
 	return subcommand{command, func(ctx context.Context, t *tool) error {
-		if *hosts == "" {
-			return errors.NotValidf("no gateway: name their metrics' addresses by -H, which")
-		}
-		var all []gatewayLimits
-		client := &http.Client{Timeout: *timeout}
-		for _, address := range strings.Split(*hosts, ",") {
-			limits, err := readMetrics[[]dispatch.LimitStatus](ctx, client, address, daemon.LimitsPath)
-			if err != nil {
-				return errors.Annotatef(err, "gateway %s", address)
-			}
-			all = append(all, gatewayLimits{address, limits})
+		all, err := readGateways(ctx, *hosts, *timeout, daemon.LimitsPath, func(gateway string, limits []dispatch.LimitStatus) gatewayLimits {
+			return gatewayLimits{gateway, limits}
+		})
+		if err != nil {
+			return err
 		}
 		return t.print(all, []string{"GATEWAY", "ENGINE", "SERVICE", "LIMIT", "SHARE", "SHARERS", "AGE", "SENT", "KEPT AWAY"}, limitRows(all))
 	}}
--- a/cmd/linenscale/main.go
+++ b/cmd/linenscale/main.go
@@ -54,7 +54,7 @@
 		hostsCommand(), historyCommand(), waitCommand(), explainCommand(),
 	}
 	trace := traceCommand()
-	ofMetrics := []subcommand{accountsCommand(&hosts, &timeout), limitsCommand(&hosts, &timeout)}
+	ofMetrics := []subcommand{accountsCommand(&hosts, &timeout), limitsCommand(&hosts, &timeout), enginesCommand(&hosts, &timeout)}
 	flaggy.AttachSubcommand(trace.command, 1)
 	for _, c := range ofMetrics {
 		flaggy.AttachSubcommand(c.command, 1)
--- a/cmd/linenscale/metrics.go
+++ b/cmd/linenscale/metrics.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -14,6 +16,24 @@
 // shownLimit bounds an answer in bytes: some 300 for each of 14,000 client accounts.
 const shownLimit = 16 << 20
 
+// readGateways reads what gateways show at a path, and gives each as its command shows it. hosts
+// are their metrics' addresses, comma separated.
+func readGateways[T, G any](ctx context.Context, hosts string, timeout time.Duration, path string, as func(gateway string, shown []T) G) ([]G, error) {
+	if hosts == "" {
+		return nil, errors.NotValidf("no gateway: name their metrics' addresses by -H, which")
+	}
+	client := &http.Client{Timeout: timeout}
+	var all []G
+	for _, address := range strings.Split(hosts, ",") {
+		one, err := readMetrics[[]T](ctx, client, address, path)
+		if err != nil {
+			return nil, errors.Annotatef(err, "gateway %s", address)
+		}
+		all = append(all, as(address, one))
+	}
+	return all, nil
+}
+
 // readMetrics reads what a gateway shows at a path of its metrics' address.
 func readMetrics[T any](ctx context.Context, client *http.Client, address, path string) (T, error) {
 	var out T
--- a/daemon/shown.go
+++ b/daemon/shown.go
@@ -17,6 +17,8 @@
 	AccountsPath = "/accounts"
 	// LimitsPath shows which engines name limits.
 	LimitsPath = "/limits"
+	// EnginesPath shows the engines, and why they get nothing.
+	EnginesPath = "/engines"
 )
 
 // withShown adds to what a handler of metrics serves.
@@ -25,6 +27,7 @@
 	mux.Handle("/", metrics)
 	mux.HandleFunc("GET "+AccountsPath, func(w http.ResponseWriter, _ *http.Request) { show(w, meter.Statuses(steady.Time())) })
 	mux.HandleFunc("GET "+LimitsPath, func(w http.ResponseWriter, _ *http.Request) { show(w, dispatcher.Limits()) })
+	mux.HandleFunc("GET "+EnginesPath, func(w http.ResponseWriter, _ *http.Request) { show(w, dispatcher.EngineStatuses()) })
 	return mux
 }
 
--- a/dispatch/pushback_test.go
+++ b/dispatch/pushback_test.go
@@ -184,3 +184,24 @@
 		})
 	}
 }
+
+// TestOperatorsSeeWhyAnEngineGetsNothing has one engine rest, one leave and one serve.
+func TestOperatorsSeeWhyAnEngineGetsNothing(t *testing.T) {
+	w := newWorld(1, 3)
+	w.rest(t, 0, "i-0", 3*time.Second)
+	w.leave(t, 0, "i-1")
+	w.pass(time.Second)
+	acquire(t, w.gateways[0], plain("kept away from both"))
+	shown := make(map[string]dispatch.EngineStatus)
+	for _, s := range w.gateways[0].EngineStatuses() {
+		shown[s.Engine] = s
+	}
+	must.Eq(t, dispatch.EngineStatus{
+		Engine: "i-0", Service: "review", Why: "resting", For: time.Second, Ends: 2 * time.Second, Counts: pushback.Counts{Asked: 1, KeptAway: 1},
+	}, shown["i-0"])
+	must.Eq(t, "leaving", shown["i-1"].Why)
+	must.Eq(t, pushback.Counts{KeptAway: 1}, shown["i-1"].Counts)
+	must.Eq(t, "", shown["i-2"].Why)
+	must.Eq(t, 1, shown["i-2"].Requests)
+	must.MapLen(t, 4, shown)
+}
