Stand-ins and soak: one width between regions for all traffic

The stand-in network between regions and the soak's network hold to it (package internal/width, 2,000 Mbit/s unless told otherwise; linenscale-soak -w): connections wait for their turn, datagrams that find the way full are lost.

--- a/cmd/linenscale-soak/main.go
+++ b/cmd/linenscale-soak/main.go
@@ -13,13 +13,17 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/linenscale/linenscale/internal/width"
 	"github.com/linenscale/linenscale/soak"
 )
 
+// megabit is the unit of a width, in bits.
+const megabit = 1e6
+
 func main() {
 	program, dir := "bin/linenscaled", ""
 	seed, seeds, gateways, engines, regions := uint64(0), 1, 2, 2, 3
-	harming := 20 * time.Second
+	harming, mbits := 20*time.Second, width.Usual/megabit
 	flaggy.SetName("linenscale-soak")
 	flaggy.SetDescription("does harm to real processes and checks what was promised")
 	flaggy.String(&program, "p", "program", "path of linenscaled")
@@ -30,6 +34,7 @@
 	flaggy.Int(&gateways, "g", "gateways", "gateways in each region")
 	flaggy.Int(&engines, "e", "engines", "engines of each service in each region")
 	flaggy.Int(&regions, "r", "regions", "regions, each with a control host")
+	flaggy.Float64(&mbits, "w", "width", "Mbit/s between two regions each way, for all traffic; 0 for no bound")
 	flaggy.Parse()
 	if seed == 0 {
 		seed = uint64(time.Now().UnixNano() % 1_000_000)
@@ -38,7 +43,7 @@
 	defer stop()
 	broken := 0
 	for i := range uint64(seeds) {
-		if !run(ctx, soak.Options{Program: program, Seed: seed + i, Regions: regions, Gateways: gateways, Engines: engines, Net: 1 + int((seed+i)%100)}, dir, harming) {
+		if !run(ctx, soak.Options{Program: program, Seed: seed + i, Regions: regions, Gateways: gateways, Engines: engines, Width: mbits * megabit, Net: 1 + int((seed+i)%100)}, dir, harming) {
 			broken++
 		}
 	}
--- a/daemon/cut_test.go
+++ b/daemon/cut_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/linenscale/linenscale/control"
 	"github.com/linenscale/linenscale/declare"
+	"github.com/linenscale/linenscale/internal/width"
 	"github.com/linenscale/linenscale/request"
 	"github.com/linenscale/linenscale/settings"
 	"github.com/linenscale/linenscale/standin"
@@ -55,7 +56,7 @@
 		ip, _, _ := net.SplitHostPort(h.Control)
 		regions[ip] = h.Region
 	}
-	wan := standin.NewWAN(time.Millisecond, links, func(ip string) string { return regions[ip] })
+	wan := standin.NewWAN(time.Millisecond, width.New(width.Usual), links, func(ip string) string { return regions[ip] })
 	ctx, cancel := context.WithCancel(context.Background())
 	group := pool.New()
 	group.Go(func() { _ = wan.Run(ctx) })
--- a/lab/lab.go
+++ b/lab/lab.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/linenscale/linenscale/declare"
+	"github.com/linenscale/linenscale/internal/width"
 	"github.com/linenscale/linenscale/settings"
 	"github.com/linenscale/linenscale/standin"
 )
@@ -34,7 +35,7 @@
 		return errors.Trace(err)
 	}
 	platform := standin.NewPlatform(opts.PlatformLag, time.Now)
-	wan := standin.NewWAN(opts.Delay, links(s), regionOf(s))
+	wan := standin.NewWAN(opts.Delay, width.New(width.Usual), links(s), regionOf(s))
 	group := pool.New().WithContext(ctx).WithCancelOnError()
 	for i, e := range declare.Each[declare.Engine](config) {
 		ip, _, _ := net.SplitHostPort(e.Address)
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -9,6 +9,8 @@
 
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc/pool"
+
+	"github.com/linenscale/linenscale/internal/width"
 )
 
 // Harm is what is done to the way between two hosts, or to one.
@@ -22,8 +24,10 @@
 type Network struct {
 	ctx   context.Context // ends all forwarding
 	group *pool.Pool
+	ways  *width.Ways // between regions
 
 	mu    sync.Mutex
+	sites map[string]string // regions of hosts
 	hosts map[string]string // names by the IP number that a host connects from
 	harm  map[[2]string]Harm
 	open  map[net.Conn][2]string
@@ -32,16 +36,31 @@
 // outside is the name of everybody who is no host: callers, operators, engines.
 const outside = "outside"
 
-// NewNetwork makes a network without hosts; its forwarding ends with ctx.
-func NewNetwork(ctx context.Context, group *pool.Pool) *Network {
-	return &Network{ctx: ctx, group: group, hosts: make(map[string]string), harm: make(map[[2]string]Harm), open: make(map[net.Conn][2]string)}
+// NewNetwork makes a network without hosts, and with that width between regions; its forwarding
+// ends with ctx.
+func NewNetwork(ctx context.Context, group *pool.Pool, ways *width.Ways) *Network {
+	return &Network{ctx: ctx, group: group, ways: ways, sites: make(map[string]string), hosts: make(map[string]string), harm: make(map[[2]string]Harm), open: make(map[net.Conn][2]string)}
 }
 
-// AddHost names the host that connects from an IP number.
-func (n *Network) AddHost(name, ip string) {
+// AddHost names the host of a region that connects from an IP number.
+func (n *Network) AddHost(name, region, ip string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.hosts[ip] = name
+	n.hosts[ip], n.sites[name] = name, region
+}
+
+// regionsOf gives the regions of two hosts. Whoever is no host stands beside the other one.
+func (n *Network) regionsOf(from, to string) (a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	a, known := n.sites[from]
+	if !known {
+		a = n.sites[to]
+	}
+	if b, known = n.sites[to]; !known {
+		b = a
+	}
+	return a, b
 }
 
 // Set does harm to what goes from one host to another. The zero Harm ends it.
@@ -170,10 +189,11 @@
 // copy passes bytes on, one way. TCP keeps what a cut holds up.
 func (n *Network) copy(out, in net.Conn, from, to string) {
 	buffer := make([]byte, 16<<10)
+	a, b := n.regionsOf(from, to)
 	for {
 		count, err := in.Read(buffer)
 		if count > 0 {
-			if !n.wait(func() Harm { return n.between(from, to) }) {
+			if !n.wait(func() Harm { return n.between(from, to) }) || n.ways.Pass(n.ctx, a, b, count) != nil {
 				return
 			}
 			if _, err := out.Write(buffer[:count]); err != nil {
@@ -236,7 +256,9 @@
 			if err != nil {
 				return
 			}
-			if !n.between(n.nameOf(from), host).Lost {
+			name := n.nameOf(from)
+			a, b := n.regionsOf(name, host)
+			if !n.between(name, host).Lost && n.ways.Takes(a, b, count) {
 				_, _ = conn.WriteToUDP(buffer[:count], to) // as good as lost
 			}
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/linenscale/linenscale/internal/width"
 	"github.com/linenscale/linenscale/soak"
 )
 
@@ -44,7 +45,7 @@
 
 func run(t *testing.T, opts soak.Options, harming time.Duration) {
 	t.Helper()
-	opts.Program, opts.Dir, opts.Regions, opts.Net = build(t), t.TempDir(), 3, 110
+	opts.Program, opts.Dir, opts.Regions, opts.Net, opts.Width = build(t), t.TempDir(), 3, 110, width.Usual
 	report, err := soak.Run(context.Background(), opts, harming)
 	must.NoError(t, err)
 	t.Log(report)
--- a/soak/world.go
+++ b/soak/world.go
@@ -20,6 +20,7 @@
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/linenscale/linenscale/internal/width"
 	"github.com/linenscale/linenscale/platform/platformtest"
 	"github.com/linenscale/linenscale/roster"
 	"github.com/linenscale/linenscale/settings"
@@ -31,9 +32,10 @@
 	Dir      string // for settings, data and logs
 	Seed     uint64
 	Regions  int
-	Gateways int // in each region
-	Engines  int // of each service, in each region
-	Net      int // second part of the loopback addresses, 1 to 120
+	Gateways int     // in each region
+	Engines  int     // of each service, in each region
+	Width    float64 // bits a second between two regions each way, for all traffic; 0 for no bound
+	Net      int     // second part of the loopback addresses, 1 to 120
 }
 
 // Ports of every host.
@@ -95,7 +97,7 @@
 		return nil, errors.Errorf("folder %s must be there and empty (%d entries, %v)", opts.Dir, len(entries), err)
 	}
 	w := &World{
-		Options: opts, Net: NewNetwork(ctx, group), Check: NewChecker(), random: rand.New(rand.NewPCG(opts.Seed, 11)),
+		Options: opts, Net: NewNetwork(ctx, group, width.New(opts.Width)), Check: NewChecker(), random: rand.New(rand.NewPCG(opts.Seed, 11)),
 		regions: make(map[string]string), ctx: ctx, group: group,
 	}
 	for r := range opts.Regions {
@@ -149,7 +151,7 @@
 		h.settings.Listen.Callers, h.settings.Listen.Ready = address(known, callersPort), address(known, readyPort)
 	}
 	h.settings.Name = h.Name
-	w.Net.AddHost(h.Name, listens)
+	w.Net.AddHost(h.Name, h.Region, listens)
 	for _, port := range ports {
 		if err := w.Net.Forward(h.Name, address(known, port), address(listens, port)); err != nil {
 			return err
--- a/standin/wan.go
+++ b/standin/wan.go
@@ -15,6 +15,8 @@
 
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc/pool"
+
+	"github.com/linenscale/linenscale/internal/width"
 )
 
 // Link is one address that is reached over the wide area.
@@ -27,6 +29,7 @@
 // WAN passes connections on between regions. NewWAN makes one.
 type WAN struct {
 	delay    time.Duration
+	ways     *width.Ways
 	links    []Link
 	regionOf func(ip string) string // of a connection's source
 
@@ -34,9 +37,9 @@
 	cut map[string]bool
 }
 
-// NewWAN makes a network with a one-way delay.
-func NewWAN(delay time.Duration, links []Link, regionOf func(ip string) string) *WAN {
-	return &WAN{delay: delay, links: links, regionOf: regionOf, cut: make(map[string]bool)}
+// NewWAN makes a network with a one-way delay, and a width for all that goes between two regions.
+func NewWAN(delay time.Duration, ways *width.Ways, links []Link, regionOf func(ip string) string) *WAN {
+	return &WAN{delay: delay, ways: ways, links: links, regionOf: regionOf, cut: make(map[string]bool)}
 }
 
 // Cut cuts a region off from the others, or joins it again. While it is cut
@@ -125,6 +128,9 @@
 			data := make([]byte, 16<<10)
 			got, err := from.Read(data)
 			if got > 0 {
+				if n.ways.Pass(ctx, a, b, got) != nil {
+					return
+				}
 				parcels <- parcel{data[:got], time.Now().Add(n.delay)}
 			}
 			if err != nil {
