Tell other gateways which engines have asked for rest, where several were asked

What callers saw: before many gateways, each is refused once a rest by an engine that refuses all. Hypothesis: others gain by hearing of it where the engine refuses all, and lose what it would take from them where it refuses one. Change: gateways tell which engines rest towards them, counted; the others keep off while two or more say so and they have had no byte from it themselves for 0.5 s, and use it all the same where nothing else can be used.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -190,12 +190,12 @@
 	return !d.bar(p, e, now).stands() && !slices.Contains(ask.Tried, e.ID)
 }
 
-// spare gives, of the engines that failed lately, the one to use where no other can
-// be; nil where there is none.
+// spare gives, of the engines that failed lately or asked other gateways for rest, the one to use
+// where no other can be; nil where there is none.
 func (d *Dispatcher) spare(p *pool, ask Ask, now time.Time) *engine {
 	var spare *engine
 	for _, e := range p.open {
-		if d.bar(p, e, now).why == whyFailing && !slices.Contains(ask.Tried, e.ID) && (spare == nil || e.avoidUntil.Before(spare.avoidUntil)) {
+		if d.bar(p, e, now).why.yields() && !slices.Contains(ask.Tried, e.ID) && (spare == nil || e.avoidUntil.Before(spare.avoidUntil)) {
 			spare = e
 		}
 	}
@@ -233,7 +233,7 @@
 		}
 		switch {
 		case b.stands() && !b.why.passes() && !(b.why == whyCold && d.near.warmer(e) == d.Name):
-		case limited && b.why != whyFailing && b.why != whyCold:
+		case limited && !b.why.yields() && b.why != whyCold:
 			p.limited = append(p.limited, e)
 		default:
 			p.open = append(p.open, e)
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -26,6 +26,10 @@
 	// deadDoubted is how fresh a gateway's own sign of an engine must be for it
 	// not to believe the others of either.
 	deadDoubted = 500 * time.Millisecond
+	// restTellers is how many gateways an engine must have asked for rest for the others to keep
+	// off as well, so that each need not be refused itself. One may have been refused for its
+	// own sake: of what it then doesn't send, the engine takes as much from the others.
+	restTellers = 2
 )
 
 // report gives what this gateway does. The lock is held.
@@ -39,8 +43,12 @@
 			if e.misdirected && now.Sub(e.misdirectedAt) < goneTold {
 				r.Gone = append(r.Gone, e.hash)
 			}
-			if b, barred := d.pushback.Bar(e.hash, now); barred && b.Reason == pushback.Leaving && now.Sub(b.Since) < goneTold {
+			switch b, barred := d.pushback.Bar(e.hash, now); {
+			case !barred:
+			case b.Reason == pushback.Leaving && now.Sub(b.Since) < goneTold:
 				r.Leaving = append(r.Leaving, e.hash)
+			case b.Reason == pushback.Resting:
+				r.Resting = append(r.Resting, rollup.Resting{Engine: e.hash, Gateways: 1})
 			}
 			reading := int(e.read.perSecond(now))
 			if e.own.Requests == 0 && reading == 0 {
@@ -110,6 +118,12 @@
 			e.misdirected = true
 		}
 	}
+	for _, one := range m.Report.Resting {
+		// It may take this gateway's requests all the same; a fresh answer shows that it does.
+		if e, ok := d.byHash[one.Engine]; ok && one.Gateways >= restTellers && now.Sub(e.sign) > deadDoubted {
+			e.restTold = now.Add(deadBelieved)
+		}
+	}
 	for _, hash := range m.Report.Leaving {
 		if e, ok := d.byHash[hash]; ok {
 			d.leaves(e, m.From, now)
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -31,6 +31,7 @@
 	unreached     int       // failed connections in a row
 	unreachedAt   time.Time
 	avoidUntil    time.Time
+	restTold      time.Time // until when other gateways' word counts that it asked them for rest
 	warmNext      time.Time // when a cold engine may get its next request
 	warmer        string    // the gateway that warms it up
 	warmerOf      int       // version of the list of gateways that warmer is of
--- a/dispatch/pushback.go
+++ b/dispatch/pushback.go
@@ -57,7 +57,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch b := d.bar(t.pool, t.engine, d.Clock()); b.why {
-	case "", whyTrying, whyLimited, whyFailing, whyCold:
+	case "", whyTrying, whyLimited, whyFailing, whyRestTold, whyCold:
 		return nil
 	default:
 		return &Unwanted{t.Engine, string(b.why)}
--- a/dispatch/pushback_test.go
+++ b/dispatch/pushback_test.go
@@ -205,3 +205,61 @@
 	must.Eq(t, 1, shown["i-2"].Requests)
 	must.MapLen(t, 4, shown)
 }
+
+// refusals has each of a region's gateways send requests, in turn and for so long, to engines of
+// which one refuses those gateways for which refuses is true and asks each for three seconds of rest.
+// It gives how often it refused, and how often it served.
+func (w *world) refusals(t *testing.T, length time.Duration, refuses func(gateway int) bool) (refused, served int) {
+	t.Helper()
+	w.tellAll()
+	began := w.now
+	for i := 0; w.now.Sub(began) < length; i++ {
+		w.pass(5 * time.Millisecond)
+		if i%20 == 0 {
+			w.tell()
+		}
+		gateway := i % len(w.gateways)
+		ticket := acquire(t, w.gateways[gateway], plain(fmt.Sprint(i)))
+		switch {
+		case ticket.Engine != "i-0":
+			ticket.Taken()
+			ticket.Begun(true)
+			ticket.Done(dispatch.Answered)
+		case refuses(gateway):
+			refused++
+			ticket.HeardPushback(pushback.Rest{For: 3 * time.Second})
+			ticket.Done(dispatch.Shed)
+		default:
+			served++
+			ticket.Taken()
+			ticket.Begun(true)
+			ticket.Done(dispatch.Answered)
+		}
+	}
+	return refused, served
+}
+
+// TestOthersNeedNotBeRefusedToo has an engine refuse all of 40 gateways: each would be refused
+// once a rest if none heard of it from the others. One that refuses a single gateway goes on
+// serving the rest as before.
+func TestOthersNeedNotBeRefusedToo(t *testing.T) {
+	refused, _ := newWorld(40, 5).refusals(t, 3*time.Second, func(int) bool { return true })
+	must.LessEq(t, 20, refused, must.Sprint("half of what each would be refused"))
+	refused, served := newWorld(40, 5).refusals(t, 9*time.Second, func(gateway int) bool { return gateway == 3 })
+	must.LessEq(t, 4, refused)
+	must.GreaterEq(t, 300, served, must.Sprint("of 1,800 requests before five engines"))
+}
+
+// TestAnEngineThatRestsForOthersIsUsedWhereNoOtherCanBe has the only engine refuse two of twelve
+// gateways.
+func TestAnEngineThatRestsForOthersIsUsedWhereNoOtherCanBe(t *testing.T) {
+	w := newWorld(12, 1)
+	w.pass(time.Minute)
+	w.rest(t, 0, "i-0", 3*time.Second)
+	w.rest(t, 1, "i-0", 3*time.Second)
+	w.tellAll()
+	must.Eq(t, "rests for others", w.gateways[5].EngineStatuses()[0].Why)
+	acquire(t, w.gateways[5], plain("r"))
+	_, err := w.gateways[0].Acquire(plain("s"))
+	must.StrContains(t, notRun(t, err).Message, "1 resting")
+}
--- a/dispatch/standing.go
+++ b/dispatch/standing.go
@@ -18,28 +18,33 @@
 // The reasons beside the phases of the registry.
 const (
 	whyEvacuated why = "evacuated"
-	whyTakenAway why = "taken away" // its lender has taken it away
-	whyReplaced  why = "replaced"   // another incarnation answers at its address
-	whyLeaving   why = "leaving"    // it says so in its answers
-	whyResting   why = "resting"    // it asked this gateway for rest
-	whyTrying    why = "trying"     // after its rest, one request goes first
-	whyLimited   why = "limited"    // this gateway has no part of the limit that it names, or has used it
-	whyFailing   why = "failing"    // it has failed lately
-	whyCold      why = "cold"       // another gateway warms it up, or it is too soon
-	whyTried     why = "tried"      // this request has been there
+	whyTakenAway why = "taken away"       // its lender has taken it away
+	whyReplaced  why = "replaced"         // another incarnation answers at its address
+	whyLeaving   why = "leaving"          // it says so in its answers
+	whyResting   why = "resting"          // it asked this gateway for rest
+	whyTrying    why = "trying"           // after its rest, one request goes first
+	whyLimited   why = "limited"          // this gateway has no part of the limit that it names, or has used it
+	whyFailing   why = "failing"          // it has failed lately
+	whyRestTold  why = "rests for others" // it asked other gateways for rest, and hasn't answered this one since
+	whyCold      why = "cold"             // another gateway warms it up, or it is too soon
+	whyTried     why = "tried"            // this request has been there
 )
 
 // passes tells whether a reason may end between two refreshes, so that the engine is looked at
 // with each request.
 func (w why) passes() bool {
 	switch w {
-	case whyResting, whyTrying, whyLimited, whyFailing:
+	case whyResting, whyTrying, whyLimited, whyFailing, whyRestTold:
 		return true
 	default:
 		return false
 	}
 }
 
+// yields tells whether an engine with that reason is used where no other can be: it may serve all
+// the same.
+func (w why) yields() bool { return w == whyFailing || w == whyRestTold }
+
 // pushback tells whether the engine itself has asked for it.
 func (w why) pushback() bool { return w == whyLeaving || w == whyResting || w == whyTrying }
 
@@ -72,6 +77,8 @@
 		return bar{why: whyLimited, until: d.limitEnds(e, now)}
 	case now.Before(e.avoidUntil):
 		return bar{why: whyFailing, until: e.avoidUntil}
+	case now.Before(e.restTold):
+		return bar{why: whyRestTold, until: e.restTold}
 	case d.isCold(p, e, now) && !d.mayWarm(e, now):
 		return bar{why: whyCold, until: d.warms(e)}
 	default:
--- a/rollup/report.go
+++ b/rollup/report.go
@@ -25,6 +25,15 @@
 	Limits []ratelimit.Note `cbor:"7,keyasint,omitempty"`
 	// Leaving are hashes of engines whose answers said lately that they leave.
 	Leaving []uint64 `cbor:"8,keyasint,omitempty"`
+	// Resting are engines that have asked gateways for rest, as long as it lasts.
+	Resting []Resting `cbor:"9,keyasint,omitempty"`
+}
+
+// Resting is an engine that has asked so many gateways for rest.
+type Resting struct {
+	_        struct{} `cbor:",toarray"`
+	Engine   uint64   // hash of its incarnation
+	Gateways int
 }
 
 // AccountUse is what the callers of one client account do, in hundredths of a unit a
@@ -96,6 +105,7 @@
 	dead  map[uint64]bool
 	gone  map[uint64]bool
 	left  map[uint64]bool // engines that leave
+	rest  map[uint64]int  // by engine: gateways that it asked for rest
 	uses  map[uint32]AccountUse
 	// crashes are by request and engine, each as old as the one who knows it best tells.
 	crashes map[crashKey]quarantine.Note
@@ -123,7 +133,7 @@
 }
 
 func newSum() *sum {
-	return &sum{make(map[uint64]EngineLoad), make(map[SentPart]bool), make(map[uint64]bool), make(map[uint64]bool), make(map[uint64]bool), make(map[uint32]AccountUse), make(map[crashKey]quarantine.Note), make(map[uint64]ratelimit.Note)}
+	return &sum{make(map[uint64]EngineLoad), make(map[SentPart]bool), make(map[uint64]bool), make(map[uint64]bool), make(map[uint64]bool), make(map[uint64]int), make(map[uint32]AccountUse), make(map[crashKey]quarantine.Note), make(map[uint64]ratelimit.Note)}
 }
 
 // add adds a report times so many: -1 takes it away.
@@ -157,6 +167,9 @@
 	for _, hash := range r.Leaving {
 		s.left[hash] = true
 	}
+	for _, one := range r.Resting {
+		s.rest[one.Engine] += one.Gateways
+	}
 	for _, n := range r.Crashes {
 		key := crashKey{n.Request, n.Engine}
 		if held, ok := s.crashes[key]; !ok || n.Age > held.Age {
@@ -187,6 +200,9 @@
 	for hash := range s.left {
 		r.Leaving = append(r.Leaving, hash)
 	}
+	for hash, gateways := range s.rest {
+		r.Resting = append(r.Resting, Resting{Engine: hash, Gateways: gateways})
+	}
 	for _, u := range s.uses {
 		r.Accounts = append(r.Accounts, u)
 	}
