--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -12,6 +12,7 @@
 
 	"github.com/linenscale/linenscale/internal/rendezvous"
 	"github.com/linenscale/linenscale/registry"
+	"github.com/linenscale/linenscale/request"
 )
 
 // near are the names of the gateways of this region, this one included, as of the
@@ -187,7 +188,7 @@
 
 // mayTake tells whether an engine may get this request.
 func (d *Dispatcher) mayTake(p *pool, e *engine, ask Ask, now time.Time) bool {
-	return !d.bar(p, e, now).stands() && !slices.Contains(ask.Tried, e.ID)
+	return d.bar(p, e, now) == "" && !slices.Contains(ask.Tried, e.ID)
 }
 
 // spare gives, of the engines that failed lately or asked other gateways for rest, the one to use
@@ -195,18 +196,21 @@
 func (d *Dispatcher) spare(p *pool, ask Ask, now time.Time) *engine {
 	var spare *engine
 	for _, e := range p.open {
-		if d.bar(p, e, now).why.yields() && !slices.Contains(ask.Tried, e.ID) && (spare == nil || e.avoidUntil.Before(spare.avoidUntil)) {
+		if d.bar(p, e, now).yields() && !slices.Contains(ask.Tried, e.ID) && (spare == nil || e.avoidUntil.Before(spare.avoidUntil)) {
 			spare = e
 		}
 	}
 	return spare
 }
 
-// refusals tells why no engine can be used, by the number of engines.
-func (d *Dispatcher) refusals(p *pool, ask Ask, now time.Time) map[why]int {
+// refusal tells a request why no engine can be used, by the number of engines, and when the first
+// may be.
+func (d *Dispatcher) refusal(p *pool, ask Ask, now time.Time) *request.NotRun {
 	refused := make(map[why]int)
+	var opens soonest
 	for _, e := range p.ordered {
-		why := d.bar(p, e, now).why
+		why := d.bar(p, e, now)
+		opens.add(d.barEnds(e, why, now))
 		if why == "" && slices.Contains(ask.Tried, e.ID) {
 			why = whyTried
 		}
@@ -214,7 +218,7 @@
 			refused[why]++
 		}
 	}
-	return refused
+	return &request.NotRun{Reason: request.ReasonNoEngine, Message: "no engine can be used: " + counts(refused), RetryAfter: max(retrySoon, opens.in(now))}
 }
 
 // sortOut lists the engines that can be used but for what changes from request to
@@ -223,17 +227,17 @@
 func (d *Dispatcher) sortOut(p *pool, now time.Time) {
 	p.ready, p.open, p.limited, p.asked = 0, p.open[:0], p.limited[:0], p.asked[:0]
 	for _, e := range p.ordered {
-		b := d.bar(p, e, now)
-		if b.why.pushback() {
+		why := d.bar(p, e, now)
+		if why.pushback() {
 			p.asked = append(p.asked, e)
 		}
 		limited := d.limits.Limited(e.hash)
-		if !b.stands() && !limited && !d.isCold(p, e, now) {
+		if why == "" && !limited && !d.isCold(p, e, now) {
 			p.ready++
 		}
 		switch {
-		case b.stands() && !b.why.passes() && !(b.why == whyCold && d.near.warmer(e) == d.Name):
-		case limited && !b.why.yields() && b.why != whyCold:
+		case why != "" && !why.passes() && !(why == whyCold && d.near.warmer(e) == d.Name):
+		case limited && !why.yields() && why != whyCold:
 			p.limited = append(p.limited, e)
 		default:
 			p.open = append(p.open, e)
--- a/dispatch/copies.go
+++ b/dispatch/copies.go
@@ -52,8 +52,8 @@
 
 // allowsCopies tells whether an engine's keep may be read by others: also where it bears only
 // few requests itself, but not where it wants nothing, is about to end or fails.
-func (b bar) allowsCopies() bool {
-	return !b.stands() || b.why == whyLimited || b.why == whyCold
+func (w why) allowsCopies() bool {
+	return w == "" || w == whyLimited || w == whyCold
 }
 
 // offer gives what an engine could copy from the source: 0 tokens where that is nothing.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -177,7 +177,7 @@
 	}
 	chosen, best := d.choose(p, ask, now)
 	if chosen == nil {
-		return nil, &request.NotRun{Reason: request.ReasonNoEngine, Message: "no engine can be used: " + counts(d.refusals(p, ask, now)), RetryAfter: max(retrySoon, d.opens(p, now))}
+		return nil, d.refusal(p, ask, now)
 	}
 	if err := ask.admits(best); err != nil {
 		return nil, err
--- a/dispatch/engines.go
+++ b/dispatch/engines.go
@@ -42,10 +42,10 @@
 }
 
 func (d *Dispatcher) engineStatus(p *pool, e *engine, now time.Time) EngineStatus {
-	b := d.bar(p, e, now)
+	why := d.bar(p, e, now)
 	s := EngineStatus{
-		Engine: e.ID, Service: p.service.Name, Why: string(b.why),
-		For: between(b.since, now), Ends: between(now, b.until),
+		Engine: e.ID, Service: p.service.Name, Why: string(why),
+		For: between(d.barBegan(e, why, now), now), Ends: between(now, d.barEnds(e, why, now)),
 		Requests: e.own.Requests, Others: e.others.Requests, Silent: between(e.sign, now),
 		Counts: d.pushback.Counts(e.hash),
 	}
--- a/dispatch/pushback.go
+++ b/dispatch/pushback.go
@@ -56,11 +56,11 @@
 	d := t.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	switch b := d.bar(t.pool, t.engine, d.Clock()); b.why {
+	switch why := d.bar(t.pool, t.engine, d.Clock()); why {
 	case "", whyTrying, whyLimited, whyFailing, whyRestTold, whyCold:
 		return nil
 	default:
-		return &Unwanted{t.Engine, string(b.why)}
+		return &Unwanted{t.Engine, string(why)}
 	}
 }
 
@@ -76,12 +76,12 @@
 // beginPushedBack counts a ticket towards what engines ask for. The lock is held.
 func (d *Dispatcher) beginPushedBack(t *Ticket, now time.Time) {
 	for _, e := range t.pool.asked {
-		if e != t.engine && d.bar(t.pool, e, now).why.pushback() {
+		if e != t.engine && d.bar(t.pool, e, now).pushback() {
 			d.pushback.KeptAway(e.hash)
 			d.countPushback(e, "kept_away")
 		}
 	}
-	if d.bar(t.pool, t.engine, now).why.pushback() {
+	if d.bar(t.pool, t.engine, now).pushback() {
 		d.countPushback(t.engine, "sent_in_spite")
 		d.Log.Error("request sent to an engine that wants none", zap.String("engine", t.engine.ID))
 	}
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -139,9 +139,9 @@
 func (d *Dispatcher) telling(p *pool, now time.Time) []*engine {
 	var free, limited []*engine
 	for _, e := range p.ordered {
-		b := d.bar(p, e, now)
+		why := d.bar(p, e, now)
 		switch {
-		case b.stands() && b.why != whyLimited, d.isCold(p, e, now):
+		case why != "" && why != whyLimited, d.isCold(p, e, now):
 		case d.limits.Limited(e.hash):
 			limited = append(limited, e)
 		default:
--- a/dispatch/standing.go
+++ b/dispatch/standing.go
@@ -5,7 +5,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"github.com/linenscale/linenscale/pushback"
@@ -48,44 +47,90 @@
 // pushback tells whether the engine itself has asked for it.
 func (w why) pushback() bool { return w == whyLeaving || w == whyResting || w == whyTrying }
 
-// bar says why an engine gets nothing, and since and until when. The zero value bars nothing;
-// zero times aren't known, or no matter of time.
-type bar struct {
-	why          why
-	since, until time.Time
-}
-
-func (b bar) stands() bool { return b.why != "" }
-
-// bar gives the first reason that holds: first what ends its life, then what it asks for
-// itself, and last what this gateway makes of it, which the last resort may overrule. The lock
-// is held.
-func (d *Dispatcher) bar(p *pool, e *engine, now time.Time) bar {
+// bar gives the first reason why an engine gets nothing: first what ends its life, then what it
+// asks for itself, and last what this gateway makes of it, which the last resort may overrule. It
+// is asked for each engine with each request. The lock is held.
+func (d *Dispatcher) bar(p *pool, e *engine, now time.Time) why {
 	asked, pushedBack := d.pushback.Bar(e.hash, now)
 	switch {
 	case e.Phase >= registry.Draining:
-		return bar{why: why(e.Phase.String())}
+		return why(e.Phase.String())
 	case d.state.IsEvacuated(e.DataCentre):
-		return bar{why: whyEvacuated}
+		return whyEvacuated
 	case !e.GoneAt.IsZero() && now.After(e.GoneAt):
-		return bar{why: whyTakenAway, since: e.GoneAt}
+		return whyTakenAway
 	case e.misdirected:
-		return bar{why: whyReplaced, since: e.misdirectedAt}
+		return whyReplaced
 	case pushedBack:
-		return bar{whyOf(asked.Reason), asked.Since, asked.Until}
+		return whyOf(asked.Reason)
 	case !d.limits.Allows(e.hash, now):
-		return bar{why: whyLimited, until: d.limitEnds(e, now)}
+		return whyLimited
 	case now.Before(e.avoidUntil):
-		return bar{why: whyFailing, until: e.avoidUntil}
+		return whyFailing
 	case now.Before(e.restTold):
-		return bar{why: whyRestTold, until: e.restTold}
+		return whyRestTold
 	case d.isCold(p, e, now) && !d.mayWarm(e, now):
-		return bar{why: whyCold, until: d.warms(e)}
+		return whyCold
+	default:
+		return ""
+	}
+}
+
+// barBegan gives since when a reason holds; zero where that isn't known, or no matter of time.
+func (d *Dispatcher) barBegan(e *engine, w why, now time.Time) time.Time {
+	switch w {
+	case whyTakenAway:
+		return e.GoneAt
+	case whyReplaced:
+		return e.misdirectedAt
+	case whyLeaving, whyResting, whyTrying:
+		asked, _ := d.pushback.Bar(e.hash, now)
+		return asked.Since
 	default:
-		return bar{}
+		return time.Time{}
 	}
 }
 
+// barEnds gives until when a reason holds: now for none, and zero where that isn't known, or
+// never.
+func (d *Dispatcher) barEnds(e *engine, w why, now time.Time) time.Time {
+	switch w {
+	case "":
+		return now
+	case whyResting, whyTrying:
+		asked, _ := d.pushback.Bar(e.hash, now)
+		return asked.Until
+	case whyLimited:
+		return d.limitEnds(e, now)
+	case whyFailing:
+		return e.avoidUntil
+	case whyRestTold:
+		return e.restTold
+	case whyCold:
+		return d.warms(e)
+	default:
+		return time.Time{}
+	}
+}
+
+// soonest is the first of several times. The zero value has none.
+type soonest struct{ at time.Time }
+
+// add takes one more; zero is none.
+func (s *soonest) add(at time.Time) {
+	if !at.IsZero() && (s.at.IsZero() || at.Before(s.at)) {
+		s.at = at
+	}
+}
+
+// in gives how long it takes until then; 0 where there is none.
+func (s *soonest) in(now time.Time) time.Duration {
+	if s.at.IsZero() {
+		return 0
+	}
+	return max(0, s.at.Sub(now))
+}
+
 func whyOf(reason pushback.Reason) why {
 	switch reason {
 	case pushback.Leaving:
@@ -146,24 +191,10 @@
 	if !ok {
 		return 0
 	}
-	return d.opens(p, d.Clock())
-}
-
-// opens gives how long it takes until some engine of a pool may get a request; 0 where one may
-// now, or nothing tells when.
-func (d *Dispatcher) opens(p *pool, now time.Time) time.Duration {
-	soonest := time.Duration(math.MaxInt64)
+	now := d.Clock()
+	var opens soonest
 	for _, e := range p.ordered {
-		b := d.bar(p, e, now)
-		switch {
-		case !b.stands():
-			return 0
-		case !b.until.IsZero():
-			soonest = min(soonest, b.until.Sub(now))
-		}
-	}
-	if soonest == math.MaxInt64 {
-		return 0
+		opens.add(d.barEnds(e, d.bar(p, e, now), now))
 	}
-	return max(0, soonest)
+	return opens.in(now)
 }
