--- a/allowance/jump.go
+++ b/allowance/jump.go
@@ -32,12 +32,9 @@
 
 // jump notices that a gateway's callers suddenly ask for much more of an account than they
 // did. Whoever is behind it may do the same at all gateways, none of which knows of the
-// others for blindTime; until then each admits no more than its part of what is left. Six
-// gateways that begin at once to be asked for twelve times an account's rate admit 0.98 of
-// what may be in a window, and 1.28 without; for thirty times 1.07 and 1.81, sixty gateways
-// 1.11 and 1.66 (TestASuddenStartIsHeld). One gateway that begins alone to be asked for as
-// much as the account may refuses nothing (TestOneCallerMayBeginAtOnce). The zero value has
-// seen nothing.
+// others for blindTime; until then each admits no more than its part of what is left
+// (TestASuddenStartIsHeld). One gateway that begins alone to be asked for as much as the
+// account may refuses nothing (TestOneCallerMayBeginAtOnce). The zero value has seen nothing.
 type jump struct {
 	recent   moving // requests
 	usual    average
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -76,8 +76,6 @@
 	askedOver = 500 * time.Millisecond
 	// lag is how old what is known of other gateways is: 0.2 s within a region and 0.4 s
 	// between regions that are 80 ms apart, and the time that uses are averaged over.
-	// Counted with 0.8 s, an account that asks for 4.2 times its rate filled a window to
-	// 1.05 of what may be, with a second to 0.98.
 	lag = time.Second
 	// settleTime is how fast the window is brought to where it should be.
 	settleTime = 250 * time.Millisecond
@@ -94,7 +92,7 @@
 	demandShare = 0.75
 	// sharesOver is over which time the regions' shares follow what is asked for in each. A
 	// region knows its own callers at once and the others' half a second later; followed at
-	// once, each of three that were cut off as an account turned hot had 0.83 of it.
+	// once, each of three that are cut off as an account turns hot has nearly all of it.
 	sharesOver = 16 * time.Second
 	// holdTime is for how long gateways that fall silent are believed to go on as they did:
 	// processes that were killed are back after a second, and until then those that are
--- a/allowance/moving.go
+++ b/allowance/moving.go
@@ -10,8 +10,8 @@
 
 // moving is what was admitted in the last moments, by parts. Each request is in it for just
 // as long as a word is held by whoever hears it, so that what they add up is what was
-// admitted, however it came; an average whose weights fall with time is 0.5 to 1.75 of a
-// short burst when it is looked at each 0.25 s.
+// admitted, however it came; an average whose weights fall with time may be half of a short
+// burst or nearly twice it, as it happens to be looked at.
 type moving struct {
 	sums [parts]float64
 	last int64 // number of the newest part
--- a/allowance/standing.go
+++ b/allowance/standing.go
@@ -11,11 +11,8 @@
 	hotShare = 4
 	// evenShare is how much of an even flow is admitted then at most. What was admitted at
 	// once leaves the window at once, and what all gateways admit in its place before they
-	// hear of each other is beyond it, again with each window. Six gateways that are asked for
-	// twelve times the rate for half a minute, are started again, paused and cut off admitted
-	// more than may be in 132 of 400 runs, and in 9 with this and sharesOver; they admit 24.9
-	// units a second where 25 are allowed, and 26.9 without (TestAnAccountThatStaysHotIsHeld
-	// with 400 seeds).
+	// hear of each other is beyond it, again with each window
+	// (TestAnAccountThatStaysHotIsHeld).
 	evenShare = 1.1
 )
 
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -18,19 +18,15 @@
 const (
 	// leastQueue is the share of its target that a request may wait in any case
 	// until it is begun: one that is late by its own reading, or by the trip to the
-	// only region where it may run, is served where little waits. In the same burst, 0.15,
-	// 0.3 and 0.45 gave 0.585, 0.588 and 0.563.
+	// only region where it may run, is served where little waits.
 	leastQueue = 0.3
 	// mostQueue is the share that it may wait at most. A queue that several kinds wait in
 	// stands at what the most patient accepts, and the others are refused: with a bound,
-	// short prompts can't shut long ones out. Between 0.5 and 0.8 the burst gave 0.58 to
-	// 0.59, days with trouble the same within noise.
+	// short prompts can't shut long ones out.
 	mostQueue = 0.6
 	// doubts is how many times the usual error of expectations is kept free before the
-	// target. In a burst of five times the load for eight seconds, 1, 2 and 3 gave 0.574,
-	// 0.588 and 0.589 of the worth, with 283, 184 and 146 late answers (package
-	// dispatchbench, six seeds); on days with crashes, cuts and short bursts 1 and 3 gave
-	// 0.776 and 0.771, where refusing early gains nothing.
+	// target: in a long burst fewer answers are late with more, and in short trouble refusing
+	// early gains nothing.
 	doubts = 2
 	// retrySoon is when to come back where no engine can be used: engines are
 	// replaced within a second or two.
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -31,9 +31,8 @@
 	n.version++
 }
 
-// warmer gives the gateway that warms an engine up. It is worked out once for each
-// list of gateways: with 102 of them and 72 cold engines, to rank all for
-// each request takes 1.5 ms of a processor instead of 5 us.
+// warmer gives the gateway that warms an engine up. It is worked out once for each list of
+// gateways: to rank all of them for each cold engine and request takes milliseconds.
 func (n *near) warmer(e *engine) string {
 	if e.warmerOf == n.version {
 		return e.warmer
@@ -51,12 +50,8 @@
 // How many engines are looked at beside those that are believed to keep the
 // prompt's shared parts. Gateways know of each other's requests a moment late; if
 // each took the least loaded of many engines, they would all take the same one
-// (Mitzenmacher, "How useful is old information?", 2000). Of what callers
-// of a day of high load with crashes could earn, before 20 gateways and more, 3 and one
-// for each 16 gave 0.843, 2 gave 0.854, and one alone 0.857 with a worse median on calm
-// days. What 294 gateways know by sums is fresh enough that 2, 3 and 5 earn the same
-// (0.895, 0.897, 0.905 at nine tenths of the load, 0.846, 0.840, 0.852 at 1.2 times; three
-// seeds each in virtual time). A few gateways do better with 3.
+// (Mitzenmacher, "How useful is old information?", 2000). A few gateways, which hear of each
+// other at once, do better with one more.
 const (
 	sampledMany = 2
 	sampledFew  = 3
@@ -115,10 +110,9 @@
 // sample draws the engines to look at: a few by their rank for the request, those
 // that are known to keep the prompt's shared parts, and the one ranked first for
 // them. Engines that name limits are looked at as long as this gateway's shares of them
-// last: drawn as seldom as others by the few gateways that have shares, one of 24 that takes
-// four requests a second gets 0.47 of that before 30 gateways, and so 0.94 (four seeds in
-// virtual time; 0.97 and 0.98 before three). A region's and an engine's choice so take 10 us of a processor with 72 engines
-// and 20 us with 600; to rank and sort all takes 39 and 314.
+// last: drawn as seldom as others by the few gateways that have shares, they would get half of
+// what they take. Nothing is ranked or sorted as a whole, so that a choice among hundreds takes
+// hardly longer than among tens.
 func (d *Dispatcher) sample(p *pool, ask Ask, now time.Time) sample {
 	id := hashOf(ask.ID)
 	s := sample{candidates: d.draw(p, ask, id, now), first: d.first(p, ask, now)}
--- a/dispatch/copies.go
+++ b/dispatch/copies.go
@@ -15,9 +15,7 @@
 	copySetup = 5 * time.Millisecond
 	// copyShare is what a copy costs beside its time, as a share of the time that it
 	// saves an engine of reading: memory moved between engines costs money, a sixth to a
-	// third of what reading again does. Of what callers of five days with trouble could
-	// earn, 0.2 and 0.9 gave 0.622 and 0.619, no copies 0.616 (one play each: noise); with
-	// 0.2 twice as many parts are copied, and the quiet day reads a tenth less again.
+	// third of what reading again does.
 	copyShare = 0.2
 	// leastCopied is how many tokens are worth a copy.
 	leastCopied = 500
--- a/dispatch/expect.go
+++ b/dispatch/expect.go
@@ -25,13 +25,10 @@
 const (
 	// harmShare weighs the delay that reading a prompt causes to each stream
 	// that runs there against the delay of the request itself. Streams bear
-	// pauses, up to a point. On days with crashes, cuts and bursts, 0.05, 0.10 and
-	// 0.15 earned 0.763, 0.775 and 0.780 of what all requests in time are worth, 0.20
-	// the same (fifteen days each).
+	// pauses, up to a point.
 	harmShare = 0.15
 	// slowShare weighs the time that a stream takes longer, because prompts
-	// are read beside it, against the wait for its first event. On the same days
-	// 0.12, 0.06 and 0.03 earned 0.775, 0.778 and the same.
+	// are read beside it, against the wait for its first event.
 	slowShare = 0.06
 	// roomShare is how full an engine's memory may get before requests are
 	// put back there: what is expected is not exact.
--- a/follow/link.go
+++ b/follow/link.go
@@ -34,10 +34,8 @@
 
 // brief tells whether a control host is asked for no hosts and engines, because another
 // tells them: for one of this region, a control host of this data centre that hears it;
-// for one of another region, any of this region. At 300 gateways and 3,000 engines, what
-// six control hosts told each gateway cost 2.2 times what a day earned, as bytes between
-// regions; those of the own region alone 0.2 of it, as bytes between data centres. The
-// lock is held.
+// for one of another region, any of this region. Told by all, what hundreds of gateways hear of
+// thousands of engines would cost more than they earn. The lock is held.
 func (f *Follower) brief(l *link, self roster.Host) bool {
 	if f.Took == nil || l.host.DataCentre == self.DataCentre && l.host.DataCentre != "" {
 		return false
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -135,8 +135,7 @@
 		}),
 		Body: x.reader(), Length: int64(len(x.body)),
 		// Engines crash together. A second send on a kept connection would be reset by the next
-		// one that crashed, and be the last; to open one tells that it can't have got it. Of 41
-		// sends that were reset when 12 of 28 engines crashed, 9 were second ones.
+		// one that crashed, and be the last; to open one tells that it can't have got it.
 		Echoes: true, Fresh: !x.route.Repeatable() || done.sends > 0,
 		Wanted: ticket.Wanted,
 		Judge:  func(resp *http.Response) error { return s.judge(x, done, ticket, resp) },
--- a/ingress/left.go
+++ b/ingress/left.go
@@ -21,9 +21,8 @@
 
 // callerLeft tells whether the caller has closed its connection already. A gateway that
 // was too busy to read finds requests of callers who have long since gone elsewhere:
-// net/http notices that only some time after the request is read, and 9 to 23 of 40 such
-// requests had reached an engine by then. Where it can't be told, the caller counts as
-// there.
+// net/http notices that only some time after the request is read, when it may have reached an
+// engine. Where it can't be told, the caller counts as there.
 func callerLeft(r *http.Request) bool {
 	conn, ok := r.Context().Value(connKey{}).(syscall.Conn)
 	if !ok {
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -16,10 +16,7 @@
 // time that it has left, drawn between these two. What lacks now lacks for seconds
 // as a rule (a burst, a cut, a crash), so that who comes back as soon as the queue
 // that it saw has been served meets the same queue, with all others who were refused.
-// Callers wait for a third of their time at most. On fifteen days with crashes, cuts and
-// bursts, between 0.12 and 0.32 of it 1.1 in 100 requests were refused for good and 0.705
-// of the worth earned, between 0.20 and 0.33 0.9 and 0.713, between 0.04 and 0.33 1.1
-// and 0.707.
+// Callers wait for a third of their time at most.
 const (
 	leastWait = 0.20
 	mostWait  = 0.33
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -13,9 +13,7 @@
 const (
 	// mostCrashes is how many engines may crash under a request before it is refused. Of
 	// requests that only ran beside the cause, or on hosts that lost power, few see a
-	// second crash. When 12 of 28 engines lose power at once and 12 others two seconds
-	// later, none of 2,800 requests is refused; if all of them ran through a third such loss,
-	// 70 would be (TestAStormRefusesNobody).
+	// second crash (TestAStormRefusesNobody).
 	mostCrashes = 3
 	// holdTime is for how long a request is refused after the third crash, and holdMost
 	// the longest: it doubles with each crash beyond. What crashes engines is mended by
--- a/ratelimit/share.go
+++ b/ratelimit/share.go
@@ -13,16 +13,16 @@
 
 const (
 	// shareLeast is what a gateway that has a share gets at least, in requests a second, so
-	// that its callers ask for as much, and it needn't save up for longer than a second. With
-	// an equal part for each of 58 gateways, none had sent an engine that takes one a second
-	// anything after 40 s (TestOtherWaysOfSharing).
+	// that its callers ask for as much, and it needn't save up for longer than a second: with an
+	// equal part for each of many gateways, none would ever send anything
+	// (TestOtherWaysOfSharing).
 	shareLeast = 1.0
 	// leastRate is what an engine gets that takes less, or nothing, in requests a second: no
 	// other way tells that its need is over.
 	leastRate = 0.25
 	// keptOver is over which time a share that isn't used is kept, and keptBeside what is kept
-	// beside, in requests, over all gateways together. Where each of three kept one request
-	// only, chance wasted a third of 20 a second (TestOtherWaysOfSharing). Within 4 s an
+	// beside, in requests, over all gateways together: where each keeps one request only, chance
+	// wastes much of a share (TestOtherWaysOfSharing). Within 4 s an
 	// engine so gets 5 times its limit and one request at most; what gateways that don't
 	// know of a change yet send beside, within a second of it, comes on top.
 	keptOver   = time.Second
