Say what the first requests after a rest are

The comment and the pages said that all others follow after 0.2 s; one more does, until an answer shows that the engine takes requests again.

--- a/pushback/doc.go
+++ b/pushback/doc.go
@@ -9,8 +9,9 @@
 //     alone: the longest of several holds, and neither a shorter word nor a success lifts it,
 //     since answers pass each other. Other gateways aren't told; the server may still take
 //     requests from them, and tells them itself.
-//   - After a rest a server gets one request, and the others when it hasn't refused that. Else
-//     all that was kept away would come at once, at each end of a rest.
+//   - After a rest a server gets one request, then one more now and then, and all others when an
+//     answer shows that it hasn't refused one. Else all that was kept away would come at once, at
+//     each end of a rest.
 //   - Leaving is for good, for this life and towards all gateways.
 //
 // A Table has no clock, goroutine or network of its own, and knows servers by the hash of their
--- a/pushback/table.go
+++ b/pushback/table.go
@@ -7,7 +7,7 @@
 const (
 	// trialTime is for how long the one request after a rest keeps the others away, where
 	// nothing is heard of it: a refusal comes within a round trip, so that a server which says
-	// nothing for longer has taken it.
+	// nothing for longer has taken it, and may be sent one more.
 	trialTime = 200 * time.Millisecond
 	// forgetAfter is how long after the last word a server is remembered that nobody knows any
 	// more, or that asks for nothing.
