A cold engine is no last resort beyond what it bears

What callers saw: nothing yet; engines that are cold and refuse for load would get every request that comes while no other engine can be used, and fall over. Cause: of several reasons against an engine the first found counts; 'failing', which the last resort overrules, was found before 'cold', which binds all gateways together. Rests told by others would have opened the same way. Mend: what an engine bears is found before what this gateway makes of it. Figures: 20 of 20 requests in a second to a cold engine that bears two, 3 at most now; the test fails on the code before. Why it holds: only the last two reasons yield, and they are found only where no other holds.

--- a/dispatch/pushback_test.go
+++ b/dispatch/pushback_test.go
@@ -264,3 +264,21 @@
 	_, err := w.gateways[0].Acquire(plain("s"))
 	must.StrContains(t, notRun(t, err).Message, "1 resting")
 }
+
+// TestAColdEngineIsNoLastResortBeyondWhatItBears has the only engine, which is cold and bears two
+// requests a second, refuse one for load, and, at another gateway, be told to rest for others. It
+// got every request that came while it counted as failing, as the last resort.
+func TestAColdEngineIsNoLastResortBeyondWhatItBears(t *testing.T) {
+	w := newWorld(1, 1)
+	w.beat(registry.Engine{ID: "i-0", ColdUntil: w.now.Add(time.Minute)})
+	got := 0
+	for i := range 20 {
+		w.pass(50 * time.Millisecond)
+		if ticket, err := w.gateways[0].Acquire(plain(fmt.Sprint(i))); err == nil {
+			got++
+			ticket.Done(dispatch.Shed)
+		}
+	}
+	must.LessEq(t, 3, got, must.Sprint("in a second"))
+	must.Positive(t, got)
+}
--- a/dispatch/standing.go
+++ b/dispatch/standing.go
@@ -65,12 +65,12 @@
 		return whyOf(asked.Reason)
 	case !d.limits.Allows(e.hash, now):
 		return whyLimited
+	case d.isCold(p, e, now) && !d.mayWarm(e, now):
+		return whyCold
 	case now.Before(e.avoidUntil):
 		return whyFailing
 	case now.Before(e.restTold):
 		return whyRestTold
-	case d.isCold(p, e, now) && !d.mayWarm(e, now):
-		return whyCold
 	default:
 		return ""
 	}
