--- a/dispatch/pushback_test.go
+++ b/dispatch/pushback_test.go
@@ -266,8 +266,8 @@
 }
 
 // TestAColdEngineIsNoLastResortBeyondWhatItBears has the only engine, which is cold and bears two
-// requests a second, refuse one for load, and, at another gateway, be told to rest for others. It
-// got every request that came while it counted as failing, as the last resort.
+// requests a second, refuse what it gets. It got every request that came while it counted as
+// failing, as the last resort: that reason was found before the cold.
 func TestAColdEngineIsNoLastResortBeyondWhatItBears(t *testing.T) {
 	w := newWorld(1, 1)
 	w.beat(registry.Engine{ID: "i-0", ColdUntil: w.now.Add(time.Minute)})
--- a/dispatch/standing.go
+++ b/dispatch/standing.go
@@ -48,8 +48,8 @@
 func (w why) pushback() bool { return w == whyLeaving || w == whyResting || w == whyTrying }
 
 // bar gives the first reason why an engine gets nothing: first what ends its life, then what it
-// asks for itself, and last what this gateway makes of it, which the last resort may overrule. It
-// is asked for each engine with each request. The lock is held.
+// asks for itself or bears, and last what this gateway makes of it, which alone the last resort may
+// overrule. It is asked for each engine with each request. The lock is held.
 func (d *Dispatcher) bar(p *pool, e *engine, now time.Time) why {
 	asked, pushedBack := d.pushback.Bar(e.hash, now)
 	switch {
