Tests and soak claim loopback networks that no other run has

Cause: the addresses of these tests were fixed. Two runs on one machine shared them, and the processes of one answered those of the other. Ruled out as causes by runs of the same test that passed: processor time (run for 50 ms, stopped for 250 ms, in turn, for the whole test), and a slow disk (six writers; a sync took 0.12 s in the median and 0.59 s at most).

Change: internal/loopback claims a network by listening in it until the process ends.

--- a/controller/hosts_test.go
+++ b/controller/hosts_test.go
@@ -17,6 +17,7 @@
 	"github.com/linenscale/linenscale/controller"
 	"github.com/linenscale/linenscale/disk"
 	"github.com/linenscale/linenscale/follow"
+	"github.com/linenscale/linenscale/internal/loopback"
 	"github.com/linenscale/linenscale/internal/steady"
 	"github.com/linenscale/linenscale/raft"
 	"github.com/linenscale/linenscale/replica"
@@ -97,17 +98,13 @@
 	group  *pool.Pool
 }
 
-// nextNet gives each test loopback addresses of its own.
-var nextNet = struct {
-	sync.Mutex
-	n int
-}{}
-
-func newNet() int {
-	nextNet.Lock()
-	defer nextNet.Unlock()
-	nextNet.n++
-	return nextNet.n
+// claimNetwork gives a test loopback addresses of its own.
+func claimNetwork(t *testing.T) *loopback.Network {
+	t.Helper()
+	network, err := loopback.Claim()
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, network.Close()) })
+	return network
 }
 
 const peerPort = "17401"
@@ -117,14 +114,14 @@
 // newHosts starts three control hosts that form a ledger.
 func newHosts(t *testing.T) (*network, []*host) {
 	t.Helper()
-	n, third := newNetwork(), newNet()
+	n, addresses := newNetwork(), claimNetwork(t)
 	var seeds []string
 	for i := range 3 {
-		seeds = append(seeds, peer(fmt.Sprintf("127.3.%d.%d", third, i+1)))
+		seeds = append(seeds, peer(addresses.IP(i+1)))
 	}
 	var hosts []*host
 	for i, centre := range []string{"a", "b", "c"} {
-		h := &host{t: t, network: n, ip: fmt.Sprintf("127.3.%d.%d", third, i+1), centre: centre, seeds: seeds, folder: disk.NewMemory(), gather: controller.GatherTime, told: patience, log: zap.NewNop()}
+		h := &host{t: t, network: n, ip: addresses.IP(i + 1), centre: centre, seeds: seeds, folder: disk.NewMemory(), gather: controller.GatherTime, told: patience, log: zap.NewNop()}
 		h.id = raft.ID(peer(h.ip) + "#1")
 		var voters []raft.ID
 		for _, seed := range seeds {
--- a/daemon/cut_test.go
+++ b/daemon/cut_test.go
@@ -23,6 +23,9 @@
 	"github.com/linenscale/linenscale/standin"
 )
 
+// wideArea is how far the wide-area address of a host is from its own.
+const wideArea = 100
+
 // twoRegions gives three hosts in region a, which hold the control log, and two
 // in region b, with a network between the regions that can be cut. Each host
 // has loopback addresses of its own, by which the network knows its region.
@@ -30,12 +33,13 @@
 	t.Helper()
 	dir := t.TempDir()
 	text := "association: test\ndeclarations: declarations\ndata_root: " + filepath.Join(dir, "data") + "\nhosts:\n"
+	network := claimNetwork(t)
 	var links []standin.Link
 	for _, h := range []struct {
 		name, region string
 		at           int
 	}{{"a1", "a", 1}, {"a2", "a", 2}, {"a3", "a", 3}, {"b1", "b", 4}, {"b2", "b", 5}} {
-		ip, wide := fmt.Sprintf("127.77.1.%d", h.at), fmt.Sprintf("127.77.2.%d", h.at)
+		ip, wide := network.IP(h.at), network.IP(wideArea+h.at)
 		text += fmt.Sprintf("  - {name: %s, region: %s, data_centre: d%s, callers: %q, handover: %q, control: %q, operators: %q, wide_area: %s, disk: %t, voter: %t}\n",
 			h.name, h.region, h.region, ip+":7100", ip+":7200", ip+":7300", ip+":7400", wide, h.region == "a", h.region == "a")
 		for _, port := range []string{":7200", ":7300"} {
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -10,7 +10,6 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +19,7 @@
 	"github.com/linenscale/linenscale/control"
 	"github.com/linenscale/linenscale/daemon"
 	"github.com/linenscale/linenscale/declare"
+	"github.com/linenscale/linenscale/internal/loopback"
 	"github.com/linenscale/linenscale/operator"
 	"github.com/linenscale/linenscale/request"
 	"github.com/linenscale/linenscale/settings"
@@ -34,17 +34,23 @@
 	stop     map[string]func()
 }
 
-// tests counts the associations, each of which has loopback addresses of its
-// own: a port that is merely free now may be taken before it is listened on.
-var tests atomic.Int64
+// claimNetwork gives a deployment loopback addresses of its own: a port that is
+// merely free now may be taken before it is listened on.
+func claimNetwork(t *testing.T) *loopback.Network {
+	t.Helper()
+	network, err := loopback.Claim()
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, network.Close()) })
+	return network
+}
 
 func newAssociation(t *testing.T, portal string) *association {
 	t.Helper()
 	dir := t.TempDir()
 	text := "association: test\ndeclarations: declarations\ndata_root: " + filepath.Join(dir, "data") + "\nhosts:\n"
-	test := tests.Add(1)
+	network := claimNetwork(t)
 	for i, name := range []string{"h1", "h2", "h3"} {
-		ip := fmt.Sprintf("127.78.%d.%d", test, i+1)
+		ip := network.IP(i + 1)
 		text += fmt.Sprintf("  - {name: %s, region: r, data_centre: d, callers: %q, handover: %q, control: %q, operators: %q, disk: true, voter: true}\n",
 			name, ip+":7100", ip+":7200", ip+":7300", ip+":7400")
 	}
--- a/daemon/member_test.go
+++ b/daemon/member_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/linenscale/linenscale/daemon"
+	"github.com/linenscale/linenscale/internal/loopback"
 	"github.com/linenscale/linenscale/platform/platformtest"
 	"github.com/linenscale/linenscale/roster"
 	"github.com/linenscale/linenscale/settings"
@@ -30,10 +31,11 @@
 // deployment is a small system of real processes' parts, run in this process:
 // a control host and a gateway for each data centre.
 type deployment struct {
-	t     *testing.T
-	dir   string
-	seeds []string
-	hosts map[string]*runningHost
+	t       *testing.T
+	network *loopback.Network
+	dir     string
+	seeds   []string
+	hosts   map[string]*runningHost
 
 	caller   platformtest.Caller
 	operator platformtest.Operator
@@ -46,19 +48,25 @@
 	group    *pool.ErrorPool
 }
 
-// memberNet is the loopback network of the deployment: 127.7.0.0/16.
-const memberNet = "127.7."
+// ip gives the address of a control host or gateway, by the number of its data
+// centre.
+func (d *deployment) ip(centre int, role roster.Role) string {
+	if role == roster.RoleControl {
+		return d.network.IP(1 + 2*centre)
+	}
+	return d.network.IP(2 + 2*centre)
+}
 
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{t: t, dir: t.TempDir(), hosts: make(map[string]*runningHost)}
+	d := &deployment{t: t, network: claimNetwork(t), dir: t.TempDir(), hosts: make(map[string]*runningHost)}
 	centres := []string{"ikeja", "wuse", "nassarawa"}
 	for i := range centres {
-		d.seeds = append(d.seeds, fmt.Sprintf("%s%d.1:8146", memberNet, i))
+		d.seeds = append(d.seeds, d.ip(i, roster.RoleControl)+":8146")
 	}
 	for i, centre := range centres {
-		d.start(d.member(fmt.Sprintf("core-%s", centre), centre, fmt.Sprintf("%s%d.1", memberNet, i), roster.RoleControl), true)
-		d.start(d.member(fmt.Sprintf("front-%s", centre), centre, fmt.Sprintf("%s%d.2", memberNet, i), roster.RoleGateway), true)
+		d.start(d.member(fmt.Sprintf("core-%s", centre), centre, d.ip(i, roster.RoleControl), roster.RoleControl), true)
+		d.start(d.member(fmt.Sprintf("front-%s", centre), centre, d.ip(i, roster.RoleGateway), roster.RoleGateway), true)
 	}
 	t.Cleanup(d.stopAll)
 	return d
@@ -284,7 +292,7 @@
 			return err == nil && shown.ConfigVersion == d.version
 		})
 	}
-	d.start(d.member("front-ikeja", "ikeja", memberNet+"0.2", roster.RoleGateway), false)
+	d.start(d.member("front-ikeja", "ikeja", d.ip(0, roster.RoleGateway), roster.RoleGateway), false)
 	d.served("ikeja", "/p/1", false)
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -46,7 +46,7 @@
 
 func run(t *testing.T, opts soak.Options, harming time.Duration) {
 	t.Helper()
-	opts.Program, opts.Dir, opts.Regions, opts.Net, opts.Width = build(t), t.TempDir(), 3, 110, width.Usual
+	opts.Program, opts.Dir, opts.Regions, opts.Width = build(t), t.TempDir(), 3, width.Usual
 	report, err := soak.Run(context.Background(), opts, harming)
 	must.NoError(t, err)
 	t.Log(report)
--- a/soak/world.go
+++ b/soak/world.go
@@ -20,6 +20,7 @@
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/linenscale/linenscale/internal/loopback"
 	"github.com/linenscale/linenscale/internal/width"
 	"github.com/linenscale/linenscale/platform/platformtest"
 	"github.com/linenscale/linenscale/roster"
@@ -35,7 +36,6 @@
 	Gateways int     // in each region
 	Engines  int     // of each service, in each region
 	Width    float64 // bits a second between two regions each way, for all traffic; 0 for no bound
-	Net      int     // second part of the loopback addresses, 1 to 120
 }
 
 // Ports of every host.
@@ -74,7 +74,9 @@
 	Hosts   []*Host
 	Check   *Checker
 	random  *rand.Rand
-	regions map[string]string // by data centre
+	regions map[string]string   // by data centre
+	known   []*loopback.Network // by region: where hosts are reached
+	listens []*loopback.Network // and where they listen, behind the proxy
 	seeds   []string
 	ctx     context.Context
 	group   *pool.Pool
@@ -102,7 +104,16 @@
 	}
 	for r := range opts.Regions {
 		w.regions[fmt.Sprintf("dc%d", r)] = fmt.Sprintf("region%d", r)
-		w.seeds = append(w.seeds, fmt.Sprintf("127.%d.%d.1:%d", opts.Net, r, operatorsPort))
+		known, err := w.claim()
+		if err != nil {
+			return nil, err
+		}
+		listens, err := w.claim()
+		if err != nil {
+			return nil, err
+		}
+		w.known, w.listens = append(w.known, known), append(w.listens, listens)
+		w.seeds = append(w.seeds, address(known.IP(1), operatorsPort))
 	}
 	for r := range opts.Regions {
 		for h := range 1 + opts.Gateways {
@@ -128,10 +139,23 @@
 	return w, w.addNeedy()
 }
 
+// claim claims a loopback network until the world's context ends.
+func (w *World) claim() (*loopback.Network, error) {
+	network, err := loopback.Claim()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	w.group.Go(func() {
+		<-w.ctx.Done()
+		_ = network.Close() // nothing is lost with it
+	})
+	return network, nil
+}
+
 // addHost makes a host's settings and the ways to it. The first of each region is
 // its control host.
 func (w *World) addHost(region, number int) error {
-	known, listens := fmt.Sprintf("127.%d.%d.%d", w.Options.Net, region, number+1), fmt.Sprintf("127.%d.%d.%d", w.Options.Net+120, region, number+1)
+	known, listens := w.known[region].IP(number+1), w.listens[region].IP(number+1)
 	h := &Host{Name: fmt.Sprintf("gateway%d-%d", region, number), Region: fmt.Sprintf("region%d", region), Control: number == 0, listens: listens}
 	h.settings = settings.Member{
 		Role: roster.RoleGateway, Region: h.Region, DataCentre: fmt.Sprintf("dc%d", region), IP: known, Bind: listens,
