Hosts reject what comes from hosts of another deployment

What callers saw: in tests whose addresses another run used too, changes got no answer, or an answer about others' changes. In service an address that is used again does the same: a host joined another deployment and served what that one declares.

Cause: whoever answered at a host's address was taken for that host. Nothing in a message said which deployment it belongs to.

Fix: wire.Deployment puts an identifier of 8 bytes, from the association's or deployment's name, before the first bytes of a connection (no round trip more) and into each datagram; receivers check it before they read anything else. A Sender pauses after a connection that broke before anything was answered, or it would dial a host that rejects it without end.

Why it holds: the check stands under net/rpc, the hand-over of requests and load reports, so that no message is decoded without it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -57,7 +57,8 @@
 	agent     *agent.Agent
 	keys      *keyService
 	gateway   *gateway.Server
-	client    *relay.Client
+	client    *relay.Client // to engines
+	away      *relay.Client // to other hosts
 
 	controlSender *wire.Sender[raft.Envelope]
 	keySender     *wire.Sender[raft.Envelope]
@@ -120,8 +121,8 @@
 	if d.metrics, err = telemetry.NewMetrics(); err != nil {
 		return errors.Trace(err)
 	}
-	d.near, d.long = wire.NewClient(d.dialer), wire.NewClient(d.dialer)
-	senders := newDialer(d.host, senderDial)
+	d.near, d.long = wire.NewClient(d.deployment().Dialer(d.dialer)), wire.NewClient(d.deployment().Dialer(d.dialer))
+	senders := d.deployment().Dialer(newDialer(d.host, senderDial))
 	d.controlSender = wire.NewSender[raft.Envelope](senders, "Host.Deliver")
 	d.keySender = wire.NewSender[raft.Envelope](senders, "Keys.Deliver")
 	server := wire.NewServer()
@@ -134,7 +135,7 @@
 	}
 	group.Go(d.controlSender.Run)
 	group.Go(d.keySender.Run)
-	group.Go(func(ctx context.Context) error { return server.Serve(ctx, control) })
+	group.Go(func(ctx context.Context) error { return server.Serve(ctx, d.deployment().Listener(control, d.log)) })
 	d.fleet = fleet.New(d.host.Name, d.host.Region, time.Now, route.PrefixBounded{}, d.seed)
 	if d.host.Disk {
 		if err := d.openControl(ctx); err != nil {
@@ -180,6 +181,9 @@
 	}
 }
 
+// deployment is what the hosts of these settings belong to.
+func (d *process) deployment() wire.Deployment { return wire.Deployment(d.settings.Association) }
+
 func (d *process) buildAgent() {
 	d.agent = agent.New(agent.Deps{
 		Settings: d.settings, Host: d.host, Leader: d.leader, Replica: d.replicaID, KeyReplica: d.keys.replicaID,
@@ -189,9 +193,10 @@
 		Stopping:    func() bool { return d.gateway.Stopping() },
 	})
 	d.client = relay.New(d.dialer, relay.Options{AnswerTime: d.settings.Limits.RequestTime})
+	d.away = relay.New(d.deployment().Dialer(d.dialer), relay.Options{AnswerTime: d.settings.Limits.RequestTime})
 	d.gateway = gateway.New(gateway.Deps{
 		Host: d.host, Limits: d.settings.Limits, Authority: d.agent, Peers: d.agent,
-		Keys: keyhome.NewClient(d.agent, d.near), Fleet: d.fleet, Engines: d.client, Away: d.client,
+		Keys: keyhome.NewClient(d.agent, d.near), Fleet: d.fleet, Engines: d.client, Away: d.away,
 		Log: d.log, Metrics: d.metrics, Random: rand.Uint64,
 	})
 }
@@ -217,12 +222,13 @@
 	stop := context.AfterFunc(below, cancel)
 	defer stop()
 	d.log.Info("started", zap.String("callers", d.host.Callers), zap.String("region", d.host.Region), zap.Bool("disk", d.host.Disk))
-	err := d.gateway.Run(either, open.callers, open.handover)
+	err := d.gateway.Run(either, open.callers, d.deployment().Listener(open.handover, d.log))
 	if d.leader != nil && d.leader.Status().Role == raft.Leader {
 		d.leader.StepDown()
 		time.Sleep(stepDownTime)
 	}
 	d.client.Close()
+	d.away.Close()
 	d.log.Info("stopped")
 	return err
 }
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -213,3 +213,32 @@
 	must.True(t, replayed)
 	must.Eq(t, 1, portal.Ran("k1"))
 }
+
+// TestAHostOfAnotherAssociationTakesNoPart guards against hosts that take one at a reused
+// address for one of their own: it joined, and served what the others declare.
+func TestAHostOfAnotherAssociationTakesNoPart(t *testing.T) {
+	portal := standin.NewPlain("p1", 0)
+	server := httptest.NewServer(portal)
+	defer server.Close()
+	a := newAssociation(t, strings.TrimPrefix(server.URL, "http://"))
+	for _, name := range []string{"h1", "h2", "h3"} {
+		a.start(name)
+	}
+	a.awaitReady("h1", "h2", "h3")
+	a.stop["h3"]()
+
+	other := newAssociation(t, "127.0.0.1:1")
+	other.settings.Association = "other"
+	copy(other.settings.Hosts, a.settings.Hosts[:2])
+	other.start("h3")
+	for range 60 {
+		if resp, err := http.Get(other.url("h3") + "/readyz"); err == nil {
+			resp.Body.Close()
+			must.NotEq(t, http.StatusNoContent, resp.StatusCode)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	status, err := a.client().Status(context.Background())
+	must.NoError(t, err)
+	must.Eq(t, []string{"h1#1", "h2#1", "h3#1"}, slices.Sorted(slices.Values(status.Voters)))
+}
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -77,6 +77,23 @@
 	return &tripDialer{Dialer: newMemberDialer(m.settings), trips: m.trips, place: m.placeOf, slack: peerSlack, patient: patient}
 }
 
+// deployment is what this host belongs to.
+func (m *member) deployment() wire.Deployment { return wire.Deployment(m.settings.Deployment) }
+
+// peerDialer is dialer for connections that other hosts of the deployment take.
+func (m *member) peerDialer(patient bool) wire.Dialer {
+	return m.deployment().Dialer(m.dialer(patient))
+}
+
+// listenPeers opens an address for other hosts of the deployment.
+func (m *member) listenPeers(address string) (net.Listener, error) {
+	listener, err := m.listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return m.deployment().Listener(listener, m.log), nil
+}
+
 // engineDialer opens connections to engines, which all stand in this region.
 func (m *member) engineDialer() *tripDialer {
 	here := func(string) string { return m.settings.Region }
@@ -114,7 +131,7 @@
 		path: path, settings: s, life: newLife(), metrics: metrics, trips: trip.New(),
 		log: log.With(zap.String("host", s.Name)),
 	}
-	m.calls, m.commands = wire.NewClient(m.dialer(true)), wire.NewClient(m.dialer(true))
+	m.calls, m.commands = wire.NewClient(m.peerDialer(true)), wire.NewClient(m.peerDialer(true))
 	seeds := s.SeedPeers()
 	m.seeds.Store(&seeds)
 	m.log.Info("started", zap.String("role", string(s.Role)), zap.String("life", m.life), zap.String("region", s.Region),
--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	sender := wire.NewSender[raft.Envelope](m.dialer(true), follow.Service+".Deliver")
+	sender := wire.NewSender[raft.Envelope](m.peerDialer(true), follow.Service+".Deliver")
 	c, err := controller.New(controller.Deps{
 		Self: m.self(), Replica: id, Folder: folder, Voters: m.settings.Voters(), Regions: m.settings.Regions,
 		Heartbeat: m.settings.Heartbeat, Gather: controller.GatherTime, Told: controller.DrainTold, Seeds: m.seedPeers, Calls: m.calls, Commands: m.commands,
@@ -56,7 +56,7 @@
 	if err := server.Register(follow.Service, controller.NewService(below, c)); err != nil {
 		return errors.Trace(err)
 	}
-	listener, err := m.listen(m.settings.Peer())
+	listener, err := m.listenPeers(m.settings.Peer())
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -104,7 +104,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	handover, err := m.listen(m.settings.Handover())
+	handover, err := m.listenPeers(m.settings.Handover())
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -133,7 +133,7 @@
 	client := relay.New(dialer, relay.Options{IdleTime: engineIdle})
 	server = ingress.New(ingress.Deps{
 		Self: self, Dialect: platform.Dialect{}, Dispatcher: dispatcher, Gateways: follower.Gateways,
-		Engines: client, Dialer: dialer, Peers: relay.New(m.dialer(false), relay.Options{IdleTime: peerIdle}), Log: m.log, Metrics: m.metrics,
+		Engines: client, Dialer: dialer, Peers: relay.New(m.peerDialer(false), relay.Options{IdleTime: peerIdle}), Log: m.log, Metrics: m.metrics,
 		Random: rand.Uint64, Clock: steady.Time, StopTime: m.settings.StopTime - stopMargin,
 		Keys:       ingress.Keys{RevokedWithin: m.settings.KeysRevokedWithin, SureUntil: follower.SureUntil, Steady: steady.Now},
 		Allowances: meter, Regions: regions,
@@ -141,7 +141,7 @@
 	group.Go(follower.Run)
 	group.Go(func(ctx context.Context) error { return dispatchDuty(ctx, dispatcher, engines) })
 	group.Go(server.Examine)
-	words, err := wire.ListenDatagrams[rollup.Message](m.settings.Bound(m.settings.Peer()))
+	words, err := wire.ListenDatagrams[rollup.Message](m.settings.Bound(m.settings.Peer()), m.deployment())
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/settings/member.go
+++ b/settings/member.go
@@ -17,6 +17,9 @@
 // Member is the content of the settings file of one host that is not told which
 // other hosts there are. Durations are written as Go writes them.
 type Member struct {
+	// Deployment is the name of the whole system, the same on all its hosts: they
+	// reject what comes from hosts of another one.
+	Deployment string      `yaml:"deployment"`
 	Name       string      `yaml:"name"`
 	Role       roster.Role `yaml:"role"`
 	Region     string      `yaml:"region"`
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -18,7 +18,8 @@
 // Settings is the content of a settings file. Durations are written as Go
 // writes them: "3s", "150ms".
 type Settings struct {
-	// Association is the name of the organisation, for logs and pages.
+	// Association is the name of the organisation. Hosts reject what comes from
+	// hosts of another one.
 	Association string `yaml:"association"`
 	// Declarations is a folder, relative to the settings file, whose
 	// declarations form the first configuration of a new control log.
--- a/soak/world.go
+++ b/soak/world.go
@@ -158,7 +158,7 @@
 	known, listens := w.known[region].IP(number+1), w.listens[region].IP(number+1)
 	h := &Host{Name: fmt.Sprintf("gateway%d-%d", region, number), Region: fmt.Sprintf("region%d", region), Control: number == 0, listens: listens}
 	h.settings = settings.Member{
-		Role: roster.RoleGateway, Region: h.Region, DataCentre: fmt.Sprintf("dc%d", region), IP: known, Bind: listens,
+		Deployment: fmt.Sprintf("soak-%d-%s", w.Seed, w.known[0].IP(1)), Role: roster.RoleGateway, Region: h.Region, DataCentre: fmt.Sprintf("dc%d", region), IP: known, Bind: listens,
 		Ports: []int{peerPort, lastPeerPort}, Seeds: w.seeds, FirstStart: true, Regions: w.regions, Losses: (w.Regions - 1) / 2, Heartbeat: heartbeat,
 		StopTime: 5 * time.Second, Retries: settings.Retry{Share: 0.2, Extra: 60, Window: 10 * time.Second},
 		KeysRevokedWithin: keyBound, Allowances: bounds,
--- a/wire/datagram.go
+++ b/wire/datagram.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"context"
 	"net"
 
@@ -14,11 +15,13 @@
 // Datagrams sends and receives messages of one type that may be lost: each must
 // stand by itself, and the next one replace it. ListenDatagrams makes one.
 type Datagrams[T any] struct {
-	conn *net.UDPConn
+	conn    *net.UDPConn
+	preface [prefaceBytes]byte
 }
 
-// ListenDatagrams opens an address for sending and receiving.
-func ListenDatagrams[T any](address string) (*Datagrams[T], error) {
+// ListenDatagrams opens an address for sending to, and receiving from, processes
+// of the same deployment.
+func ListenDatagrams[T any](address string, deployment Deployment) (*Datagrams[T], error) {
 	local, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -27,7 +30,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &Datagrams[T]{conn}, nil
+	return &Datagrams[T]{conn, deployment.preface()}, nil
 }
 
 // Address is where the datagrams are received.
@@ -40,6 +43,7 @@
 	if err != nil {
 		return errors.Annotate(err, "datagram")
 	}
+	data = append(d.preface[:], data...)
 	if len(data) > maxDatagram {
 		return errors.Errorf("datagram of %d bytes is longer than %d", len(data), maxDatagram)
 	}
@@ -57,7 +61,8 @@
 }
 
 // Run passes each message that arrives to take, until ctx ends. What can't be
-// read is dropped: it comes from another version, or is no message at all.
+// read is dropped: it comes from another deployment or version, or is no message
+// at all.
 func (d *Datagrams[T]) Run(ctx context.Context, take func(T)) error {
 	stop := context.AfterFunc(ctx, func() { d.conn.Close() })
 	defer stop()
@@ -71,7 +76,8 @@
 			return errors.Annotate(err, "receive datagrams")
 		}
 		var message T
-		if cbor.Unmarshal(buffer[:n], &message) == nil {
+		data, own := bytes.CutPrefix(buffer[:n], d.preface[:])
+		if own && cbor.Unmarshal(data, &message) == nil {
 			take(message)
 		}
 	}
--- a/wire/sender.go
+++ b/wire/sender.go
@@ -22,7 +22,8 @@
 	// senderSilence is how long a peer may leave calls unanswered before the
 	// connection counts as dead.
 	senderSilence = 2 * time.Second
-	// senderPause is the wait after a connection could not be opened.
+	// senderPause is the wait after a connection could not be opened, or broke
+	// before the peer had answered anything.
 	senderPause = 100 * time.Millisecond
 )
 
@@ -97,13 +98,17 @@
 			continue
 		}
 		client := rpc.NewClient(bounded{raw})
-		s.stream(ctx, client, queue)
+		answered := s.stream(ctx, client, queue)
 		client.Close()
+		if !answered {
+			duty.Pause(ctx, senderPause)
+		}
 	}
 }
 
-// stream sends until the connection fails, falls silent or ctx ends.
-func (s *Sender[T]) stream(ctx context.Context, client *rpc.Client, queue <-chan T) {
+// stream sends until the connection fails, falls silent or ctx ends. It tells
+// whether the peer has answered anything.
+func (s *Sender[T]) stream(ctx context.Context, client *rpc.Client, queue <-chan T) (heard bool) {
 	done := make(chan *rpc.Call, senderOpen+1)
 	open := 0
 	answered := time.Now()
@@ -116,16 +121,17 @@
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return heard
 		case call := <-done:
 			if call.Error != nil {
-				return
+				return heard
 			}
+			heard = true
 			open--
 			answered = time.Now()
 		case <-watch.C:
 			if open > 0 && time.Since(answered) > senderSilence {
-				return
+				return heard
 			}
 		case first := <-take:
 			if open == 0 {
