An account in use that turns hot is held, as one that was idle

What callers saw: an account that asked for half of its rate and then, all at once, for twelve times its rate had up to 1.5 times its limit for a window, with no fault injected at all. What others are entitled to pays for that.

Cause: a gateway holds a sudden jump to its share of what is left until others can have reported theirs, but left the rule out where others had reported a quarter of the rate or more, as reports then foresee what they do. Reports foresee a moderate jump only.

Fix: the rule holds for accounts in use as well, unless all gateways could be asked for as much as this one until reports arrive, and it would still fit. Without that exception an account at 4.2 times a million a second lost more than TestAHotAccountIsHeld allows (0.278 of what it was admitted, 0.25 may be).

Why it holds: the shares of what is left add up to what is left, whoever has reported what.

--- a/allowance/jump.go
+++ b/allowance/jump.go
@@ -17,9 +17,9 @@
 	// which their usual rate is taken.
 	jumpOver  = 500 * time.Millisecond
 	usualOver = 5 * time.Second
-	// knownShare is up to which share of an account's rate others have told of late, over
-	// knownOver, where a jump leaves everybody blind. With more, what they will do is reckoned
-	// with already. What they tell of the jump itself, 0.1 s after it began, must not count.
+	// knownShare is the share of an account's rate from which on it counts as in use, by what
+	// others have reported over knownOver. Reports of the jump itself, which come 0.1 s after it
+	// began, must not count.
 	knownShare = 0.25
 	knownOver  = 3 * time.Second
 	// jumpErrors and jumpLeast say what isn't chance: more than the usual number by four
@@ -42,6 +42,7 @@
 	since    time.Time // when that began
 	admitted float64   // units since, and in jumpOver before
 	most     float64   // units that may be
+	inUse    bool      // the account was in use at other gateways before
 }
 
 // note counts a request, and tells whether a jump begins with it.
@@ -59,12 +60,16 @@
 
 // begin notes a jump: what was admitted just before, and what may be until others can have
 // told of theirs.
-func (j *jump) begin(admitted, most float64, now time.Time) {
-	j.since, j.admitted, j.most = now, admitted, most
+func (j *jump) begin(admitted, most float64, inUse bool, now time.Time) {
+	j.since, j.admitted, j.most, j.inUse = now, admitted, most, inUse
 }
 
-// admits tells whether a request may be admitted beside what was since the jump; blind says
-// whether others can't have told of theirs.
-func (j *jump) admits(cost float64, blind bool) bool {
-	return !blind || j.admitted+cost <= j.most
+// admits tells whether a request may be admitted beside what was since the jump. asked is in units
+// a second; blind says whether others can't have reported theirs. The reports on an account in use
+// bound a moderate jump: one that still fits if all gateways are asked for as much.
+func (j *jump) admits(cost, asked float64, blind bool) bool {
+	if !blind || j.admitted+cost <= j.most {
+		return true
+	}
+	return j.inUse && asked*blindTime.Seconds() <= j.most
 }
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -173,13 +173,14 @@
 	s := m.standing(name, a, now)
 	a.asked.add(cost, now)
 	a.demand.add(cost, now)
-	if a.jump.note(now) && a.known < knownShare*s.most/m.Policy.Window.Seconds() {
+	if a.jump.note(now) {
 		before := a.admitted.within(now, jumpOver)
 		left := max(0, s.most-s.used) + before + s.leaving*blindTime.Seconds()
-		a.jump.begin(before, left/float64(max(1, m.gateways)), now)
+		inUse := a.known >= knownShare*s.most/m.Policy.Window.Seconds()
+		a.jump.begin(before, left/float64(max(1, m.gateways)), inUse, now)
 	}
 	share := s.admits(cost)
-	if !a.jump.admits(cost, m.blind(a.jump.since, now)) {
+	if !a.jump.admits(cost, a.asked.perSecond(now), m.blind(a.jump.since, now)) {
 		share = 0
 	}
 	if share < 1 && float64(m.Random()>>11)/(1<<53) >= share {
