Each gateway keeps to its share of what is left of a hot account

What callers saw: while a gateway was isolated from all others as an account turned hot, the account got up to 1.08 of its limit (135 requests where 130 are the most, with real processes).

Cause: near the limit a gateway admitted by rates that it predicted for the others from their last reports. An isolated gateway went on by the reports of before, and the others by its. Predictions of a system that reports a second late also overshoot by themselves: what left the window at once was replaced by all gateways at once, up to 0.99 of the limit with no fault.

Fix: within a second, as long as reports may take, a gateway admits no more of a hot account (four times the limit asked for within a window) than its share of what is left. Shares add up to what is left, also when no report arrives.

--- a/allowance/faults_test.go
+++ b/allowance/faults_test.go
@@ -134,3 +134,11 @@
 		t.Run(d.name, func(t *testing.T) { held(t, d, faults[:1], 40) })
 	}
 }
+
+// TestAnIsolatedGatewayHoldsAHotAccount guards against gateways that use what others have left while
+// no reports pass between them.
+func TestAnIsolatedGatewayHoldsAHotAccount(t *testing.T) {
+	for _, d := range deployments {
+		t.Run(d.name, func(t *testing.T) { held(t, d, faults[1:2], 40) })
+	}
+}
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -183,6 +183,9 @@
 	if !a.jump.admits(cost, a.asked.perSecond(now), m.blind(a.jump.since, now)) {
 		share = 0
 	}
+	if !s.bounds(cost, a.admitted.within(now, lag), a.asked.perSecond(now)) {
+		share = 0
+	}
 	if share < 1 && float64(m.Random()>>11)/(1<<53) >= share {
 		a.refused += cost
 		return nil, &request.NotRun{
--- a/allowance/moving.go
+++ b/allowance/moving.go
@@ -5,11 +5,11 @@
 // Parts of the moving sums of what a gateway admits.
 const (
 	partTime = 50 * time.Millisecond
-	parts    = 11 // half a second, and the one that isn't over yet
+	parts    = 21 // a second, and the one that isn't over yet
 )
 
 // moving is what was admitted in the last moments, by parts. Each request is in it for just
-// as long as a word is held by whoever hears it, so that what they add up is what was
+// as long as a report counts at whoever receives it, so that what they add up is what was
 // admitted, however it came; an average whose weights fall with time may be half of a short
 // burst or nearly twice it, as it happens to be looked at.
 type moving struct {
--- a/allowance/standing.go
+++ b/allowance/standing.go
@@ -24,6 +24,7 @@
 	coming   float64  // units that others have admitted beside, or will have forgotten
 	leaving  float64  // units a second that leave the window
 	asked    float64  // units a second, by all of them
+	own      float64  // units a second of that, at this gateway
 	admitted float64  // units a second
 	alone    bool     // nearly all is asked for at this gateway
 	evenly   float64  // units a second that are admitted at most; 0 for no such bound
@@ -54,7 +55,7 @@
 	own := a.own(now)
 	s := standing{
 		regions: regions, most: part * m.near.coverage * a.most,
-		asked: own.Asked + others.Asked, admitted: own.Admitted + others.Admitted,
+		asked: own.Asked + others.Asked, own: own.Asked, admitted: own.Admitted + others.Admitted,
 	}
 	s.used, s.leaving = a.sum(regions, now)
 	s.alone = own.Asked >= aloneShare*s.asked
@@ -70,6 +71,18 @@
 	return s
 }
 
+// bounds tells whether a hot account's request stays within this gateway's share of what is left.
+// recent is what was admitted here within lag, asked what is asked for here, in units a second, the
+// request included. Others admit at most their shares of the same before they report: if reports
+// stop, the sum of all shares is still what was left.
+func (s standing) bounds(cost, recent, asked float64) bool {
+	if s.evenly == 0 || s.alone {
+		return true
+	}
+	part := asked / (asked + s.asked - s.own)
+	return recent+cost <= part*max(0, s.most-s.used+recent)
+}
+
 // admits gives the share of the requests to admit: as many as leave the window, and as
 // bring it to what may be in it. What others have admitted and not told yet is reckoned
 // with: they do as this gateway does.
