Reports tell what an account was admitted in the last window

What callers saw: an account got up to 1.05 of its limit where a paused gateway resumed as its region was partitioned, and up to 1.04 where partitions followed each other.

Cause: reports held rates only.

Fix: a report also has the units admitted in the last window; a receiver takes the greater of that and what follows from the rates. A partitioned region keeps what it had used of the window, where that is more than its share.

--- a/allowance/account.go
+++ b/allowance/account.go
@@ -11,6 +11,7 @@
 	used     map[string]*window // by region; none where nothing was admitted
 	filled   time.Time          // up to when others' use is in it
 	admitted moving             // by this gateway's callers
+	own      *window            // the same; nil where nothing was
 	asked    average            // by them
 	refused  float64            // units so far
 	shares   map[string]float64 // of the regions, when all were last heard
@@ -50,17 +51,26 @@
 	}
 }
 
-// sum gives what was admitted in the last window in those regions, and how much of that
-// leaves it each second now.
-func (a *account) sum(regions []string, now time.Time) (used, leaving float64) {
+// usedIn gives what was admitted in the last window in a region, by the rates that are known.
+func (a *account) usedIn(region string, now time.Time) float64 {
+	w, ok := a.used[region]
+	if !ok {
+		return 0
+	}
+	w.advance(now)
+	return w.sum
+}
+
+// leaving gives how much of what was admitted in those regions leaves the window each second
+// now.
+func (a *account) leaving(regions []string, now time.Time) (sum float64) {
 	for _, region := range regions {
 		if w, ok := a.used[region]; ok {
 			w.advance(now)
-			used += w.sum
-			leaving += w.leaving()
+			sum += w.leaving()
 		}
 	}
-	return used, leaving
+	return sum
 }
 
 // tidy drops the windows in which nothing is left. It tells whether that is all, and
@@ -71,7 +81,11 @@
 			delete(a.used, region)
 		}
 	}
-	return len(a.used) == 0 && a.own(now).Asked < leastUse
+	if len(a.used) > 0 || a.asked.perSecond(now) >= leastUse {
+		return false
+	}
+	a.own = nil
+	return true
 }
 
 // until gives how long it takes until so much has left the windows of those regions.
@@ -94,9 +108,29 @@
 	a.shared = now
 }
 
-// own gives what this gateway's callers do.
-func (a *account) own(now time.Time) Use {
-	return Use{Admitted: a.admitted.perSecond(now, nearHeld), Steady: a.admitted.perSecond(now, farHeld), Asked: a.asked.perSecond(now)}
+// addOwn notes what this gateway has admitted.
+func (a *account) addOwn(n float64, length time.Duration, now time.Time) {
+	if a.own == nil {
+		a.own = newWindow(length, 0, now)
+	}
+	a.own.add(n, now)
+}
+
+// ownWindow gives what this gateway has admitted within the last window.
+func (a *account) ownWindow(now time.Time) float64 {
+	if a.own == nil {
+		return 0
+	}
+	a.own.advance(now)
+	return a.own.sum
+}
+
+// use gives what this gateway's callers do.
+func (a *account) use(now time.Time) Use {
+	return Use{
+		Admitted: a.admitted.perSecond(now, nearHeld), Steady: a.admitted.perSecond(now, farHeld),
+		Asked: a.asked.perSecond(now), Window: a.ownWindow(now),
+	}
 }
 
 // average is of the last moments, whose weights fall with time.
--- a/allowance/doc.go
+++ b/allowance/doc.go
@@ -8,11 +8,16 @@
 // limit, what the others admit before it is known would go beyond it; so where an account
 // asks for much there, each gateway admits just a share of the requests.
 //
-// A region that isn't heard keeps the share of the allowance that it had when it last was,
-// and the others do without: both sides work it out from the same words. Of gateways of
-// the own region that are alive and not heard, each keeps an equal share. So the sum holds
-// while hosts, data centres and regions are cut off. A gateway that has just started
-// believes that all was used.
+// Rates of the others are out of date by up to a second. Two things bound what they miss. Of an
+// account that callers ask for far more than it may, each gateway admits no more than its
+// share of what is left, as long as reports may take: the shares add up, whoever is isolated
+// or paused. And each report has the sum of what was admitted in the last window, so that the
+// first one after a partition or a pause makes up for those that were lost.
+//
+// A region that is partitioned keeps the share of the allowance that it had before, or what it
+// had used of the window if that is more, and the others do without. Of gateways of the own
+// region that are alive and send no reports, each keeps an equal share. A gateway that has
+// just started assumes that all was used.
 //
 // A Meter has no clock of its own and no goroutine; it knows accounts by name only.
 package allowance
--- a/allowance/faults_test.go
+++ b/allowance/faults_test.go
@@ -142,3 +142,26 @@
 		t.Run(d.name, func(t *testing.T) { held(t, d, faults[1:2], 40) })
 	}
 }
+
+// TestFaultsHoldAnAccount guards against an account that is admitted more than its limit while
+// reports are late, lost or forgotten.
+func TestFaultsHoldAnAccount(t *testing.T) {
+	for _, d := range deployments {
+		for _, f := range faults[2:] {
+			t.Run(d.name+" "+f.name, func(t *testing.T) { held(t, d, []fault{f}, 20) })
+		}
+		t.Run(d.name+" mixed", func(t *testing.T) { held(t, d, faults, 20) })
+	}
+}
+
+// TestFaultsBeforeAnAccountIsHotHoldIt guards against gateways that fall out of touch in the second
+// or two between a jump and the moment from which on the account counts as hot.
+func TestFaultsBeforeAnAccountIsHotHoldIt(t *testing.T) {
+	for _, test := range []struct {
+		d    deployed
+		seed uint64
+	}{{deployments[0], 115}, {deployments[1], 150}} {
+		w := faulty(test.d, faults, test.seed)
+		must.LessEq(t, 1, w.worst(), must.Sprint(test.d.name, " seed ", test.seed, ": ", w))
+	}
+}
--- a/allowance/hot_test.go
+++ b/allowance/hot_test.go
@@ -62,9 +62,6 @@
 func TestAnAccountThatStaysHotIsHeld(t *testing.T) {
 	const seeds = 40
 	for seed := range uint64(seeds) {
-		if seed == wakingSeed {
-			continue
-		}
 		w := harmedWorld(seed)
 		must.LessEq(t, 1, w.worst(), must.Sprint("seed ", seed, ": ", w))
 	}
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -19,15 +19,16 @@
 	Slack   float64 // units
 }
 
-// Use is what an account does, in units a second.
+// Use is what an account does, in units a second but for Window.
 type Use struct {
 	Admitted float64 // over the last 0.2 s
 	Steady   float64 // admitted over the last 0.5 s
 	Asked    float64 // admitted or not
+	Window   float64 // units admitted within the last window
 }
 
 func (u Use) plus(o Use) Use {
-	return Use{u.Admitted + o.Admitted, u.Steady + o.Steady, u.Asked + o.Asked}
+	return Use{u.Admitted + o.Admitted, u.Steady + o.Steady, u.Asked + o.Asked, u.Window + o.Window}
 }
 
 // Deps are what a Meter needs.
@@ -156,6 +157,7 @@
 	defer g.meter.mu.Unlock()
 	g.account.add(g.meter.Region, -g.cost, g.meter.Policy.Window, now)
 	g.account.admitted.add(-g.cost, now)
+	g.account.own.add(-g.cost, now)
 	g.account.jump.admitted -= g.cost
 	g.cost = 0
 }
@@ -196,6 +198,7 @@
 	}
 	a.add(m.Region, cost, m.Policy.Window, now)
 	a.admitted.add(cost, now)
+	a.addOwn(cost, m.Policy.Window, now)
 	a.jump.admitted += cost
 	return &Grant{meter: m, account: a, cost: cost}, nil
 }
@@ -227,7 +230,7 @@
 	defer m.mu.Unlock()
 	out := make(map[string]Use)
 	for name, a := range m.active {
-		if u := a.own(now); u.Asked >= leastUse || u.Admitted >= leastUse {
+		if u := a.use(now); u.Asked >= leastUse || u.Window > 0 {
 			out[name] = u
 		}
 	}
@@ -263,7 +266,7 @@
 	out := maps.Clone(a)
 	for name, use := range b {
 		known := out[name]
-		out[name] = Use{max(known.Admitted, use.Admitted), max(known.Steady, use.Steady), max(known.Asked, use.Asked)}
+		out[name] = Use{max(known.Admitted, use.Admitted), max(known.Steady, use.Steady), max(known.Asked, use.Asked), max(known.Window, use.Window)}
 	}
 	return out
 }
@@ -317,7 +320,7 @@
 		}
 	}
 	for name, a := range m.active {
-		here := a.own(now).plus(m.near.uses[name])
+		here := a.use(now).plus(m.near.uses[name])
 		asked := map[string]float64{m.Region: here.Asked}
 		sum := here.Asked
 		for region, w := range m.far {
--- a/allowance/standing.go
+++ b/allowance/standing.go
@@ -14,6 +14,9 @@
 	// hear of each other is beyond it, again with each window
 	// (TestAnAccountThatStaysHotIsHeld).
 	evenShare = 1.1
+	// nearError is the share of what may be in a window by which the sum of what others in the
+	// region report may be too high: members of the sum come and go.
+	nearError = 0.02
 )
 
 // standing is what holds of an account at one moment.
@@ -46,18 +49,21 @@
 			others = others.plus(use)
 			regions = append(regions, region)
 		default:
-			// It is believed to use its share, so that nobody counts on it when it is heard
-			// again.
-			part -= a.shares[region]
-			a.add(region, a.shares[region]*a.most/m.Policy.Window.Seconds()*passed, m.Policy.Window, now)
+			// It may use its share, and what it used of the window before was perhaps more.
+			kept := a.shares[region] * a.most
+			a.add(region, kept/m.Policy.Window.Seconds()*passed, m.Policy.Window, now)
+			part -= max(kept, m.usedIn(region, name, a, now)) / a.most
 		}
 	}
-	own := a.own(now)
+	own := a.use(now)
 	s := standing{
-		regions: regions, most: part * m.near.coverage * a.most,
+		regions: regions, most: max(0, part) * m.near.coverage * a.most,
 		asked: own.Asked + others.Asked, own: own.Asked, admitted: own.Admitted + others.Admitted,
 	}
-	s.used, s.leaving = a.sum(regions, now)
+	for _, region := range regions {
+		s.used += m.usedIn(region, name, a, now)
+	}
+	s.leaving = a.leaving(regions, now)
 	s.alone = own.Asked >= aloneShare*s.asked
 	if s.asked > 0 {
 		foreign := others.Asked / s.asked
@@ -71,6 +77,19 @@
 	return s
 }
 
+// usedIn gives what was admitted in a region within the last window: what follows from the rates
+// that were reported, or the reported sum, whichever is more. Rates miss what was admitted while no
+// report arrived; the next sum holds it. The lock is held.
+func (m *Meter) usedIn(region, name string, a *account, now time.Time) float64 {
+	estimate := a.usedIn(region, now)
+	if region == m.Region {
+		return max(estimate, a.ownWindow(now)+m.near.uses[name].Window-nearError*a.most)
+	}
+	far := m.far[region]
+	fresh := 1 - float64(now.Sub(far.at))/float64(m.Policy.Window)
+	return max(estimate, fresh*far.uses[name].Window)
+}
+
 // bounds tells whether a hot account's request stays within this gateway's share of what is left.
 // recent is what was admitted here within lag, asked what is asked for here, in units a second, the
 // request included. Others admit at most their shares of the same before they report: if reports
--- a/allowance/world_test.go
+++ b/allowance/world_test.go
@@ -196,6 +196,7 @@
 				sums[region].Admitted += u.Admitted
 				sums[region].Steady += u.Steady
 				sums[region].Asked += u.Asked
+				sums[region].Window += u.Window
 				if known && region == m.region {
 					heard++
 				}
--- a/dispatch/accounts.go
+++ b/dispatch/accounts.go
@@ -22,7 +22,10 @@
 	}
 	var out []rollup.AccountUse
 	for name, use := range d.Allowances.Uses(now) {
-		out = append(out, rollup.AccountUse{Account: hashAccount(name), Admitted: told(use.Admitted), Steady: told(use.Steady), Asked: told(use.Asked)})
+		out = append(out, rollup.AccountUse{
+			Account: hashAccount(name), Admitted: told(use.Admitted), Steady: told(use.Steady), Asked: told(use.Asked),
+			Window: int(math.Ceil(use.Window)),
+		})
 	}
 	return out
 }
@@ -35,7 +38,10 @@
 	sums := d.board.Others().Accounts
 	for _, own := range d.ownUses(now) {
 		sum := sums[own.Account]
-		sums[own.Account] = rollup.AccountUse{Account: own.Account, Admitted: sum.Admitted + own.Admitted, Steady: sum.Steady + own.Steady, Asked: sum.Asked + own.Asked}
+		sums[own.Account] = rollup.AccountUse{
+			Account: own.Account, Admitted: sum.Admitted + own.Admitted, Steady: sum.Steady + own.Steady,
+			Asked: sum.Asked + own.Asked, Window: sum.Window + own.Window,
+		}
 	}
 	out := make([]rollup.AccountUse, 0, len(sums))
 	for _, use := range sums {
@@ -79,7 +85,7 @@
 
 func useOf(use rollup.AccountUse) allowance.Use {
 	units := func(told int) float64 { return float64(max(0, told)) / useScale }
-	return allowance.Use{Admitted: units(use.Admitted), Steady: units(use.Steady), Asked: units(use.Asked)}
+	return allowance.Use{Admitted: units(use.Admitted), Steady: units(use.Steady), Asked: units(use.Asked), Window: float64(max(0, use.Window))}
 }
 
 // useScale is in how many parts of a unit uses are told: with whole ones, an account that
--- a/rollup/report.go
+++ b/rollup/report.go
@@ -37,13 +37,14 @@
 }
 
 // AccountUse is what the callers of one client account do, in hundredths of a unit a
-// second.
+// second but for Window.
 type AccountUse struct {
 	_        struct{} `cbor:",toarray"`
 	Account  uint32   // hash of its name
 	Admitted int      // over the last 0.2 s
 	Steady   int      // admitted over the last 0.5 s
 	Asked    int
+	Window   int // whole units admitted within the last window
 }
 
 // EngineLoad is the load of one engine.
@@ -152,6 +153,7 @@
 		u.Account = a.Account
 		u.Admitted += times * a.Admitted
 		u.Steady += times * a.Steady
+		u.Window += times * a.Window
 		u.Asked += times * a.Asked
 		s.uses[a.Account] = u
 	}
