An evacuation that was given up isn't carried out after a later order

What callers saw: a data centre whose evacuation was acknowledged as ended gets nothing: its engines idle, and requests bound to its region are rejected, until an operator ends the evacuation again.

Cause: a control host that gets no answer from the leader in time closes the connection and tells its operator that the order couldn't be carried out. What it has written still arrives when packets pass again, and the leader carried it out, also after another host's later order.

Fix: orders name the place in the log up to which the proposer had confirmed the state, and the ledger rejects one that another order for the same data centre has overtaken. Why it holds: the comparison is part of the replicated state machine; a later order that was acknowledged is in the log before the late one, whatever the network does. Orders of logs written before have no such place and are replayed as they were. Cost: one confirmed read before each order.

--- a/controller/commands.go
+++ b/controller/commands.go
@@ -35,11 +35,26 @@
 	if _, ok := c.Regions[dataCentre]; !ok {
 		return errors.NotFoundf("data centre %q", dataCentre)
 	}
-	result, err := c.command(ctx, ledger.SetEvacuation{DataCentre: dataCentre, On: on})
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	result, err := c.order(ctx, ledger.SetEvacuation{DataCentre: dataCentre, On: on})
+	for err == nil && result.Stale {
+		result, err = c.order(ctx, ledger.SetEvacuation{DataCentre: dataCentre, On: on})
+	}
 	c.Log.Info("evacuation", zap.String("data_centre", dataCentre), zap.Bool("on", on), zap.Bool("changed", result.Changed), telemetry.Cause(err))
 	return err
 }
 
+// order carries an order to the leader, which rejects it if another one came after this host
+// looked: one that is given up here may still arrive there.
+func (c *Controller) order(ctx context.Context, order ledger.SetEvacuation) (ledger.Result, error) {
+	if err := c.confirm(ctx); err != nil {
+		return ledger.Result{}, err
+	}
+	order.Seen = c.replica.Status().Applied
+	return c.command(ctx, order)
+}
+
 // command carries a command to the leader until it is applied, or time is up.
 func (c *Controller) command(ctx context.Context, command ledger.Command) (ledger.Result, error) {
 	data, err := ledger.Encode(command)
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"testing"
 
@@ -142,3 +143,27 @@
 }
 
 // gatewayHost follows the control hosts as a gateway does.
+
+// TestAnEvacuationThatWasGivenUpStaysSo guards against an order that got no answer and is carried
+// out after a later one was acknowledged.
+func TestAnEvacuationThatWasGivenUpStaysSo(t *testing.T) {
+	t.Parallel()
+	ctx := context.Background()
+	network, hosts := newHosts(t)
+	put(t, hosts[0], 1)
+	for _, h := range hosts {
+		if h.c.Leads() {
+			continue
+		}
+		reads(t, h, 1) // it has a connection to the leader
+		network.hold(h.ip)
+		must.ErrorIs(t, h.c.Evacuate(ctx, "b", true), controller.ErrUnavailable)
+		other := hosts[(slices.Index(hosts, h)+1)%len(hosts)]
+		within(t, patience, "the evacuation is ended", func() bool { return other.c.Evacuate(ctx, "b", false) == nil })
+		network.release(h.ip)
+		within(t, patience, "in touch again", func() bool { return h.c.Evacuate(ctx, "c", false) == nil })
+		state, err := other.c.Read(ctx)
+		must.NoError(t, err)
+		must.False(t, state.IsEvacuated("b"))
+	}
+}
--- a/controller/hosts_test.go
+++ b/controller/hosts_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -34,10 +35,12 @@
 	mu    sync.Mutex
 	cut   map[string]bool
 	conns map[net.Conn][2]string
+	held  map[string]bool // hosts whose packets arrive only later
+	late  []func()        // what is to arrive then
 }
 
 func newNetwork() *network {
-	return &network{cut: make(map[string]bool), conns: make(map[net.Conn][2]string)}
+	return &network{cut: make(map[string]bool), conns: make(map[net.Conn][2]string), held: make(map[string]bool)}
 }
 
 // isolate cuts a host off from all others, or joins it again.
@@ -53,6 +56,55 @@
 	}
 }
 
+// hold lets what a host sends on its connections arrive only once it is released, also after
+// the connection was closed: the kernel goes on sending.
+func (n *network) hold(ip string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.held[ip] = true
+}
+
+func (n *network) release(ip string) {
+	n.mu.Lock()
+	late := n.late
+	n.held[ip], n.late = false, nil
+	n.mu.Unlock()
+	for _, arrive := range late {
+		arrive()
+	}
+}
+
+// unless runs do now, or at the release of a host that is held.
+func (n *network) unless(ip string, do func()) {
+	n.mu.Lock()
+	held := n.held[ip]
+	if held {
+		n.late = append(n.late, do)
+	}
+	n.mu.Unlock()
+	if !held {
+		do()
+	}
+}
+
+// lateConn is a connection of a host that may be held.
+type lateConn struct {
+	net.Conn
+	network *network
+	ip      string
+}
+
+func (c *lateConn) Write(data []byte) (int, error) {
+	data = slices.Clone(data)
+	c.network.unless(c.ip, func() { _, _ = c.Conn.Write(data) }) // a broken connection is seen by reads
+	return len(data), nil
+}
+
+func (c *lateConn) Close() error {
+	c.network.unless(c.ip, func() { c.Conn.Close() })
+	return nil
+}
+
 // dialer dials from a host.
 type dialer struct {
 	network *network
@@ -71,12 +123,13 @@
 		return nil, errors.New("cut off")
 	}
 	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, kind, address)
-	if err == nil {
-		d.network.mu.Lock()
-		d.network.conns[conn] = [2]string{d.ip, to}
-		d.network.mu.Unlock()
+	if err != nil {
+		return nil, err
 	}
-	return conn, err
+	d.network.mu.Lock()
+	defer d.network.mu.Unlock()
+	d.network.conns[conn] = [2]string{d.ip, to}
+	return &lateConn{conn, d.network, d.ip}, nil
 }
 
 // host is one control host that can be stopped and started.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -4,7 +4,9 @@
 // It is a deterministic state machine over the replicated log of package
 // replica. Both kinds of command may be proposed again without harm: a catalog
 // whose version is not above the one held changes nothing, and an evacuation
-// that is begun or ended twice stays as it is. A State is immutable; Index, the
+// that is begun or ended twice stays as it is. Both may also arrive late, after
+// their operator has given them up and another order was acknowledged: then they
+// change nothing. A State is immutable; Index, the
 // place in the log of the last command that changed it, orders any two states,
 // whichever host they come from.
 package ledger
@@ -31,6 +33,9 @@
 	// Source is the catalog as its operator wrote it, given back unchanged.
 	Source    []byte   `json:"source,omitempty"`
 	Evacuated []string `json:"evacuated,omitempty"` // data centres, in order
+	// Orders is, by data centre, the place in the log of the last order to begin or
+	// end its evacuation, also of one that changed nothing.
+	Orders map[string]uint64 `json:"orders,omitempty"`
 }
 
 // IsEvacuated tells whether nothing may be sent to a data centre's engines.
@@ -38,7 +43,7 @@
 
 // WithoutSource gives the state as hosts that serve no operators need it.
 func (s State) WithoutSource() State {
-	s.Source = nil
+	s.Source, s.Orders = nil, nil
 	return s
 }
 
@@ -64,12 +69,29 @@
 	Source  []byte          `json:"source"`
 }
 
-// SetEvacuation begins or ends the evacuation of a data centre.
+func (s State) withOrder(dataCentre string, index uint64) State {
+	orders := maps.Clone(s.Orders)
+	if orders == nil {
+		orders = make(map[string]uint64)
+	}
+	orders[dataCentre] = index
+	s.Orders = orders
+	return s
+}
+
+// SetEvacuation begins or ends the evacuation of a data centre, unless another order
+// came in between.
 type SetEvacuation struct {
 	DataCentre string `json:"dataCentre"`
 	On         bool   `json:"on"`
+	// Seen is the place in the log up to which the proposer knew the orders before this
+	// one; 0 in logs of versions that didn't write it.
+	Seen uint64 `json:"seen,omitempty"`
 }
 
+// isStale tells whether another order came in between.
+func (c SetEvacuation) isStale(s State) bool { return c.Seen > 0 && s.Orders[c.DataCentre] > c.Seen }
+
 func (PutCatalog) command()    {}
 func (SetEvacuation) command() {}
 
@@ -79,6 +101,7 @@
 	Changed bool
 	Version int64
 	Index   uint64
+	Stale   bool // it was not carried out: another order came in between
 }
 
 // envelope carries one command in the log. One of its fields is set.
@@ -158,18 +181,31 @@
 		return errors.Annotatef(err, "command %d", index)
 	}
 	old := m.State()
-	next := old
+	next, stale := old, false
 	switch {
 	case e.PutCatalog != nil && e.PutCatalog.Catalog.Version > old.Catalog.Version:
 		next.Catalog, next.Source, next.Index = e.PutCatalog.Catalog, e.PutCatalog.Source, index
-	case e.SetEvacuation != nil && e.SetEvacuation.On != old.IsEvacuated(e.SetEvacuation.DataCentre):
-		next = old.withEvacuation(e.SetEvacuation.DataCentre, e.SetEvacuation.On)
-		next.Index = index
+	case e.SetEvacuation != nil:
+		next, stale = old.ordered(*e.SetEvacuation, index)
 	}
+	m.state.Store(&next)
 	if next.Index == index {
-		m.set(next)
+		m.changed(next)
+	}
+	return Result{Changed: next.Index == index, Version: next.Catalog.Version, Index: next.Index, Stale: stale}
+}
+
+// ordered gives the state after an order.
+func (s State) ordered(c SetEvacuation, index uint64) (next State, stale bool) {
+	if c.isStale(s) {
+		return s, true
+	}
+	next = s.withOrder(c.DataCentre, index)
+	if c.On != s.IsEvacuated(c.DataCentre) {
+		next = next.withEvacuation(c.DataCentre, c.On)
+		next.Index = index
 	}
-	return Result{Changed: next.Index == index, Version: next.Catalog.Version, Index: next.Index}
+	return next, false
 }
 
 // Snapshot implements replica.Machine.
