Soak: failed tests keep their logs, with a timeline of faults and operators' calls

Cause: the short soak failed once, and nothing was left that could tell its hypotheses apart: the test's folder was removed, and the hosts' logs didn't say which faults were injected when, or whom the operator asked and what was answered.

Change: a test's folder stays where it fails and is named; timeline.log holds each fault, each put and read with host, version, status and error, and when the calm part began. No check is changed.

--- a/soak/run.go
+++ b/soak/run.go
@@ -94,6 +94,7 @@
 		h := draw(w.random)
 		if done := h.do(w, w.random); done != "" {
 			report.Harms[h.name]++
+			w.Times.Note("fault injected", "kind=%q on=%q", h.name, done)
 		}
 		time.Sleep(span(w.random, 50, 900))
 	}
@@ -169,7 +170,9 @@
 	o := platformtest.Operator{Client: http.Client{Timeout: 1500 * time.Millisecond}}
 	for i := 0; ctx.Err() == nil; i++ {
 		c, newest := w.controls()[i%len(w.controls())], w.Check.Newest()
-		if got, status, err := o.Read(ctx, c.settings.Listen.Operators); err == nil && status == http.StatusOK {
+		got, status, err := o.Read(ctx, c.settings.Listen.Operators)
+		w.Times.Note("read", "host=%s version=%d status=%d error=%q", c.Name, got.ConfigVersion, status, fmt.Sprint(err))
+		if err == nil && status == http.StatusOK {
 			w.Check.Read(c.Name, newest, got.ConfigVersion)
 		}
 		time.Sleep(readEvery)
@@ -197,6 +200,7 @@
 		}
 	}
 	w.Check.SetCalm(true)
+	w.Times.Note("calm", "")
 }
 
 func (w *World) allUp() bool {
@@ -253,6 +257,7 @@
 	o := platformtest.Operator{Client: http.Client{Timeout: 2 * time.Second}}
 	for _, c := range w.controls() {
 		got, status, err := o.Read(w.ctx, c.settings.Listen.Operators)
+		w.Times.Note("last read", "host=%s version=%d status=%d error=%q", c.Name, got.ConfigVersion, status, fmt.Sprint(err))
 		if err != nil || status != http.StatusOK {
 			w.Check.Problem("%s shows no declaration in the end: status %d, %v", c.Name, status, err)
 			continue
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -44,9 +44,24 @@
 	return program
 }
 
+// logs gives a folder that is kept where the test fails.
+func logs(t *testing.T) string {
+	t.Helper()
+	dir, err := os.MkdirTemp("", "soak-"+filepath.Base(t.Name())+"-")
+	must.NoError(t, err)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log("logs are in", dir)
+			return
+		}
+		must.NoError(t, os.RemoveAll(dir))
+	})
+	return dir
+}
+
 func run(t *testing.T, opts soak.Options, harming time.Duration) {
 	t.Helper()
-	opts.Program, opts.Dir, opts.Regions, opts.Width = build(t), t.TempDir(), 3, width.Usual
+	opts.Program, opts.Dir, opts.Regions, opts.Width = build(t), logs(t), 3, width.Usual
 	report, err := soak.Run(context.Background(), opts, harming)
 	must.NoError(t, err)
 	t.Log(report)
--- a/soak/world.go
+++ b/soak/world.go
@@ -73,6 +73,7 @@
 	Net     *Network
 	Hosts   []*Host
 	Check   *Checker
+	Times   *Timeline
 	random  *rand.Rand
 	regions map[string]string   // by data centre
 	known   []*loopback.Network // by region: where hosts are reached
@@ -98,8 +99,12 @@
 	if entries, err := os.ReadDir(opts.Dir); err != nil || len(entries) > 0 {
 		return nil, errors.Errorf("folder %s must be there and empty (%d entries, %v)", opts.Dir, len(entries), err)
 	}
+	timeline, err := NewTimeline(opts.Dir)
+	if err != nil {
+		return nil, err
+	}
 	w := &World{
-		Options: opts, Net: NewNetwork(ctx, group, width.New(opts.Width)), Check: NewChecker(), random: rand.New(rand.NewPCG(opts.Seed, 11)),
+		Times: timeline, Options: opts, Net: NewNetwork(ctx, group, width.New(opts.Width)), Check: NewChecker(), random: rand.New(rand.NewPCG(opts.Seed, 11)),
 		regions: make(map[string]string), ctx: ctx, group: group,
 	}
 	for r := range opts.Regions {
@@ -251,6 +256,7 @@
 			w.kill(h)
 		}
 	}
+	_ = w.Times.Close() // what it holds is for whoever looks at a failed run
 }
 
 // addEngine starts an engine that registers with all control hosts.
@@ -345,6 +351,7 @@
 	for until := time.Now().Add(patience); time.Now().Before(until); {
 		c := controls[rand.IntN(len(controls))]
 		status, err := o.Put(w.ctx, c.settings.Listen.Operators, body)
+		w.Times.Note("put", "host=%s version=%d status=%d error=%q", c.Name, version, status, fmt.Sprint(err))
 		if err == nil && status == http.StatusOK {
 			w.Check.Accepted(version)
 			return true
