A request that is given back after its account was idle doesn't end the gateway

What callers would have seen: a gateway that ends in the middle of all its requests.

Cause: the window of what a gateway admitted itself is dropped once an account is idle for a window; a request that was admitted before and is given back later took its cost off a window that isn't there.

Evidence: TestARequestIsGivenBackLate panics before (nil window), passes now. Fix: as with the windows of the regions, nothing is taken off where there is none.

--- a/allowance/account.go
+++ b/allowance/account.go
@@ -108,12 +108,15 @@
 	a.shared = now
 }
 
-// addOwn notes what this gateway has admitted.
+// addOwn notes what this gateway has admitted, or takes it off.
 func (a *account) addOwn(n float64, length time.Duration, now time.Time) {
-	if a.own == nil {
+	switch {
+	case a.own != nil:
+		a.own.add(n, now)
+	case n > 0:
 		a.own = newWindow(length, 0, now)
+		a.own.add(n, now)
 	}
-	a.own.add(n, now)
 }
 
 // ownWindow gives what this gateway has admitted within the last window.
--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -268,3 +268,20 @@
 	}
 	must.LessEq(t, 1, worst)
 }
+
+// TestARequestIsGivenBackLate guards against a gateway that ends when a request which it admitted is
+// given back after the account has been idle for a window.
+func TestARequestIsGivenBackLate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := newMeter("lagos")
+	m.Take([]catalog.Account{{Name: "club", Allowance: tokens(100)}}, now)
+	now = now.Add(time.Minute)
+	grant, err := m.Ask("club", 1, now)
+	must.NoError(t, err)
+	for range 300 {
+		now = now.Add(100 * time.Millisecond)
+		m.HearNear(nil, 1, now)
+	}
+	grant.GiveBack(now)
+	must.MapEmpty(t, m.Uses(now))
+}
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -157,7 +157,7 @@
 	defer g.meter.mu.Unlock()
 	g.account.add(g.meter.Region, -g.cost, g.meter.Policy.Window, now)
 	g.account.admitted.add(-g.cost, now)
-	g.account.own.add(-g.cost, now)
+	g.account.addOwn(-g.cost, g.meter.Policy.Window, now)
 	g.account.jump.admitted -= g.cost
 	g.cost = 0
 }
