An account counts as hot as soon as far more is asked for than it may

What callers saw: an account got up to 1.085 of its limit where a gateway was isolated, or a partition healed, within two seconds of a jump to twelve times its rate.

Cause: an account counted as hot once four times its limit had been asked for within a window. Before that, a gateway out of touch went on by its last reports.

--- a/allowance/standing.go
+++ b/allowance/standing.go
@@ -9,6 +9,9 @@
 	// one for an account to count as hot. Below that what leaves a window at once may come
 	// back at once; an account that asks for 4.2 times its rate so loses nothing.
 	hotShare = 4
+	// hotRate is the same for what is asked for at one moment, which counts at once, but is less
+	// certain: each gateway sees few requests.
+	hotRate = 6
 	// evenShare is how much of an even flow is admitted then at most. What was admitted at
 	// once leaves the window at once, and what all gateways admit in its place before they
 	// hear of each other is beyond it, again with each window
@@ -30,6 +33,7 @@
 	own      float64  // units a second of that, at this gateway
 	admitted float64  // units a second
 	alone    bool     // nearly all is asked for at this gateway
+	hot      bool     // far more is asked for than may be
 	evenly   float64  // units a second that are admitted at most; 0 for no such bound
 }
 
@@ -70,9 +74,11 @@
 		s.coming = lag.Seconds() * (a.share*others.Asked - foreign*s.leaving)
 	}
 	a.demand.add(others.Asked*passed, now)
-	if a.demand.sum > hotShare*s.most {
+	s.hot = a.demand.sum > hotShare*s.most
+	if s.hot {
 		s.evenly = evenShare * s.most / m.Policy.Window.Seconds()
 	}
+	s.hot = s.hot || s.asked*m.Policy.Window.Seconds() > hotRate*s.most
 	a.noteShare(s.admits(0), others.Asked, now)
 	return s
 }
@@ -95,7 +101,7 @@
 // request included. Others admit at most their shares of the same before they report: if reports
 // stop, the sum of all shares is still what was left.
 func (s standing) bounds(cost, recent, asked float64) bool {
-	if s.evenly == 0 || s.alone {
+	if !s.hot || s.alone {
 		return true
 	}
 	part := asked / (asked + s.asked - s.own)
