Tests of declared hosts start their three hosts in one place; terms in new comments

Cause: the same five lines stood four times; four new comments weren't in the terms of the field. No check is changed.

--- a/allowance/jump.go
+++ b/allowance/jump.go
@@ -64,8 +64,8 @@
 	j.since, j.admitted, j.most, j.inUse = now, admitted, most, inUse
 }
 
-// admits tells whether a request may be admitted beside what was since the jump. asked is in units
-// a second; blind says whether others can't have reported theirs. The reports on an account in use
+// admits reports whether a request may be admitted beside what was since the jump. asked is in
+// units a second; blind says that others can't have reported theirs. The reports on an account in use
 // bound a moderate jump: one that still fits if all gateways are asked for as much.
 func (j *jump) admits(cost, asked float64, blind bool) bool {
 	if !blind || j.admitted+cost <= j.most {
--- a/allowance/standing.go
+++ b/allowance/standing.go
@@ -40,7 +40,7 @@
 // standing brings the window up to now and gives what holds. The lock is held.
 func (m *Meter) standing(name string, a *account, now time.Time) standing {
 	others, part, regions := m.near.uses[name], 1.0, []string{m.Region}
-	// A gateway that was frozen for longer has forgotten what has left the window since.
+	// A gateway that was paused for longer has forgotten what has left the window since.
 	passed := min(now.Sub(a.filled), m.Policy.Window).Seconds()
 	a.filled = now
 	a.add(m.Region, others.Admitted*passed, m.Policy.Window, now)
@@ -96,7 +96,7 @@
 	return max(estimate, fresh*far.uses[name].Window)
 }
 
-// bounds tells whether a hot account's request stays within this gateway's share of what is left.
+// bounds reports whether a hot account's request stays within this gateway's share of what is left.
 // recent is what was admitted here within lag, asked what is asked for here, in units a second, the
 // request included. Others admit at most their shares of the same before they report: if reports
 // stop, the sum of all shares is still what was left.
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -194,7 +194,7 @@
 // Members gives who votes in the ledger's log, as known here.
 func (c *Controller) Members() raft.Membership { return c.replica.Status().Members }
 
-// Leads tells whether this host leads the ledger's log.
+// Leads reports whether this host leads the ledger's log.
 func (c *Controller) Leads() bool { return c.replica.Status().Role == raft.Leader }
 
 // spares lists the control hosts that could vote.
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -82,6 +82,15 @@
 	}
 }
 
+// startAll starts the three hosts and waits until they serve.
+func (a *association) startAll() {
+	names := []string{"h1", "h2", "h3"}
+	for _, name := range names {
+		a.start(name)
+	}
+	a.awaitReady(names...)
+}
+
 func (a *association) url(name string) string {
 	h, err := a.settings.Host(name)
 	must.NoError(a.t, err)
@@ -142,10 +151,7 @@
 	server := httptest.NewServer(portal)
 	defer server.Close()
 	a := newAssociation(t, strings.TrimPrefix(server.URL, "http://"))
-	for _, name := range []string{"h1", "h2", "h3"} {
-		a.start(name)
-	}
-	a.awaitReady("h1", "h2", "h3")
+	a.startAll()
 	ctx := context.Background()
 
 	change := declare.Change{ID: "c1", Base: 1, Puts: []declare.Envelope{{Object: declare.Region{Name: "another"}}}}
@@ -172,10 +178,7 @@
 
 	a.stop["h2"]()
 	a.stop["h3"]()
-	for _, name := range []string{"h1", "h2", "h3"} {
-		a.start(name)
-	}
-	a.awaitReady("h1", "h2", "h3")
+	a.startAll()
 	config, err := a.client().Config(ctx)
 	must.NoError(t, err)
 	must.Eq(t, 3, config.Revision(), must.Sprint("what was accepted is there after a restart of all"))
@@ -191,10 +194,7 @@
 	server := httptest.NewServer(portal)
 	defer server.Close()
 	a := newAssociation(t, strings.TrimPrefix(server.URL, "http://"))
-	for _, name := range []string{"h1", "h2", "h3"} {
-		a.start(name)
-	}
-	a.awaitReady("h1", "h2", "h3")
+	a.startAll()
 	a.order("h1", "k1")
 	a.stop["h1"]()
 	must.NoError(t, os.RemoveAll(filepath.Join(a.settings.DataRoot, "h1")))
@@ -221,10 +221,7 @@
 	server := httptest.NewServer(portal)
 	defer server.Close()
 	a := newAssociation(t, strings.TrimPrefix(server.URL, "http://"))
-	for _, name := range []string{"h1", "h2", "h3"} {
-		a.start(name)
-	}
-	a.awaitReady("h1", "h2", "h3")
+	a.startAll()
 	a.stop["h3"]()
 
 	other := newAssociation(t, "127.0.0.1:1")
