--- a/wire/deployment.go
+++ b/wire/deployment.go
@@ -54,19 +54,19 @@
 type prefacedConn struct {
 	net.Conn
 	preface [prefaceBytes]byte
-	mu      sync.Mutex
+	mu      sync.Mutex // held during the first write, which goes before all others
 	sent    bool
 }
 
 // Write implements net.Conn.
 func (c *prefacedConn) Write(data []byte) (int, error) {
 	c.mu.Lock()
-	first := !c.sent
-	c.sent = true
-	c.mu.Unlock()
-	if !first {
+	if c.sent {
+		c.mu.Unlock()
 		return c.Conn.Write(data)
 	}
+	defer c.mu.Unlock()
+	c.sent = true
 	n, err := c.Conn.Write(append(c.preface[:], data...))
 	return max(0, n-prefaceBytes), err
 }
