Soak: a connection that is accepted as the run ends doesn't end the program

Cause: the proxy starts a goroutine for each connection in a pool that takes no more once it is waited for; a connection that was accepted just before the listeners closed came too late. Evidence: the stack (Network.Forward, Pool.Go) and the timeline, which ends after the last reads.

Fix: a wait group, which takes goroutines from those that it runs. The product isn't touched, and no check is changed.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/linenscale/linenscale/internal/width"
@@ -23,8 +24,8 @@
 // and does harm on the way. NewNetwork makes one.
 type Network struct {
 	ctx   context.Context // ends all forwarding
-	group *pool.Pool
-	ways  *width.Ways // between regions
+	group *conc.WaitGroup // takes new goroutines from those that it runs, also while it is waited for
+	ways  *width.Ways     // between regions
 
 	mu    sync.Mutex
 	sites map[string]string // regions of hosts
@@ -38,7 +39,7 @@
 
 // NewNetwork makes a network without hosts, and with that width between regions; its forwarding
 // ends with ctx.
-func NewNetwork(ctx context.Context, group *pool.Pool, ways *width.Ways) *Network {
+func NewNetwork(ctx context.Context, group *conc.WaitGroup, ways *width.Ways) *Network {
 	return &Network{ctx: ctx, group: group, ways: ways, sites: make(map[string]string), hosts: make(map[string]string), harm: make(map[[2]string]Harm), open: make(map[net.Conn][2]string)}
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/linenscale/linenscale/platform/platformtest"
@@ -70,7 +71,7 @@
 func Run(ctx context.Context, opts Options, harming time.Duration) (Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	group := pool.New()
+	group := new(conc.WaitGroup)
 	w, err := New(ctx, group, opts)
 	if w != nil {
 		defer group.Wait()
--- a/soak/world.go
+++ b/soak/world.go
@@ -18,6 +18,7 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/linenscale/linenscale/internal/loopback"
@@ -80,7 +81,7 @@
 	listens []*loopback.Network // and where they listen, behind the proxy
 	seeds   []string
 	ctx     context.Context
-	group   *pool.Pool
+	group   *conc.WaitGroup
 
 	mu      sync.Mutex
 	engines []*Engine
@@ -95,7 +96,7 @@
 }
 
 // New makes a world and starts its hosts and engines, which end with ctx.
-func New(ctx context.Context, group *pool.Pool, opts Options) (*World, error) {
+func New(ctx context.Context, group *conc.WaitGroup, opts Options) (*World, error) {
 	if entries, err := os.ReadDir(opts.Dir); err != nil || len(entries) > 0 {
 		return nil, errors.Errorf("folder %s must be there and empty (%d entries, %v)", opts.Dir, len(entries), err)
 	}
