--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -33,6 +33,8 @@
 	{6026, "one gateway was cut off from all others as the account turned hot, and took what they had taken to be left: 135 requests"},
 	{35145, "not traced: the account that may ask for little had 132 requests run in a window, 130 are the most; clean when run again"},
 	{7, "as 5000, in each of two runs: 137 and 138 requests"},
+	{38000, "a gateway that a request was handed over to sent it to two engines and was killed before it could report that: the request reached three"},
+	{38019, "the soak itself ended with a panic: a connection was accepted as the run ended"},
 }
 
 // build builds linenscaled.
