allowance: a refund goes to the slot in which the request was charged

What callers saw: 429 although the account was within its allowance, after requests of it that no engine had run. Those are refunded, but some refunds had no effect, and the account was charged for up to a whole window.

Cause: window.add subtracted a refund from the current slot, down to an empty slot. A refund that came after the slot of its charge had ended was cut to nothing. Only the sums of this gateway's own region and own callers are concerned.

TestLateRefundIsAvailableAgain fails on that code: 20 units are still used when they are refunded 0.3 s or 3 s after the charge, none at 0 and 20 ms. Hypothesis ruled out: five requests at once that count as a surge; its code is as it was.

Fix: a Grant records when it was admitted, and the refund is subtracted from that slot, or from none once it has left the window.

--- a/allowance/account.go
+++ b/allowance/account.go
@@ -38,16 +38,27 @@
 	return a
 }
 
-// add counts units as admitted in a region; negative units are subtracted.
+// add counts units as admitted in a region.
 func (a *account) add(region string, units float64, windowLength time.Duration, now time.Time) {
+	if units <= 0 {
+		return
+	}
 	w, ok := a.used[region]
-	switch {
-	case ok:
-		w.add(units, now)
-	case units > 0:
+	if !ok {
 		w = newWindow(windowLength, 0, now)
 		a.used[region] = w
-		w.add(units, now)
+	}
+	w.add(units, now)
+}
+
+// refundOwn subtracts units that this gateway admitted at an earlier time in its region.
+func (a *account) refundOwn(region string, units float64, admittedAt, now time.Time) {
+	a.admitted.add(-units, now)
+	if w, ok := a.used[region]; ok {
+		w.subtract(units, admittedAt, now)
+	}
+	if a.ownWindow != nil {
+		a.ownWindow.subtract(units, admittedAt, now)
 	}
 }
 
@@ -110,15 +121,12 @@
 	a.averagedAt = now
 }
 
-// addOwn counts units as admitted by this gateway; negative units are subtracted.
+// addOwn counts units as admitted by this gateway.
 func (a *account) addOwn(units float64, windowLength time.Duration, now time.Time) {
-	switch {
-	case a.ownWindow != nil:
-		a.ownWindow.add(units, now)
-	case units > 0:
+	if a.ownWindow == nil {
 		a.ownWindow = newWindow(windowLength, 0, now)
-		a.ownWindow.add(units, now)
 	}
+	a.ownWindow.add(units, now)
 }
 
 // ownSum returns the units that this gateway admitted within the last window.
--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -292,3 +292,33 @@
 	grant.Refund(now)
 	must.MapEmpty(t, m.OwnUsage(now))
 }
+
+// TestLateRefundIsAvailableAgain guards against a rejection within the allowance because a
+// request that never ran was refunded later than the window's slot in which it was charged.
+func TestLateRefundIsAvailableAgain(t *testing.T) {
+	for _, delay := range []time.Duration{0, 20 * time.Millisecond, 300 * time.Millisecond, 3 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			m := newMeter("lagos")
+			m.SetAccounts([]catalog.Account{{Name: "club", Allowance: catalog.Allowance{Unit: catalog.UnitRequests, Rate: 2, Burst: 4}}}, now)
+			now = now.Add(time.Minute)
+			var grants []*allowance.Grant
+			for range 20 {
+				grant, err := m.Admit("club", 1, now)
+				must.NoError(t, err)
+				grants = append(grants, grant)
+			}
+			now = now.Add(delay)
+			for _, grant := range grants {
+				grant.Refund(now)
+			}
+			must.Eq(t, 0, m.Statuses(now)[0].Used)
+			for range 20 {
+				_, err := m.Admit("club", 1, now)
+				must.NoError(t, err)
+			}
+			_, err := m.Admit("club", 1, now)
+			must.Error(t, err)
+		})
+	}
+}
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -149,9 +149,10 @@
 
 // Grant is the record of one admitted request.
 type Grant struct {
-	meter   *Meter
-	account *account
-	cost    float64
+	meter      *Meter
+	account    *account
+	cost       float64
+	admittedAt time.Time
 }
 
 // Refund subtracts a request that was never run from what was admitted. Only the first
@@ -162,9 +163,7 @@
 	}
 	g.meter.mu.Lock()
 	defer g.meter.mu.Unlock()
-	g.account.add(g.meter.Region, -g.cost, g.meter.Policy.Window, now)
-	g.account.admitted.add(-g.cost, now)
-	g.account.addOwn(-g.cost, g.meter.Policy.Window, now)
+	g.account.refundOwn(g.meter.Region, g.cost, g.admittedAt, now)
 	g.account.surge.admitted -= g.cost
 	g.cost = 0
 }
@@ -208,7 +207,7 @@
 	a.admitted.add(cost, now)
 	a.addOwn(cost, m.Policy.Window, now)
 	a.surge.admitted += cost
-	return &Grant{meter: m, account: a, cost: cost}, nil
+	return &Grant{meter: m, account: a, cost: cost, admittedAt: now}, nil
 }
 
 // awaitsReports reports whether what other gateways have done since start may not have been
--- a/allowance/window.go
+++ b/allowance/window.go
@@ -40,16 +40,28 @@
 	w.sum = max(0, w.sum)
 }
 
-// add counts units in the current slot; negative units are subtracted, down to an empty
-// slot.
+// add counts units in the current slot.
 func (w *window) add(units float64, now time.Time) {
 	w.advance(now)
-	slot := &w.slots[w.newest%int64(len(w.slots))]
-	units = max(units, -*slot)
-	*slot += units
+	w.slots[w.newest%int64(len(w.slots))] += units
 	w.sum += units
 }
 
+// subtract removes units that were added at an earlier time from the slot that has them.
+// The current slot may hold less than that, and units that stayed in theirs would use up
+// the limit until they leave the window.
+func (w *window) subtract(units float64, addedAt, now time.Time) {
+	w.advance(now)
+	number := min(w.slotNumber(addedAt), w.newest)
+	if number < w.newest-windowSlots {
+		return
+	}
+	slot := &w.slots[number%int64(len(w.slots))]
+	units = min(units, *slot)
+	*slot -= units
+	w.sum = max(0, w.sum-units)
+}
+
 // expiryRate returns how many units currently leave the window per second, averaged over
 // the next few slots.
 func (w *window) expiryRate() float64 {
