allowance: refunds of earlier requests don't raise the limit of a surge

Cause: what a gateway admitted since the start of a surge was reduced by every refund, also of requests admitted long before. A moving sum that held refunds without their charges was negative, which raises the share of a hot account.

Fix: a refund counts only if its request was admitted within what the count includes, and sums over a period aren't negative.

--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -322,3 +322,39 @@
 		})
 	}
 }
+
+// TestRefundOfEarlierRequestDoesNotRaiseSurgeLimit guards against exceeding the limit when
+// requests from before a surge are refunded during it.
+func TestRefundOfEarlierRequestDoesNotRaiseSurgeLimit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := newMeter("lagos")
+	m.SetGateways(10)
+	m.SetAccounts([]catalog.Account{{Name: "club", Allowance: catalog.Allowance{Unit: catalog.UnitRequests, Rate: 2, Burst: 84}}}, now)
+	admitSurge := func(refunded []*allowance.Grant) int {
+		admitted := 0
+		for i := range 100 {
+			now = now.Add(time.Millisecond)
+			if i == 50 {
+				for _, grant := range refunded {
+					grant.Refund(now)
+				}
+			}
+			if _, err := m.Admit("club", 1, now); err == nil {
+				admitted++
+			}
+		}
+		return admitted
+	}
+	now = now.Add(time.Minute)
+	limit := admitSurge(nil)
+	now = now.Add(time.Minute)
+	var earlier []*allowance.Grant
+	for range 5 {
+		now = now.Add(900 * time.Millisecond)
+		grant, err := m.Admit("club", 1, now)
+		must.NoError(t, err)
+		earlier = append(earlier, grant)
+	}
+	now = now.Add(900 * time.Millisecond)
+	must.LessEq(t, limit, admitSurge(earlier))
+}
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -164,7 +164,7 @@
 	g.meter.mu.Lock()
 	defer g.meter.mu.Unlock()
 	g.account.refundOwn(g.meter.Region, g.cost, g.admittedAt, now)
-	g.account.surge.admitted -= g.cost
+	g.account.surge.refund(g.cost, g.admittedAt)
 	g.cost = 0
 }
 
--- a/allowance/movingsum.go
+++ b/allowance/movingsum.go
@@ -31,14 +31,15 @@
 	m.slots[m.newest%movingSlots] += n
 }
 
-// sumOver returns the sum over the period, including the current slot.
+// sumOver returns the sum over the period, including the current slot. It isn't negative
+// where refunds within the period are of requests from before it.
 func (m *movingSum) sumOver(now time.Time, period time.Duration) float64 {
 	m.advance(now)
 	sum := 0.0
 	for i := range int64(period/movingSlotTime) + 1 {
 		sum += m.slots[(m.newest-i)%movingSlots]
 	}
-	return sum
+	return max(0, sum)
 }
 
 // perSecond returns the rate over the last complete slots of the period.
--- a/allowance/surge.go
+++ b/allowance/surge.go
@@ -67,6 +67,14 @@
 	s.start, s.admitted, s.limit, s.inUse = now, admitted, limit, inUse
 }
 
+// refund subtracts units that were admitted at the given time. Those from before what
+// admitted includes must not raise what the surge may still use.
+func (s *surge) refund(units float64, admittedAt time.Time) {
+	if !admittedAt.Before(s.start.Add(-surgePeriod)) {
+		s.admitted = max(0, s.admitted-units)
+	}
+}
+
 // admits reports whether a request may be admitted in addition to what was admitted since
 // the surge began. requestedRate is in units per second; awaitsReports means that the
 // reports of other gateways may not include the surge yet. If the account was in use
