registry: an engine that only a restarted host calls unresponsive becomes ready again

What callers saw: an engine, healthy and with free capacity, got no request of a gateway until it started again; its requests waited for the other engines or crossed regions. In the soak: "an engine that takes 2 requests a second got 0 within 4s".

Cause: a control host that restarted and was partitioned from the others restored the engines from disk, received no heartbeats of them and reported all as unresponsive, at the sequence numbers that it had saved. Control hosts send only changes, so a gateway has an engine at the sequence number of its last change, far behind its heartbeats; at the same number, unresponsive won. The control host that received the heartbeats had nothing new to send, and the restarted host's own correction didn't reach gateways of other regions, which stop asking it for engines as soon as a control host of their region answers. An unresponsive engine is chosen only if there is no other.

The logs of both control hosts give the sequence of events (postmortem). TestEngineIsReadyAgainWhenItsSourceAnswers replays it and fails on the code before.

Fix: such a report is a suspicion. The table keeps the control host that received the engine's heartbeats, and marks the engine ready as soon as that host, in the same incarnation, answers without having reported otherwise. TestRestoredEngineStaysUnresponsive holds the cases in which it must not. Hosts log each engine whose phase changes, with who reported it.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -216,8 +216,8 @@
 			engines[i].Source = reply.Life
 		}
 	}
-	f.Engines.Merge(engines)
-	f.Engines.ConfirmSource(reply.Life)
+	changed := append(f.Engines.Merge(engines), f.Engines.ConfirmSource(reply.Life)...)
+	f.logPhases(l, changed)
 	region := f.Self().Region
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -239,6 +239,14 @@
 	return f.shouldFetchState(l, region, reply.Index, now)
 }
 
+// logPhases logs engines whose phase changed with an answer of the control host.
+func (f *Follower) logPhases(l *link, engines []registry.Engine) {
+	for _, e := range engines {
+		f.Log.Info("engine phase changed", zap.String("engine", e.ID), zap.String("service", e.Service), zap.Stringer("phase", e.Phase),
+			zap.Int64("sequence", e.Sequence), zap.String("source", e.Source), zap.String("told_by", l.address))
+	}
+}
+
 // shouldFetchState reports whether to fetch the state from a control host that has a newer
 // one: at once from a control host of this region; from one of a remote region only if
 // none of this region is connected, or none has provided it within remoteFetchDelay.
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -105,6 +105,9 @@
 type entry struct {
 	Engine
 	changeNumber uint64 // of the engine's last change in this table
+	// suspected is set if the engine is Unresponsive only by the report of a restarted
+	// control host that restored it. Source is still the host that received its heartbeats.
+	suspected bool
 }
 
 // New makes an empty Table. source is the incarnation of this process; heartbeatInterval
@@ -176,13 +179,22 @@
 }
 
 // Merge applies updates from another host. Their times must be those of this process's
-// clock.
-func (t *Table) Merge(engines []Engine) {
+// clock. It returns the engines, already known before, whose phase has changed.
+func (t *Table) Merge(engines []Engine) (changed []Engine) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range engines {
+		before, known := t.engines[e.ID]
+		phase := Ready
+		if known {
+			phase = before.Phase
+		}
 		t.apply(e)
+		if known && before.Phase != phase {
+			changed = append(changed, before.Engine)
+		}
 	}
+	return changed
 }
 
 // restoredSource is the source of an engine that no host has had a heartbeat from since
@@ -215,10 +227,19 @@
 		t.recordChange(current)
 		return true
 	}
+	if isSuspicion(current.Engine, e) {
+		current.Phase, current.suspected = Unresponsive, true
+		t.recordChange(current)
+		return true
+	}
 	if !isNewer(current.Engine, e) {
+		if e.Phase == Unresponsive && e.Source != restoredSource && e.Born == current.Born && e.Sequence == current.Sequence {
+			current.suspected = false // a host that received its heartbeats says so too
+		}
 		return false
 	}
 	old := current.Engine
+	current.suspected = false
 	newIncarnation := e.Born != old.Born
 	if !newIncarnation {
 		e.Began = old.Began
@@ -259,6 +280,16 @@
 	}
 }
 
+// isSuspicion reports whether e is the report of a restarted control host that restored the
+// engine and has learned of no heartbeats since, while another host received them. A
+// control host that is partitioned from the others reports that of all engines, and its
+// sequence numbers are as high as those of the other host's last change: only changes are
+// sent, so that host doesn't contradict it.
+func isSuspicion(current, e Engine) bool {
+	return e.Phase == Unresponsive && e.Source == restoredSource && current.Phase == Ready && current.Source != restoredSource &&
+		e.Born == current.Born && e.Sequence >= current.Sequence
+}
+
 // sameForOthers reports whether two states of an engine are the same for other hosts.
 func sameForOthers(a, b Engine) bool {
 	shift := a.ColdUntil.Sub(b.ColdUntil).Abs()
@@ -271,7 +302,11 @@
 // Unresponsive: an address is reassigned only after its engine has ended.
 func (t *Table) markOtherOwnersUnresponsive(e Engine) {
 	for _, other := range t.byAddress[e.Address] {
-		if other.ID != e.ID && other.Phase != Left && other.Phase != Unresponsive {
+		if other.ID == e.ID {
+			continue
+		}
+		other.suspected = false
+		if other.Phase != Left && other.Phase != Unresponsive {
 			other.Phase = Unresponsive
 			t.recordChange(other)
 		}
@@ -300,17 +335,28 @@
 	t.changed = make(chan struct{})
 }
 
-// ConfirmSource records that the control host with that incarnation has answered. That
-// counts as a heartbeat of every engine whose source it is, except Unresponsive ones.
-func (t *Table) ConfirmSource(source string) {
+// ConfirmSource records that the control host with that incarnation has answered, after
+// the changes in its answer have been merged. That counts as a heartbeat of every engine
+// whose source it is, except those that it reported as Unresponsive. ConfirmSource returns
+// the engines that are ready again because only a restarted host had reported otherwise.
+func (t *Table) ConfirmSource(source string) (ready []Engine) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock()
 	for _, e := range t.engines {
-		if e.Source == source && e.Phase != Unresponsive {
+		if e.Source != source {
+			continue
+		}
+		if e.suspected {
+			e.Phase, e.suspected = Ready, false
+			t.recordChange(e)
+			ready = append(ready, e.Engine)
+		}
+		if e.Phase != Unresponsive {
 			e.Heard = now
 		}
 	}
+	return ready
 }
 
 // Expire marks ready engines as Unresponsive whose heartbeats this host should receive and
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -212,3 +212,58 @@
 	_, known = follower.Get("i-1")
 	must.False(t, known)
 }
+
+// TestEngineIsReadyAgainWhenItsSourceAnswers guards against an engine that a gateway keeps
+// as unresponsive although its control host receives its heartbeats: another control host
+// restored it from disk, was partitioned from the first one and marked it unresponsive.
+func TestEngineIsReadyAgainWhenItsSourceAnswers(t *testing.T) {
+	source, sourceClock := newTable("x")
+	restarted, restartedClock := newTable("y")
+	gateway, _ := newTable("g")
+	source.Heartbeat(heartbeat("i-1", 19))
+	initial, number := source.ChangedSince(0, anyEngine)
+	gateway.Merge(initial)
+	restarted.Restore(initial)
+	for sequence := int64(20); sequence < 25; sequence++ {
+		sourceClock.advance(time.Second)
+		restartedClock.advance(time.Second)
+		source.Heartbeat(heartbeat("i-1", sequence))
+		source.Expire()
+		restarted.Expire()
+	}
+	suspected, _ := restarted.ChangedSince(0, anyEngine)
+	must.Eq(t, registry.Unresponsive, suspected[0].Phase)
+	gateway.Merge(suspected)
+	changes, _ := source.ChangedSince(number, anyEngine)
+	must.SliceEmpty(t, changes, must.Sprint("heartbeats that change nothing aren't sent"))
+	gateway.Merge(changes)
+	gateway.ConfirmSource("x")
+	must.Eq(t, registry.Ready, phaseOf(t, gateway, "i-1"))
+}
+
+// TestRestoredEngineStaysUnresponsive guards against using an engine that has ended because
+// its last control host still answers, or because another control host is its source now.
+func TestRestoredEngineStaysUnresponsive(t *testing.T) {
+	unresponsive := heartbeat("i-1", 19)
+	unresponsive.Phase = registry.Unresponsive
+	fromSource, fromOther := unresponsive, unresponsive
+	fromSource.Source, fromOther.Source = "x", "z"
+	successor := heartbeat("i-2", 1)
+	successor.Source = "x"
+	for name, updates := range map[string][]registry.Engine{
+		"its source says so too":             {fromSource},
+		"another host receives nothing":      {fromOther},
+		"another engine has its address now": {successor},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gateway, _ := newTable("g")
+			ready, suspected := heartbeat("i-1", 19), unresponsive
+			ready.Source, suspected.Source = "x", "recalled"
+			gateway.Merge([]registry.Engine{ready, suspected})
+			must.Eq(t, registry.Unresponsive, phaseOf(t, gateway, "i-1"))
+			gateway.Merge(updates)
+			gateway.ConfirmSource("x")
+			must.Eq(t, registry.Unresponsive, phaseOf(t, gateway, "i-1"))
+		})
+	}
+}
