dispatch: run a request on trial where only an old estimate keeps all away

What callers saw: every request of one gateway crossed regions for as long as it ran, though its own region's engines were idle and fast. In the soak, an engine with a rate limit got none of that gateway's half of the limit.

Cause: a gateway estimates the throughput of its own region's engines from its own answers, and that of other regions from their reports. An estimate that is so high that every request is cheaper elsewhere gets no more answers, and nothing else corrects it.

TestSlowEstimateIsCorrectedWithoutTraffic fails on the code before: 0 of 300 requests run in their region in the 30 s after three late answers.

Fix: if no answer has come for a second, and the request would be cheaper here with the throughput that the chosen region reports, one request runs here on trial, and the earlier answers count as one from then on. The interval between trials doubles up to 16 s. Decisions of requests whose own region is chosen, or whose region is busy, slower by its reports, or forbidden, are as they were.

--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -185,11 +185,13 @@
 	// Refusal is the rejection if the request isn't admitted even in Region; else nil.
 	Refusal error
 	IsHome  bool // Region is the home region of the prompt's shared blocks
+	IsTrial bool // the request runs here only to measure this region's engines again
 }
 
 // ChooseRegion returns the region with the lowest expected cost for a request, including
-// the round trip and the reading of the prompt. localPermitted reports whether this
-// region may be chosen; reachable lists the other regions that have a gateway.
+// the round trip and the reading of the prompt, or this region for a trial. localPermitted
+// reports whether this region may be chosen; reachable lists the other regions that have a
+// gateway.
 func (d *Dispatcher) ChooseRegion(req Request, localPermitted bool, reachable []string) Placement {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -203,18 +205,29 @@
 	}
 	home := d.homeRegion(p, req, now)
 	best := Placement{Region: d.Region, LocalCost: -1, IsHome: home == d.Region}
+	var localEngine *engine
 	if localPermitted {
 		if e, s := d.choose(p, req, now); e != nil {
+			localEngine = e
 			best.LocalCost, best.Queue, best.Refusal = s.cost, s.queue, req.checkAdmission(s)
 		}
 	}
 	best.Cost = best.LocalCost
+	local := best
 	for _, region := range reachable {
 		s, ok := d.estimateRemote(region, p, req, region == home, now)
 		if cost := s.cost + remoteCost; ok && (best.Cost < 0 || cost < best.Cost) {
 			best = Placement{Region: region, LocalCost: best.LocalCost, Cost: cost, Queue: s.queue, Refusal: req.checkAdmission(s), IsHome: region == home}
 		}
 	}
+	if best.Region == d.Region {
+		p.throughput.trials = trials{}
+		return best
+	}
+	if localEngine != nil && local.Refusal == nil && d.beginTrial(p, localEngine, req, best, now) {
+		local.IsTrial = true
+		return local
+	}
 	return best
 }
 
--- a/dispatch/throughput.go
+++ b/dispatch/throughput.go
@@ -39,8 +39,10 @@
 	outputPerToken *pace.MeanEstimator
 	slotTime       *pace.MeanEstimator
 
-	model   bool // the service's engines run a model
-	answers int  // number of answers used
+	model      bool      // the service's engines run a model
+	answers    int       // number of answers used
+	answeredAt time.Time // when the latest of them ended
+	trials     trials
 }
 
 func newThroughputEstimator(model bool) *throughputEstimator {
@@ -104,6 +106,7 @@
 		return
 	}
 	t.pool.throughput.answers++
+	t.pool.throughput.answeredAt = now
 	t.pool.throughput.slotTime.Observe(now.Sub(t.sentAt))
 	if t.outputTokens > 0 {
 		t.pool.throughput.outputPerToken.Observe(now.Sub(t.firstEventAt) / time.Duration(t.outputTokens))
--- /dev/null
+++ b/dispatch/throughput_test.go
@@ -0,0 +1,77 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/linenscale/linenscale/dispatch"
+)
+
+// plainDigest returns a region's digest of the plain service, whose engines answer within
+// slotTime.
+func plainDigest(slotTime time.Duration) dispatch.Digest {
+	throughput := dispatch.Throughput{Overhead: 20 * time.Millisecond, OutputPerToken: 8 * time.Millisecond, SlotTime: slotTime}
+	return dispatch.Digest{Service: "portal", Engines: 2, Slots: 8, Throughput: throughput}
+}
+
+// answer has a local engine answer a request after the given time.
+func (env *testEnv) answer(t *testing.T, g *dispatch.Dispatcher, id string, after time.Duration) {
+	t.Helper()
+	ticket := acquire(t, g, dispatch.Request{ID: id, Service: "portal"})
+	env.advance(after)
+	ticket.RecordFirstByte(true)
+	ticket.Done(dispatch.Answered)
+}
+
+// chooseLocal sends requests for the given time, ten a second, and answers those that run
+// in this region after answerTime. It returns how many ran here in each second.
+func (env *testEnv) chooseLocal(t *testing.T, g *dispatch.Dispatcher, length, answerTime time.Duration) []int {
+	t.Helper()
+	counts := make([]int, length/time.Second)
+	start := env.now
+	for i := 0; env.now.Sub(start) < length; i++ {
+		g.Receive(digestReport("kano", plainDigest(20*time.Millisecond)))
+		request := dispatch.Request{ID: fmt.Sprint("r", i), Service: "portal"}
+		next := env.now.Add(100 * time.Millisecond)
+		if g.ChooseRegion(request, true, []string{"kano"}).Region == "lagos" {
+			counts[env.now.Sub(start)/time.Second]++
+			env.answer(t, g, request.ID, answerTime)
+		}
+		env.advance(max(0, next.Sub(env.now)))
+	}
+	return counts
+}
+
+// TestSlowEstimateIsCorrectedWithoutTraffic guards against a region that gets no requests
+// any more: some answers took so long that all requests go elsewhere, and only answers
+// correct the estimate.
+func TestSlowEstimateIsCorrectedWithoutTraffic(t *testing.T) {
+	env := newTestEnv(1, 1)
+	g := env.gateways[0]
+	for i := range 3 {
+		env.answer(t, g, fmt.Sprint("late", i), 2600*time.Millisecond)
+	}
+	counts := env.chooseLocal(t, g, 30*time.Second, 20*time.Millisecond)
+	t.Log(counts)
+	must.Eq(t, 10, counts[len(counts)-1])
+}
+
+// TestSlowRegionGetsFewTrials guards against sending many requests to a region that is
+// really slower in order to learn whether it still is.
+func TestSlowRegionGetsFewTrials(t *testing.T) {
+	env := newTestEnv(1, 1)
+	g := env.gateways[0]
+	for i := range 10 {
+		env.answer(t, g, fmt.Sprint("slow", i), 700*time.Millisecond)
+	}
+	counts := env.chooseLocal(t, g, 60*time.Second, 700*time.Millisecond)
+	t.Log(counts)
+	sum := 0
+	for _, n := range counts {
+		sum += n
+	}
+	must.LessEq(t, 12, sum)
+}
--- a/ingress/region.go
+++ b/ingress/region.go
@@ -96,6 +96,6 @@
 		// The state of the other regions is unknown: choose a random one.
 		choice.Region = reachable[s.Random()%uint64(len(reachable))]
 	}
-	s.Log.Info("region chosen", x.logFields(zap.String("region", choice.Region), zap.Duration("here", choice.LocalCost), zap.Duration("there", choice.Cost), zap.Duration("queue", choice.Queue), zap.Bool("home", choice.IsHome))...)
+	s.Log.Info("region chosen", x.logFields(zap.String("region", choice.Region), zap.Duration("here", choice.LocalCost), zap.Duration("there", choice.Cost), zap.Duration("queue", choice.Queue), zap.Bool("home", choice.IsHome), zap.Bool("trial", choice.IsTrial))...)
 	return choice.Region, true, choice.Refusal
 }
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -69,6 +69,15 @@
 	l.add(work, expected+residual, 1)
 }
 
+// Discount lets all earlier observations together count as one, so that the next few
+// correct an estimate that may be out of date.
+func (l *LinearEstimator) Discount() {
+	factor := min(1, 1/l.sumWeight)
+	for _, sum := range []*float64{&l.sumWeight, &l.sumX, &l.sumY, &l.sumXX, &l.sumXY} {
+		*sum *= factor
+	}
+}
+
 // PerUnit returns the estimated time per unit of work, in ns. It is never negative.
 func (l *LinearEstimator) PerUnit() float64 {
 	determinant := l.sumWeight*l.sumXX - l.sumX*l.sumX
@@ -109,6 +118,14 @@
 	m.sumWeight = observationDecay*m.sumWeight + 1
 }
 
+// Discount lets all earlier observations together count as one, so that the next few
+// correct an estimate that may be out of date.
+func (m *MeanEstimator) Discount() {
+	factor := min(1, 1/m.sumWeight)
+	m.sum *= factor
+	m.sumWeight *= factor
+}
+
 // Value returns the estimated mean.
 func (m *MeanEstimator) Value() time.Duration { return time.Duration(m.sum / m.sumWeight) }
 
