Discard what was measured while this process was suspended

What callers saw: a gateway that had been paused for some seconds sent requests to other regions, or kept off healthy engines, because engines seemed slow or failing.

Cause: the time of an answer is taken from the send to the moment at which the gateway reads it. A gateway that is stopped in between counts its own pause as the engine's time, and a deadline that passes meanwhile as the engine's failure. An answer of 2.6 s raises a mean over 50 answers of 20 ms by 52 ms.

TestSuspensionIsNotTheEnginesTime fails in dispatch on the code before, for answers and for failures.

Fix: internal/suspension notes the time every 50 ms, and a gap of more than 200 ms between two notes is a suspension; hosts that are limited to a share of a core are scheduled every 100 ms. Answers, failures and round trips that were measured across one are discarded, in both paths. Engines that can't be connected to or seem to have crashed are judged as before: those judgements end within seconds or are checked by probes.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/linenscale/linenscale/gateway"
 	"github.com/linenscale/linenscale/internal/duty"
 	"github.com/linenscale/linenscale/internal/steady"
+	"github.com/linenscale/linenscale/internal/suspension"
 	"github.com/linenscale/linenscale/keyhome"
 	"github.com/linenscale/linenscale/leader"
 	"github.com/linenscale/linenscale/operator"
@@ -139,7 +140,9 @@
 	group.Go(d.controlSender.Run)
 	group.Go(d.keySender.Run)
 	group.Go(func(ctx context.Context) error { return server.Serve(ctx, d.deployment().Listener(control, d.log)) })
-	d.fleet = fleet.New(d.host.Name, d.host.Region, time.Now, route.PrefixBounded{}, d.seed)
+	suspensions := suspension.New(time.Now)
+	group.Go(suspensions.Run)
+	d.fleet = fleet.New(d.host.Name, d.host.Region, time.Now, suspensions.SuspendedSince, route.PrefixBounded{}, d.seed)
 	if d.host.Disk {
 		if err := d.openControl(ctx); err != nil {
 			return errors.Trace(err)
--- a/daemon/dial.go
+++ b/daemon/dial.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/linenscale/linenscale/internal/steady"
 	"github.com/linenscale/linenscale/settings"
 	"github.com/linenscale/linenscale/trip"
 )
@@ -54,6 +55,8 @@
 	// attempts get a longer timeout, so that they still reach a destination whose round
 	// trip has grown.
 	patient bool
+	// suspendedSince reports whether this process was suspended since then.
+	suspendedSince func(since time.Time) bool
 }
 
 // DialContext opens a connection within the timeout for the address's destination, and
@@ -66,11 +69,13 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	start := time.Now()
+	start := steady.Time()
 	conn, err := d.Dialer.DialContext(dialCtx, network, address)
 	switch {
+	case d.suspendedSince(start):
+		// The time includes the suspension, not only the round trip.
 	case err == nil:
-		d.roundTrips.Observe(destination, time.Since(start))
+		d.roundTrips.Observe(destination, steady.Time().Sub(start))
 	case d.patient && ctx.Err() == nil && dialCtx.Err() != nil:
 		d.roundTrips.RecordTimeout(destination)
 	}
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -19,6 +19,8 @@
 	"github.com/linenscale/linenscale/dispatch"
 	"github.com/linenscale/linenscale/follow"
 	"github.com/linenscale/linenscale/internal/duty"
+	"github.com/linenscale/linenscale/internal/steady"
+	"github.com/linenscale/linenscale/internal/suspension"
 	"github.com/linenscale/linenscale/registry"
 	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/roster"
@@ -67,6 +69,7 @@
 	log         *zap.Logger
 	metrics     *telemetry.Metrics
 	roundTrips  *trip.Table
+	suspensions *suspension.Detector
 	follower    atomic.Pointer[follow.Follower] // maps a host's address to its region
 	calls       *wire.Client
 	commands    *wire.Client
@@ -75,7 +78,7 @@
 // dialer returns a dialer for hosts of any region. patient is true for callers that
 // retry indefinitely.
 func (m *member) dialer(patient bool) *adaptiveDialer {
-	return &adaptiveDialer{Dialer: newMemberDialer(m.settings), roundTrips: m.roundTrips, destinationOf: m.destinationOf, slack: peerSlack, patient: patient}
+	return &adaptiveDialer{Dialer: newMemberDialer(m.settings), roundTrips: m.roundTrips, destinationOf: m.destinationOf, slack: peerSlack, patient: patient, suspendedSince: m.suspensions.SuspendedSince}
 }
 
 // deployment returns the name of the system that this host belongs to.
@@ -98,7 +101,7 @@
 // engineDialer returns a dialer for engines, which are all in this region.
 func (m *member) engineDialer() *adaptiveDialer {
 	here := func(string) string { return m.settings.Region }
-	return &adaptiveDialer{Dialer: newMemberDialer(m.settings), roundTrips: m.roundTrips, destinationOf: here, slack: engineSlack}
+	return &adaptiveDialer{Dialer: newMemberDialer(m.settings), roundTrips: m.roundTrips, destinationOf: here, slack: engineSlack, suspendedSince: m.suspensions.SuspendedSince}
 }
 
 // destinationOf returns the region of a host's address, or the address while its region
@@ -130,7 +133,7 @@
 		return errors.Trace(err)
 	}
 	m := &member{
-		path: path, settings: s, incarnation: newIncarnation(), metrics: metrics, roundTrips: trip.New(),
+		path: path, settings: s, incarnation: newIncarnation(), metrics: metrics, roundTrips: trip.New(), suspensions: suspension.New(steady.Time),
 		log: log.With(zap.String("host", s.Name)),
 	}
 	m.calls, m.commands = wire.NewClient(m.peerDialer(true)), wire.NewClient(m.peerDialer(true))
@@ -144,6 +147,7 @@
 	below, stopBelow := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBelow()
 	group := pool.New().WithContext(below).WithCancelOnError()
+	group.Go(m.suspensions.Run)
 	group.Go(func(ctx context.Context) error { return m.watchSettings(ctx, reload) })
 	if s.Role == roster.RoleControl {
 		m.serve(group, s.Listen.Metrics, metrics.Handler())
--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -129,7 +129,7 @@
 	meter := allowance.New(allowance.Deps{Region: self.Region, Regions: regions, Policy: allowance.Policy(m.settings.Allowances), Random: rand.Uint64})
 	dispatcher = dispatch.New(dispatch.Deps{
 		Name: self.Name, Region: self.Region, DataCentre: self.DataCentre, RegionOf: m.settings.Regions, Engines: engines, Peers: follower.Gateways, RoundTripTo: m.roundTrips.RoundTrip,
-		RetryBudget: retry.Policy(m.settings.Retries), Allowances: meter, Log: m.log, Metrics: m.metrics, Clock: steady.Time,
+		RetryBudget: retry.Policy(m.settings.Retries), Allowances: meter, Log: m.log, Metrics: m.metrics, Clock: steady.Time, SuspendedSince: m.suspensions.SuspendedSince,
 	})
 	dialer := m.engineDialer()
 	client := relay.New(dialer, relay.Options{IdleTimeout: engineIdleTimeout})
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -39,6 +39,14 @@
 	Log        *zap.Logger
 	Metrics    *telemetry.Metrics // may be nil
 	Clock      func() time.Time
+	// SuspendedSince reports whether this process was suspended at some time since then.
+	// Answers that it was waiting for say nothing about their engines. nil for never.
+	SuspendedSince func(since time.Time) bool
+}
+
+// wasSuspended reports whether this process was suspended since the given time.
+func (d *Dispatcher) wasSuspended(since time.Time) bool {
+	return d.SuspendedSince != nil && d.SuspendedSince(since)
 }
 
 // Dispatcher chooses engines, and regions, for the requests of one gateway. It is safe
--- a/dispatch/throughput.go
+++ b/dispatch/throughput.go
@@ -86,10 +86,10 @@
 }
 
 // recordFirstEvent updates the estimates with the time until an answer's first event. It
-// does so only if the engine was warm and had a free slot: then nothing but the reading
-// of prompts precedes the event.
+// does so only if the engine was warm and had a free slot, and this process ran all the
+// time: then nothing but the reading of prompts precedes the event.
 func (t *Ticket) recordFirstEvent(now time.Time) {
-	if t.Cold || t.queued || t.TransferFrom != "" || t.pool.service.Model == nil {
+	if t.Cold || t.queued || t.TransferFrom != "" || t.pool.service.Model == nil || t.dispatcher.wasSuspended(t.sentAt) {
 		return
 	}
 	took := now.Sub(t.sentAt)
@@ -102,7 +102,7 @@
 
 // recordCompletion updates the estimates with a complete answer.
 func (t *Ticket) recordCompletion(now time.Time) {
-	if t.Cold || t.queued || t.firstEventAt.IsZero() {
+	if t.Cold || t.queued || t.firstEventAt.IsZero() || t.dispatcher.wasSuspended(t.sentAt) {
 		return
 	}
 	t.pool.throughput.answers++
--- a/dispatch/throughput_test.go
+++ b/dispatch/throughput_test.go
@@ -59,6 +59,34 @@
 	must.Eq(t, 10, counts[len(counts)-1])
 }
 
+// TestSuspensionIsNotTheEnginesTime guards against estimates that include time in which
+// this gateway didn't run: the answer had arrived and was read only afterwards, or its
+// deadline had passed.
+func TestSuspensionIsNotTheEnginesTime(t *testing.T) {
+	for _, outcome := range []dispatch.Outcome{dispatch.Answered, dispatch.Failed} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			env := newTestEnv(1, 1)
+			g := env.gateways[0]
+			suspended := false
+			g.SuspendedSince = func(time.Time) bool { return suspended }
+			g.Receive(digestReport("kano", plainDigest(20*time.Millisecond)))
+			request := dispatch.Request{ID: "r", Service: "portal"}
+			before := g.ChooseRegion(request, true, []string{"kano"})
+			for i := range 3 {
+				ticket := acquire(t, g, dispatch.Request{ID: fmt.Sprint("waiting", i), Service: "portal"})
+				env.advance(2600 * time.Millisecond)
+				suspended = true
+				ticket.RecordFirstByte(outcome == dispatch.Answered)
+				ticket.Done(outcome)
+			}
+			g.Receive(digestReport("kano", plainDigest(20*time.Millisecond)))
+			after := g.ChooseRegion(request, true, []string{"kano"})
+			must.Eq(t, "lagos", after.Region)
+			must.Eq(t, before.LocalCost, after.LocalCost)
+		})
+	}
+}
+
 // TestSlowRegionGetsFewTrials guards against sending many requests to a region that is
 // really slower in order to learn whether it still is.
 func TestSlowRegionGetsFewTrials(t *testing.T) {
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -142,7 +142,11 @@
 		e.lastHeard = now
 		t.recordCompletion(now)
 	case Failed:
-		t.pool.recordOutcome(e, t.route, true, now)
+		// An answer that was due while this process was suspended is not the engine's
+		// failure.
+		if !d.wasSuspended(t.sentAt) {
+			t.pool.recordOutcome(e, t.route, true, now)
+		}
 	case Broken:
 		t.pool.recordOutcome(e, t.route, true, now)
 		t.recordBroken(now)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -29,10 +29,11 @@
 
 // Fleet holds the pools of one entry host. It is safe for concurrent use; New creates one.
 type Fleet struct {
-	region string
-	clock  Clock
-	policy route.Policy
-	rng    *rand.Rand
+	region         string
+	clock          Clock
+	suspendedSince func(since time.Time) bool
+	policy         route.Policy
+	rng            *rand.Rand
 
 	mu            sync.Mutex
 	pools         map[string]*pool
@@ -47,14 +48,19 @@
 const queueLimit = 512
 
 // New returns a fleet without engines for an entry host and its region. seed initialises
-// the random generator, so that choices are reproducible.
-func New(host, region string, clock Clock, policy route.Policy, seed uint64) *Fleet {
+// the random generator, so that choices are reproducible. suspendedSince reports whether
+// this process was suspended at some time since then; nil for never.
+func New(host, region string, clock Clock, suspendedSince func(since time.Time) bool, policy route.Policy, seed uint64) *Fleet {
+	if suspendedSince == nil {
+		suspendedSince = func(time.Time) bool { return false }
+	}
 	return &Fleet{
-		region: region,
-		clock:  clock,
-		policy: policy,
-		rng:    rand.New(rand.NewPCG(seed, seed^0x5bd1e995)),
-		pools:  make(map[string]*pool),
+		region:         region,
+		clock:          clock,
+		suspendedSince: suspendedSince,
+		policy:         policy,
+		rng:            rand.New(rand.NewPCG(seed, seed^0x5bd1e995)),
+		pools:          make(map[string]*pool),
 
 		quarantine:    quarantine.New(),
 		crashDetector: quarantine.NewCrashDetector(),
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -41,7 +41,7 @@
 func newFleet(t *testing.T, engines ...declare.Engine) (*fleet.Fleet, *clock) {
 	t.Helper()
 	c := &clock{time.Unix(1_700_000_000, 0)}
-	f := fleet.New("h", "r", c.read, route.PrefixBounded{}, 1)
+	f := fleet.New("h", "r", c.read, nil, route.PrefixBounded{}, 1)
 	f.ApplyConfig(config(t, engines...), nil)
 	return f, c
 }
@@ -154,3 +154,29 @@
 	ticket.Done(fleet.Result{Outcome: fleet.Answered})
 	must.Eq(t, 1, f.InFlight("b"))
 }
+
+// TestSuspensionIsNotTheEnginesTime guards against service times and failures that include
+// time in which this host didn't run.
+func TestSuspensionIsNotTheEnginesTime(t *testing.T) {
+	c := &clock{time.Unix(1_700_000_000, 0)}
+	suspended := false
+	f := fleet.New("h", "r", c.read, func(time.Time) bool { return suspended }, route.PrefixBounded{}, 1)
+	f.ApplyConfig(config(t, engine("e", 4), engine("o", 4)), nil)
+	run := func(took time.Duration, outcome fleet.Outcome) {
+		ticket := acquire(t, f, c)
+		c.now = c.now.Add(took)
+		ticket.Done(fleet.Result{Outcome: outcome, TimeToFirstByte: took})
+	}
+	for range 10 {
+		run(20*time.Millisecond, fleet.Answered)
+	}
+	before := f.Digests()
+	suspended = true
+	for range 10 {
+		run(3*time.Second, fleet.Answered)
+		run(3*time.Second, fleet.Failed)
+	}
+	after := f.Digests()
+	must.Eq(t, before[0].Digest.ServiceTime, after[0].Digest.ServiceTime)
+	must.Eq(t, before[0].Digest.Slots, after[0].Digest.Slots, must.Sprint("no engine is ejected"))
+}
--- a/fleet/limits_test.go
+++ b/fleet/limits_test.go
@@ -35,7 +35,7 @@
 	must.NoError(t, err)
 	var fleets []*fleet.Fleet
 	for i, name := range names {
-		f := fleet.New(name, "r", c.read, route.PrefixBounded{}, uint64(i))
+		f := fleet.New(name, "r", c.read, nil, route.PrefixBounded{}, uint64(i))
 		f.ApplyConfig(config, nil)
 		fleets = append(fleets, f)
 	}
--- a/fleet/observe.go
+++ b/fleet/observe.go
@@ -54,13 +54,20 @@
 	if result.Outcome == Broken {
 		f.crashDetector.RecordBreak(t.Engine, t.fingerprint, now)
 	}
+	// An answer that was due while this process was suspended is neither slow nor the
+	// engine's failure.
+	suspended := f.suspendedSince(t.sentAt)
 	switch result.Outcome {
 	case Answered:
 		f.crashDetector.RecordAnswer(t.Engine, t.sentAt)
-		engineHealth.RecordOutcome(health.Succeeded, result.TimeToFirstByte)
-		e.ServiceTime = smooth(e.ServiceTime, now.Sub(t.sentAt))
+		if !suspended {
+			engineHealth.RecordOutcome(health.Succeeded, result.TimeToFirstByte)
+			e.ServiceTime = smooth(e.ServiceTime, now.Sub(t.sentAt))
+		}
 	case Failed, Broken:
-		engineHealth.RecordOutcome(health.Failed, 0)
+		if !suspended {
+			engineHealth.RecordOutcome(health.Failed, 0)
+		}
 		t.pool.updateHealth(now)
 	case Shed:
 		engineHealth.RecordOutcome(health.Shed, 0)
--- a/gateway/system_test.go
+++ b/gateway/system_test.go
@@ -176,7 +176,7 @@
 	rules, err := permit.Compile(host.config)
 	must.NoError(t, err)
 	host.guard = permit.Guard{Effective: rules}
-	host.fleet = fleet.New("host-"+region, region, time.Now, route.PrefixBounded{}, 1)
+	host.fleet = fleet.New("host-"+region, region, time.Now, nil, route.PrefixBounded{}, 1)
 	host.fleet.ApplyConfig(host.config, nil)
 	metrics, err := telemetry.NewMetrics()
 	must.NoError(t, err)
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -150,7 +150,7 @@
 			hosts = 1
 		}
 		for h := range hosts {
-			f := fleet.New(fmt.Sprintf("%s-%d", r.Name, h), r.Name, func() time.Time { return w.time.Now() }, opts.EnginePolicy, opts.Seed+uint64(i*100+h))
+			f := fleet.New(fmt.Sprintf("%s-%d", r.Name, h), r.Name, func() time.Time { return w.time.Now() }, nil, opts.EnginePolicy, opts.Seed+uint64(i*100+h))
 			f.ApplyConfig(config, nil)
 			w.hosts[r.Name] = append(w.hosts[r.Name], f)
 		}
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -184,7 +184,7 @@
 		return 0, err
 	}
 	before := heapInUse()
-	f := fleet.New("h", "r", time.Now, route.PrefixBounded{}, 1)
+	f := fleet.New("h", "r", time.Now, nil, route.PrefixBounded{}, 1)
 	f.ApplyConfig(config, nil)
 	used := heapInUse() - before
 	runtime.KeepAlive(f)
--- /dev/null
+++ b/internal/suspension/suspension.go
@@ -0,0 +1,70 @@
+// Package suspension detects when this process didn't run: it was stopped, its machine was
+// suspended, or it got no processor.
+//
+// A time measured across a suspension says nothing about what was measured: an answer that
+// arrived meanwhile is read only afterwards, as if its sender had been slow. A Detector
+// notes the time at regular intervals, and a gap between two notes is a suspension.
+package suspension
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/linenscale/linenscale/internal/duty"
+)
+
+const (
+	// interval is how often a running Detector notes the time.
+	interval = 50 * time.Millisecond
+	// maxGap is the longest time between two notes that isn't a suspension. Garbage
+	// collection and a busy processor delay a note by some tens of milliseconds.
+	maxGap = 200 * time.Millisecond
+)
+
+// Detector detects suspensions of at least maxGap. It is safe for concurrent use. New
+// makes one.
+type Detector struct {
+	clock func() time.Time
+
+	mu        sync.Mutex
+	notedAt   time.Time
+	resumedAt time.Time // end of the last suspension
+}
+
+// New returns a detector that reads the given clock, which must not stop during a
+// suspension.
+func New(clock func() time.Time) *Detector {
+	return &Detector{clock: clock, notedAt: clock()}
+}
+
+// Run notes the time at regular intervals until ctx ends.
+func (d *Detector) Run(ctx context.Context) error {
+	duty.Every(ctx, interval, d.Note)
+	return nil
+}
+
+// Note notes that the process runs now.
+func (d *Detector) Note() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.note()
+}
+
+// note is Note with the lock held.
+func (d *Detector) note() {
+	now := d.clock()
+	if now.Sub(d.notedAt) > maxGap {
+		d.resumedAt = now
+	}
+	d.notedAt = now
+}
+
+// SuspendedSince reports whether the process was suspended at some time since then. It
+// counts a suspension that has just ended, before Run has noted the time again.
+func (d *Detector) SuspendedSince(since time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.note()
+	return d.resumedAt.After(since)
+}
--- /dev/null
+++ b/internal/suspension/suspension_test.go
@@ -0,0 +1,54 @@
+package suspension_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/linenscale/linenscale/internal/suspension"
+)
+
+func Example() {
+	now := time.Unix(1000, 0)
+	d := suspension.New(func() time.Time { return now })
+	before := now
+	now = now.Add(3 * time.Second) // no note for so long
+	resumed := now
+	fmt.Println(d.SuspendedSince(before), d.SuspendedSince(resumed))
+	// Output: true false
+}
+
+// TestSuspensionIsDetected guards against measurements that include a suspension, and
+// against discarding those that don't.
+func TestSuspensionIsDetected(t *testing.T) {
+	for name, test := range map[string]struct {
+		gaps      []time.Duration // between two notes
+		startedAt int             // number of notes before the measurement starts
+		suspended bool
+	}{
+		"runs":                         {[]time.Duration{50, 50, 120, 50}, 1, false},
+		"suspended during it":          {[]time.Duration{50, 50, 900, 50}, 1, true},
+		"suspended before it":          {[]time.Duration{50, 900, 50, 50}, 2, false},
+		"suspended after it started":   {[]time.Duration{50, 900, 50, 50}, 1, true},
+		"suspension has just ended":    {[]time.Duration{50, 50, 50, 900}, 3, true},
+		"started before notes and ran": {[]time.Duration{50}, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			d := suspension.New(func() time.Time { return now })
+			started := now
+			for i, gap := range test.gaps {
+				now = now.Add(gap * time.Millisecond)
+				if i < len(test.gaps)-1 {
+					d.Note()
+				}
+				if i+1 == test.startedAt {
+					started = now
+				}
+			}
+			must.Eq(t, test.suspended, d.SuspendedSince(started))
+		})
+	}
+}
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -29,7 +29,7 @@
 	}
 	config, err := declare.Config{}.Apply(change)
 	must.NoError(t, err)
-	f := fleet.New("h", "r", func() time.Time { return now }, route.Random{}, 1)
+	f := fleet.New("h", "r", func() time.Time { return now }, nil, route.Random{}, 1)
 	f.ApplyConfig(config, nil)
 	return probe.New(f, http.DefaultTransport, "", zap.NewNop()), f
 }
