linenscaled: ask for SIGHUP before anything else

What callers saw: a gateway that was gone: the platform's signal to reload the settings reached it in the first milliseconds of its process and ended it.

Cause: SIGHUP ends a process that hasn't asked for it, and members asked after reading their settings and making the logger.

What is left is the time until the runtime runs, which no program can cover; the platform starts such a process again.

--- a/cmd/linenscaled/main.go
+++ b/cmd/linenscaled/main.go
@@ -18,6 +18,7 @@
 
 	"github.com/linenscale/linenscale/daemon"
 	"github.com/linenscale/linenscale/declare"
+	"github.com/linenscale/linenscale/internal/hangup"
 	"github.com/linenscale/linenscale/settings"
 	"github.com/linenscale/linenscale/telemetry"
 )
@@ -49,6 +50,7 @@
 	case host == "" && !check:
 		flaggy.ShowHelpAndExit("host is required")
 	default:
+		hangup.Stop() // it has no settings to reload
 		runListedHost(path, host, level, check)
 	}
 }
@@ -84,6 +86,8 @@
 // runMember runs a host that discovers the others through seeds. If check is set, it only
 // validates the settings.
 func runMember(path, level string, check bool) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	s, err := settings.ReadMember(path)
 	if err != nil {
 		exitWith(exitUsage, err)
@@ -101,13 +105,11 @@
 	if err != nil {
 		exitWith(exitUsage, err)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	writerCtx, stopWriter := context.WithCancel(context.Background())
 	group := pool.New().WithContext(writerCtx)
 	group.Go(writer.Run)
 	reload := make(chan struct{}, 1)
-	group.Go(func(ctx context.Context) error { return forwardHangups(ctx, reload) })
+	group.Go(func(ctx context.Context) error { return forwardHangups(ctx, hangup.Signals(), reload) })
 	runErr := daemon.RunMember(ctx, path, reload, log)
 	stopWriter()
 	if err := group.Wait(); err != nil {
@@ -128,17 +130,13 @@
 // cost less than a larger heap.
 const gcPercent = 50
 
-// forwardHangups requests a reload of the settings for each SIGHUP until ctx ends. An
-// unhandled SIGHUP would terminate the process.
-func forwardHangups(ctx context.Context, reload chan<- struct{}) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+// forwardHangups requests a reload of the settings for each SIGHUP until ctx ends.
+func forwardHangups(ctx context.Context, hangups <-chan os.Signal, reload chan<- struct{}) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-signals:
+		case <-hangups:
 		}
 		select {
 		case reload <- struct{}{}:
--- a/soak/world.go
+++ b/soak/world.go
@@ -13,10 +13,9 @@
 	"slices"
 	"strconv"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
@@ -67,6 +66,8 @@
 	exited     chan struct{}
 	paused     bool
 	restarting bool // its process is being ended, and will be started again
+	// endRequested is set once the soak has sent its process a signal to end.
+	endRequested atomic.Bool
 }
 
 // World is one small deployment under test, with its network, checker and timeline. New
@@ -197,73 +198,6 @@
 
 func address(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 
-// start starts a host's process, which writes its output to a log file of its own.
-func (w *World) start(h *Host) error {
-	data, err := yaml.Marshal(h.settings)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	path := filepath.Join(w.Dir, h.Name+".yaml")
-	if err := os.WriteFile(path, data, 0o600); err != nil {
-		return errors.Trace(err)
-	}
-	if h.log == nil {
-		if h.log, err = os.Create(filepath.Join(w.Dir, h.Name+".log")); err != nil {
-			return errors.Trace(err)
-		}
-	}
-	h.process = exec.Command(w.Program, "member", "--settings", path)
-	h.process.Stdout, h.process.Stderr = h.log, h.log
-	if err := h.process.Start(); err != nil {
-		return errors.Trace(err)
-	}
-	h.paused = false
-	w.Checker.RecordDisturbance(h.listenIP)
-	h.settings.FirstStart = false
-	exited, process := make(chan struct{}), h.process
-	h.exited = exited
-	w.group.Go(func() {
-		_ = process.Wait() // its log says how it ended
-		close(exited)
-	})
-	return nil
-}
-
-// running reports whether a host's process hasn't exited.
-func (h *Host) running() bool {
-	select {
-	case <-h.exited:
-		return false
-	default:
-		return true
-	}
-}
-
-// signal sends a signal to a host's process if it runs.
-func (w *World) signal(h *Host, s syscall.Signal) {
-	w.Checker.RecordDisturbance(h.listenIP)
-	if h.running() {
-		_ = h.process.Process.Signal(s) // it may have exited since the check
-	}
-}
-
-// kill sends SIGKILL to a host's process and waits until it has exited.
-func (w *World) kill(h *Host) {
-	w.signal(h, syscall.SIGKILL)
-	<-h.exited
-}
-
-// Stop kills the processes of all hosts and closes the timeline.
-func (w *World) Stop() {
-	for _, h := range w.Hosts {
-		if h.process != nil {
-			w.signal(h, syscall.SIGCONT)
-			w.kill(h)
-		}
-	}
-	_ = w.Timeline.Close() // it only helps to examine a failed run
-}
-
 // addEngine starts an engine that registers with all control hosts, and is replaced if it
 // crashes.
 func (w *World) addEngine(service string, region int) (*Engine, error) {
