Soak: engines listen on the run's own network

What was seen: with twelve runs at the same time, one of 24 reported requests bound to region0 that reached an engine of another service in region1.

Cause: a fault of the soak. Engines of all runs listened on 127.0.0.1 with ports that the system chose, so that an engine got the port of one that had just ended in another run.

Evidence: the logs of all gateways of the run that failed lack the three requests, and so does the log of every other run that was kept; the engine rejected them, none ran.

Fix: engines listen on the network that the run has claimed for its region. The checks are as they were.

--- a/soak/world.go
+++ b/soak/world.go
@@ -49,6 +49,11 @@
 	metricsPort   = 9464
 )
 
+// engineIP is the host part of the address of a region's engines. They have the run's own
+// network: on an address that other runs use too, an engine gets the port of one that has
+// just ended there, and the requests that are still sent to that.
+const engineIP = 250
+
 // heartbeat is the interval at which engines register, and the heartbeat of the hosts'
 // settings.
 const heartbeat = 300 * time.Millisecond
@@ -203,7 +208,7 @@
 func (w *World) addEngine(service string, region int) (*Engine, error) {
 	ctx, cancel := context.WithCancel(w.ctx)
 	group := pool.New()
-	e, err := platformtest.StartEngine(ctx, group, "127.0.0.1:0", platformtest.EngineOptions{
+	e, err := platformtest.StartEngine(ctx, group, address(w.listenNets[region].IP(engineIP), 0), platformtest.EngineOptions{
 		Service: service, DataCentre: fmt.Sprintf("dc%d", region), Heartbeat: heartbeat, Pause: 15 * time.Millisecond, CrashOn: poisonBody,
 	})
 	if err != nil {
