raft: a leader without leases outlasts stalls that its followers would

What callers saw: after a stall of the network of 0.6 to 1.1 s, operators' reads and changes failed with 503 for up to two seconds more, at all control hosts.

Cause: a leader stepped down one election timeout after the sending of the last round that a majority acknowledged. Its followers wait 1 to 1.83 election timeouts from their last contact, which is later by up to a heartbeat and a round trip. So the leader gave up first, and the followers waited for it.

Fix: where nothing rests on the leader's lease, it steps down half an election timeout later. Logs with leases are as they were.

--- a/raft/doc.go
+++ b/raft/doc.go
@@ -16,7 +16,8 @@
 //     time grants no vote. Together these two rules give the leader a lease, on which the
 //     leases of the configuration rest. A voter that has just started waits one election
 //     timeout before it grants a vote, since it has lost the time of its last contact with
-//     a leader.
+//     a leader. Where no lease rests on a log, its leader steps down half an election
+//     timeout later.
 //   - Membership changes add or remove one voter at a time; a new voter is first a learner
 //     that catches up. A new leader starts no change before it has committed an entry of
 //     its own term.
--- a/raft/node.go
+++ b/raft/node.go
@@ -171,7 +171,7 @@
 }
 
 func (n *Node) tickLeader() {
-	if n.quorumAckTime().Add(n.opts.ElectionTimeout).Before(n.now) {
+	if n.quorumAckTime().Add(n.quorumTimeout()).Before(n.now) {
 		n.changeRole(Follower, n.hard.Term, None)
 		return
 	}
@@ -180,6 +180,17 @@
 	}
 }
 
+// quorumTimeout is how long a leader stays one without a majority. Leases rest on a leader
+// that steps down before a voter that it reached last may vote again. Where nothing rests on
+// it, that is too soon: the time counts from when the acknowledged round was sent, and a
+// leader that steps down while its followers still wait for it leaves them without one.
+func (n *Node) quorumTimeout() time.Duration {
+	if n.opts.SkipLeaseWait {
+		return n.opts.ElectionTimeout * 3 / 2
+	}
+	return n.opts.ElectionTimeout
+}
+
 // changeRole changes the role and the known leader. A new term clears the vote. A leader's
 // pending reads fail.
 func (n *Node) changeRole(role Role, term uint64, leader ID) {
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -321,3 +321,35 @@
 	r = n.Ready()
 	must.Eq(t, []raft.ReadResult{{ID: 7, Index: 1, OK: true}}, r.Reads)
 }
+
+// TestShortStallKeepsLeader guards against seconds without a leader after a stall of the
+// network that the followers would have waited for: the leader stepped down before them.
+func TestShortStallKeepsLeader(t *testing.T) {
+	for name, test := range map[string]struct{ delay, stall time.Duration }{
+		"one site":    {time.Millisecond, 1100 * time.Millisecond},
+		"two regions": {80 * time.Millisecond, 600 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(50) {
+				c := simlog.New(simlog.Options{
+					Seed: seed, Voters: 3, Election: time.Second, Heartbeat: heartbeat, Delay: test.delay, NoLease: true,
+					SnapshotEvery: 10, New: func() simlog.Machine { return &recordingMachine{} },
+				})
+				c.Run(5*time.Second + time.Duration(c.Random.IntN(1000))*time.Millisecond)
+				leader := c.Leader()
+				setIsolated := func(isolated bool) {
+					for i := range c.Nodes {
+						c.Isolate(i, isolated, isolated)
+					}
+				}
+				setIsolated(true)
+				c.Run(test.stall)
+				setIsolated(false)
+				served := false
+				c.Read(leader, func(ok bool) { served = ok })
+				c.Run(4*test.delay + heartbeat)
+				must.True(t, served, must.Sprintf("seed %d", seed))
+			}
+		})
+	}
+}
