allowance: refunds reach the other gateways

What callers see: 429 within the allowance at other gateways, for up to a window after requests that no engine ran. Found by looking for the fault of the late refunds elsewhere; no caller has reported it.

Cause: gateways count what others admit by their reported rates, and a rate below zero was reported as zero. A refund thus reached the others only as far as its gateway admitted other requests at that moment.

Fix: reported rates may be negative, and receivers subtract them from the latest slots.

--- a/allowance/account.go
+++ b/allowance/account.go
@@ -38,13 +38,16 @@
 	return a
 }
 
-// add counts units as admitted in a region.
+// add counts units as admitted in a region; negative units were refunded there.
 func (a *account) add(region string, units float64, windowLength time.Duration, now time.Time) {
-	if units <= 0 {
-		return
-	}
 	w, ok := a.used[region]
-	if !ok {
+	switch {
+	case units < 0 && ok:
+		w.subtractLatest(-units, now)
+		return
+	case units <= 0:
+		return
+	case !ok:
 		w = newWindow(windowLength, 0, now)
 		a.used[region] = w
 	}
--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -358,3 +358,48 @@
 	now = now.Add(900 * time.Millisecond)
 	must.LessEq(t, limit, admitSurge(earlier))
 }
+
+// TestRefundReachesOtherGateways guards against rejections within the allowance at other
+// gateways: they counted requests that never ran, and the refunds that came after the last
+// admission didn't reach them.
+func TestRefundReachesOtherGateways(t *testing.T) {
+	for _, delay := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, 3 * time.Second} {
+		for name, otherRegions := range map[string][]string{"of the region": {"lagos", "kano"}, "of another region": {"kano", "lagos"}} {
+			t.Run(fmt.Sprint(name, " ", delay), func(t *testing.T) {
+				now := time.Unix(1000, 0)
+				charged, other := newMeter("lagos", "kano"), newMeter(otherRegions...)
+				for _, m := range []*allowance.Meter{charged, other} {
+					m.SetGateways(2)
+					m.SetAccounts([]catalog.Account{{Name: "club", Allowance: catalog.Allowance{Unit: catalog.UnitRequests, Rate: 20, Burst: 4}}}, now)
+				}
+				now = now.Add(time.Minute)
+				grants := make(map[int]*allowance.Grant) // by step
+				for step := range 1800 {
+					now = now.Add(10 * time.Millisecond)
+					if step%10 == 0 {
+						usage := charged.OwnUsage(now)
+						for _, region := range []string{"lagos", "kano"} {
+							switch {
+							case region == otherRegions[0] && region == "lagos":
+								other.ReceiveLocal(usage, 1, now)
+							case region == otherRegions[0]:
+								other.ReceiveLocal(nil, 1, now)
+							case region == "lagos":
+								other.ReceiveRemote(region, usage, now, now)
+							default:
+								other.ReceiveRemote(region, nil, now, now)
+							}
+						}
+						charged.ReceiveLocal(nil, 1, now)
+						charged.ReceiveRemote("kano", nil, now, now)
+					}
+					if step >= 1000 && step < 1200 && step%4 == 0 { // when nothing is assumed of before
+						grants[step], _ = charged.Admit("club", 1, now)
+					}
+					grants[step-int(delay/(10*time.Millisecond))].Refund(now)
+				}
+				must.LessEq(t, 2, other.Statuses(now)[0].Used)
+			})
+		}
+	}
+}
