dispatch: an answer that has begun puts off a trial

Cause: a trial waits until no answer of the service has ended for a second. Streams last for many seconds, so a service whose requests run in both regions could get trials, each of which discounts the estimates, while its answers kept coming.

Change: the beginning of a stream counts as an answer as well. Found by reading; no run has shown needless trials.

--- a/dispatch/throughput.go
+++ b/dispatch/throughput.go
@@ -41,7 +41,7 @@
 
 	model      bool      // the service's engines run a model
 	answers    int       // number of answers used
-	answeredAt time.Time // when the latest of them ended
+	answeredAt time.Time // when one of them last began or ended
 	trials     trials
 }
 
@@ -92,6 +92,7 @@
 	if t.Cold || t.queued || t.TransferFrom != "" || t.pool.service.Model == nil || t.dispatcher.wasSuspended(t.sentAt) {
 		return
 	}
+	t.pool.throughput.answeredAt = now
 	took := now.Sub(t.sentAt)
 	firstEvent := t.pool.throughput.firstEvent
 	// A usual error must not count as slowness of the engine.
