Soak: no loss of a data folder before the last host to lose one votes again

Cause: a fault of the soak, which went beyond what three control hosts tolerate. It kept ten seconds between two losses of data folders; in that time the first host was stopped, killed and partitioned, its new identity was proposed as a learner and given up, and the second loss left one voter of three with its data.

Evidence: identities and membership changes in the control hosts' logs (postmortem).

Fix: a folder is deleted only while the voters are the control hosts under their present identities. For that, and for operators, each control host logs "membership changed" as it applies one. No check, bound or time of the soak is easier.

--- a/raft/types.go
+++ b/raft/types.go
@@ -32,6 +32,15 @@
 	Members *Membership `json:"m,omitempty"`
 }
 
+// Strings returns the IDs as strings, for logs.
+func Strings(ids []ID) []string {
+	out := make([]string, len(ids))
+	for i, id := range ids {
+		out[i] = string(id)
+	}
+	return out
+}
+
 // Membership lists the replicas of the group. Voters elect the leader and count towards the
 // commit quorum; learners only receive the log.
 type Membership struct {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -327,8 +327,11 @@
 func (r *Replica) apply(entries []raft.Entry) {
 	for _, e := range entries {
 		var result any
-		if e.Kind == raft.EntryCommand {
+		switch e.Kind {
+		case raft.EntryCommand:
 			result = r.opts.Machine.Apply(e.Index, e.Data)
+		case raft.EntryMembership:
+			r.opts.Log.Info("membership changed", zap.Uint64("index", e.Index), zap.Strings("voters", raft.Strings(e.Members.Voters)), zap.Strings("learners", raft.Strings(e.Members.Learners)))
 		}
 		p, ok := r.pendingProposals[e.Index]
 		if !ok {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -10,8 +10,7 @@
 	"github.com/linenscale/linenscale/platform/platformtest"
 )
 
-// minWipeInterval is the least time between two losses of data folders. It gives the first
-// host time to vote again before a second one loses its data.
+// minWipeInterval is the least time between two losses of data folders.
 const minWipeInterval = 10 * time.Second
 
 // fault is one kind of fault and its weight in the random draw.
@@ -154,11 +153,13 @@
 }
 
 // wipeDataDir kills a control host, deletes its data folder and starts it again. It does
-// nothing if a folder was deleted within minWipeInterval or a control host isn't running.
+// nothing if a folder was deleted within minWipeInterval, a control host isn't running, or
+// one that lost its folder doesn't vote again yet: without a majority of the voters' data, no
+// command can ever be accepted again.
 func wipeDataDir(w *World, r *rand.Rand) string {
 	h := pick(r, w.controlHosts())
 	w.mu.Lock()
-	ready := time.Since(w.lastWipe) > minWipeInterval
+	ready := time.Since(w.lastWipe) > minWipeInterval && w.allVote()
 	for _, c := range w.controlHosts() {
 		ready = ready && !c.restarting && c.running() && !c.paused
 	}
--- a/voters/voters.go
+++ b/voters/voters.go
@@ -111,18 +111,9 @@
 	if errors.Is(err, raft.ErrMembershipChangeRejected) {
 		return
 	}
-	r.log.Info("membership change proposed", zap.String("why", reason), zap.Strings("voters", idStrings(next.Voters)), zap.Strings("learners", idStrings(next.Learners)), telemetry.ErrorField(err))
+	r.log.Info("membership change proposed", zap.String("why", reason), zap.Strings("voters", raft.Strings(next.Voters)), zap.Strings("learners", raft.Strings(next.Learners)), telemetry.ErrorField(err))
 }
 
-// idStrings converts replica identities to strings: zap.Strings accepts no slices of
-// other types.
-func idStrings(ids []raft.ID) []string {
-	out := make([]string, len(ids))
-	for i, id := range ids {
-		out[i] = string(id)
-	}
-	return out
-}
 
 // HostOf returns the host name in a replica's identity, which is "host#suffix".
 func HostOf(id raft.ID) string {
