--- a/voters/voters.go
+++ b/voters/voters.go
@@ -114,7 +114,6 @@
 	r.log.Info("membership change proposed", zap.String("why", reason), zap.Strings("voters", raft.Strings(next.Voters)), zap.Strings("learners", raft.Strings(next.Learners)), telemetry.ErrorField(err))
 }
 
-
 // HostOf returns the host name in a replica's identity, which is "host#suffix".
 func HostOf(id raft.ID) string {
 	host, _, _ := strings.Cut(string(id), "#")
