Log when this process did not run

All control hosts lost each other within 60 ms of each other, again and again, and no line says whether the processes or the network between them stood still.

On-call engineers get the same line for a host that is starved or stopped.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -140,7 +140,7 @@
 	group.Go(d.controlSender.Run)
 	group.Go(d.keySender.Run)
 	group.Go(func(ctx context.Context) error { return server.Serve(ctx, d.deployment().Listener(control, d.log)) })
-	suspensions := suspension.New(time.Now)
+	suspensions := suspension.New(time.Now, logSuspension(d.log))
 	group.Go(suspensions.Run)
 	d.fleet = fleet.New(d.host.Name, d.host.Region, time.Now, suspensions.SuspendedSince, route.PrefixBounded{}, d.seed)
 	if d.host.Disk {
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -133,9 +133,10 @@
 		return errors.Trace(err)
 	}
 	m := &member{
-		path: path, settings: s, incarnation: newIncarnation(), metrics: metrics, roundTrips: trip.New(), suspensions: suspension.New(steady.Time),
+		path: path, settings: s, incarnation: newIncarnation(), metrics: metrics, roundTrips: trip.New(),
 		log: log.With(zap.String("host", s.Name)),
 	}
+	m.suspensions = suspension.New(steady.Time, logSuspension(m.log))
 	m.calls, m.commands = wire.NewClient(m.peerDialer(true)), wire.NewClient(m.peerDialer(true))
 	seeds := s.SeedPeerAddresses()
 	m.seeds.Store(&seeds)
@@ -165,6 +166,14 @@
 	return group.Wait()
 }
 
+// logSuspension returns a function that logs a suspension of this process. Others then saw
+// no heartbeats from it, and what it was waiting for seems late.
+func logSuspension(log *zap.Logger) func(length time.Duration) {
+	return func(length time.Duration) {
+		log.Warn("process did not run", zap.Duration("for", length))
+	}
+}
+
 // rosterEntry returns this host's own entry in the roster, which it sends to others.
 func (m *member) rosterEntry() roster.Host {
 	return roster.Host{
--- a/internal/suspension/suspension.go
+++ b/internal/suspension/suspension.go
@@ -26,7 +26,8 @@
 // Detector detects suspensions of more than maxGap. It is safe for concurrent use. New
 // makes one.
 type Detector struct {
-	clock func() time.Time
+	clock  func() time.Time
+	report func(length time.Duration)
 
 	mu        sync.Mutex
 	notedAt   time.Time
@@ -34,9 +35,10 @@
 }
 
 // New returns a detector that reads the given clock, which must not stop during a
-// suspension.
-func New(clock func() time.Time) *Detector {
-	return &Detector{clock: clock, notedAt: clock()}
+// suspension. It calls report with the length of each suspension, after its end; report
+// must not call the detector.
+func New(clock func() time.Time, report func(length time.Duration)) *Detector {
+	return &Detector{clock: clock, report: report, notedAt: clock()}
 }
 
 // Run notes the time at regular intervals until ctx ends.
@@ -55,8 +57,9 @@
 // note is Note with the lock held.
 func (d *Detector) note() {
 	now := d.clock()
-	if now.Sub(d.notedAt) > maxGap {
+	if gap := now.Sub(d.notedAt); gap > maxGap {
 		d.resumedAt = now
+		d.report(gap)
 	}
 	d.notedAt = now
 }
--- a/internal/suspension/suspension_test.go
+++ b/internal/suspension/suspension_test.go
@@ -12,12 +12,14 @@
 
 func Example() {
 	now := time.Unix(1000, 0)
-	d := suspension.New(func() time.Time { return now })
+	d := suspension.New(func() time.Time { return now }, func(length time.Duration) { fmt.Println("suspended for", length) })
 	before := now
 	now = now.Add(3 * time.Second) // no note for so long
 	resumed := now
 	fmt.Println(d.SuspendedSince(before), d.SuspendedSince(resumed))
-	// Output: true false
+	// Output:
+	// suspended for 3s
+	// true false
 }
 
 // TestSuspensionIsDetected guards against measurements that include a suspension, and
@@ -37,7 +39,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
-			d := suspension.New(func() time.Time { return now })
+			d := suspension.New(func() time.Time { return now }, func(time.Duration) {})
 			started := now
 			for i, gap := range test.gaps {
 				now = now.Add(gap * time.Millisecond)
