allowance: the fix of refunds at other gateways is taken back

Cause: not shown to be that fix, but it can do this. Receivers took a refund from the latest slots of the window, while the refunded request was admitted in an older one. As the older slot leaves the window, a later request goes missing from it, and the account is admitted more.

Change: reported rates are at least zero again and receivers subtract nothing. The limit of an account comes before its refunds at other gateways.

--- a/allowance/account.go
+++ b/allowance/account.go
@@ -38,16 +38,13 @@
 	return a
 }
 
-// add counts units as admitted in a region; negative units were refunded there.
+// add counts units as admitted in a region.
 func (a *account) add(region string, units float64, windowLength time.Duration, now time.Time) {
-	w, ok := a.used[region]
-	switch {
-	case units < 0 && ok:
-		w.subtractLatest(-units, now)
-		return
-	case units <= 0:
+	if units <= 0 {
 		return
-	case !ok:
+	}
+	w, ok := a.used[region]
+	if !ok {
 		w = newWindow(windowLength, 0, now)
 		a.used[region] = w
 	}
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -20,7 +20,7 @@
 }
 
 // Usage is how much of an account is admitted and requested, in units a second unless
-// noted. The admitted rates are less what was refunded, and may be negative.
+// noted.
 type Usage struct {
 	AdmittedRate  float64 // over the last 0.2 s
 	SmoothedRate  float64 // admitted over the last 0.5 s
@@ -238,7 +238,7 @@
 	defer m.mu.Unlock()
 	out := make(map[string]Usage)
 	for name, a := range m.active {
-		if u := a.ownUsage(now); u.RequestedRate >= minReportedRate || u.WindowTotal > 0 || u.SmoothedRate < 0 {
+		if u := a.ownUsage(now); u.RequestedRate >= minReportedRate || u.WindowTotal > 0 {
 			out[name] = u
 		}
 	}
--- a/allowance/movingsum.go
+++ b/allowance/movingsum.go
@@ -42,9 +42,7 @@
 	return max(0, sum)
 }
 
-// perSecond returns the rate over the last complete slots of the period. It is negative
-// where more was refunded within the period than added: whoever counts by the rate has
-// counted what is refunded.
+// perSecond returns the rate over the last complete slots of the period.
 func (m *movingSum) perSecond(now time.Time, period time.Duration) float64 {
 	m.advance(now)
 	count := int64(period / movingSlotTime)
@@ -52,5 +50,5 @@
 	for i := int64(1); i <= count; i++ {
 		sum += m.slots[(m.newest-i)%movingSlots]
 	}
-	return sum / period.Seconds()
+	return max(0, sum/period.Seconds())
 }
--- a/allowance/window.go
+++ b/allowance/window.go
@@ -62,19 +62,6 @@
 	w.sum = max(0, w.sum-units)
 }
 
-// subtractLatest removes units from the latest slots that hold any, for units that were added
-// at an unknown time.
-func (w *window) subtractLatest(units float64, now time.Time) {
-	w.advance(now)
-	for number := w.newest; units > 0 && number >= w.newest-windowSlots; number-- {
-		slot := &w.slots[number%int64(len(w.slots))]
-		part := min(units, *slot)
-		*slot -= part
-		units -= part
-		w.sum = max(0, w.sum-part)
-	}
-}
-
 // expiryRate returns how many units currently leave the window per second, averaged over
 // the next few slots.
 func (w *window) expiryRate() float64 {
--- a/dispatch/accounts.go
+++ b/dispatch/accounts.go
@@ -86,8 +86,8 @@
 }
 
 func decodeUsage(use rollup.AccountUsage) allowance.Usage {
-	units := func(encoded int) float64 { return float64(encoded) / usageScale }
-	return allowance.Usage{AdmittedRate: units(use.AdmittedRate), SmoothedRate: units(use.SmoothedRate), RequestedRate: max(0, units(use.RequestedRate)), WindowTotal: float64(max(0, use.WindowTotal))}
+	units := func(encoded int) float64 { return float64(max(0, encoded)) / usageScale }
+	return allowance.Usage{AdmittedRate: units(use.AdmittedRate), SmoothedRate: units(use.SmoothedRate), RequestedRate: units(use.RequestedRate), WindowTotal: float64(max(0, use.WindowTotal))}
 }
 
 // usageScale is the number of steps per unit in reported rates. With whole units, an
