raft: voters don't wait for a leader that has stepped down

What callers saw: after a stall of a second and a half or more, control hosts answered operators with 503 for 1.1 to 1.4 s more (1.7 to 2.1 s between regions), and gateways came closer to the end of their key leases, although all hosts ran and reached each other.

Cause: what a stall blocks is delivered after it. Heartbeats that the leader sent before it stepped down counted as contact with a leader, so voters waited for it for another election timeout and rejected its own campaign.

Blocked disks alone don't bring it about.

Change: a leader that steps down for the lack of a majority campaigns at once, and a request for votes from the leader of a voter's own term tells the voter that this leader has stepped down. No message or stored field changes.

--- a/internal/simlog/simlog.go
+++ b/internal/simlog/simlog.go
@@ -52,6 +52,7 @@
 	queue       messages
 	sequence    int
 	partitioned map[[2]int]bool
+	stalled     bool
 }
 
 // Node is one replica, with its disk and the proposals and reads that wait for it.
@@ -168,6 +169,10 @@
 	c.partitioned[[2]int{a, b}] = partitioned
 }
 
+// SetStalled stalls the network between all replicas, or ends the stall. What was sent
+// meanwhile then arrives, in its order.
+func (c *Cluster) SetStalled(stalled bool) { c.stalled = stalled }
+
 // Isolate partitions a replica from all others: in drops the messages to it, and out
 // those from it. A direction that is false is reconnected.
 func (c *Cluster) Isolate(n int, in, out bool) {
@@ -243,7 +248,7 @@
 		m := heap.Pop(&c.queue).(message)
 		n := c.Nodes[m.to]
 		switch {
-		case n.Paused:
+		case n.Paused || c.stalled:
 			m.deliverAt = c.Now.Add(tickInterval) // the kernel buffers what a paused process receives
 			heap.Push(&c.queue, m)
 		case n.Up:
--- a/raft/doc.go
+++ b/raft/doc.go
@@ -18,6 +18,11 @@
 //     timeout before it grants a vote, since it has lost the time of its last contact with
 //     a leader. Where no lease rests on a log, its leader steps down half an election
 //     timeout later.
+//   - Resignation: a leader that steps down for the lack of a majority campaigns at once. A
+//     voter that receives a request for its vote from the leader of its own term knows that
+//     this leader has stepped down, and no longer waits for it. Otherwise heartbeats that a
+//     blocked connection delivers late would keep the voters waiting for a leader that
+//     doesn't lead. The lease of a leader ends before it steps down.
 //   - Membership changes add or remove one voter at a time; a new voter is first a learner
 //     that catches up. A new leader starts no change before it has committed an entry of
 //     its own term.
--- a/raft/node.go
+++ b/raft/node.go
@@ -58,6 +58,8 @@
 	hard        HardState
 	role        Role
 	leader      ID
+	termLeader  ID   // leader of the current term if this replica received a message from it, also once it is lost
+	resigned    bool // termLeader doesn't lead any more
 	log         entryLog
 	commitIndex uint64
 
@@ -172,7 +174,7 @@
 
 func (n *Node) tickLeader() {
 	if n.quorumAckTime().Add(n.quorumTimeout()).Before(n.now) {
-		n.changeRole(Follower, n.hard.Term, None)
+		n.resign()
 		return
 	}
 	if !n.now.Before(n.nextHeartbeat) {
@@ -180,6 +182,17 @@
 	}
 }
 
+// resign steps down for the lack of a majority. A voter campaigns at once: messages that
+// it sent as leader may still be on their way, and followers that receive them would wait
+// for it as if it led. Its pre-vote follows those messages and ends the wait.
+func (n *Node) resign() {
+	if n.membership.IsVoter(n.opts.ID) {
+		n.campaign(PreCandidate, false)
+		return
+	}
+	n.changeRole(Follower, n.hard.Term, None)
+}
+
 // quorumTimeout is how long a leader stays one without a majority. Leases rest on a leader
 // that steps down before a voter that it reached last may vote again. Where nothing rests on
 // it, that is too soon: the time counts from when the acknowledged round was sent, and a
@@ -197,6 +210,7 @@
 	if term != n.hard.Term {
 		n.hard = HardState{Term: term}
 		n.hardStateChanged = true
+		n.forgetTermLeader()
 	}
 	if n.role == Leader {
 		n.failReads()
@@ -216,6 +230,7 @@
 	if role == Candidate {
 		n.hard = HardState{Term: term, Vote: n.opts.ID}
 		n.hardStateChanged = true
+		n.forgetTermLeader()
 		request = Vote{LastIndex: n.log.lastIndex(), LastTerm: n.log.lastTerm(), Transfer: transfer}
 	}
 	n.votes = map[ID]bool{n.opts.ID: true}
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -353,3 +353,57 @@
 		})
 	}
 }
+
+// TestDelayedHeartbeatsDontDelayElection guards against a second or more without a leader after
+// a stall: voters receive heartbeats that the leader sent before it stepped down, and wait for
+// it once more.
+func TestDelayedHeartbeatsDontDelayElection(t *testing.T) {
+	const voteTimeout = time.Second
+	for name, test := range map[string]struct {
+		delay, stall time.Duration
+		stalled      func(c *simlog.Cluster, stalled bool)
+	}{
+		"followers paused, one site":    {time.Millisecond, 2 * time.Second, pauseFollowers},
+		"followers paused, two regions": {80 * time.Millisecond, 1200 * time.Millisecond, pauseFollowers},
+		"network stalled":               {time.Millisecond, 6 * time.Second, (*simlog.Cluster).SetStalled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			// A candidate whose request came too early retries within two thirds of the
+			// timeout. Pre-vote, vote, first entry and read take two messages each, and a
+			// message takes up to twice the delay.
+			most := voteTimeout*2/3 + 8*2*test.delay
+			for seed := range uint64(50) {
+				c := simlog.New(simlog.Options{
+					Seed: seed, Voters: 3, Election: voteTimeout, Heartbeat: heartbeat, Delay: test.delay, NoLease: true,
+					SnapshotEvery: 10, New: func() simlog.Machine { return &recordingMachine{} },
+				})
+				c.Run(5*time.Second + time.Duration(c.Random.IntN(1000))*time.Millisecond)
+				test.stalled(c, true)
+				c.Run(test.stall)
+				test.stalled(c, false)
+				must.Less(t, most, untilServed(c), must.Sprintf("seed %d", seed))
+			}
+		})
+	}
+}
+
+// pauseFollowers pauses or resumes all replicas but the leader.
+func pauseFollowers(c *simlog.Cluster, paused bool) {
+	leader := c.Leader()
+	for _, n := range c.Nodes {
+		n.Paused = paused && n != leader
+	}
+}
+
+// untilServed returns how long it takes until a leader answers a linearizable read.
+func untilServed(c *simlog.Cluster) time.Duration {
+	const giveUp = 10 * time.Second
+	began, served := c.Now, false
+	for !served && c.Now.Sub(began) < giveUp {
+		if leader := c.Leader(); leader != nil {
+			c.Read(leader, func(ok bool) { served = served || ok })
+		}
+		c.Step()
+	}
+	return c.Now.Sub(began)
+}
--- a/raft/step.go
+++ b/raft/step.go
@@ -10,6 +10,10 @@
 	if e.To != n.opts.ID {
 		return // addressed to an ID that this host had before it lost its data
 	}
+	n.noteResignation(e)
+	if n.fromResignedLeader(e) {
+		return
+	}
 	if !n.acceptTerm(e) {
 		return
 	}
@@ -35,6 +39,37 @@
 	}
 }
 
+// noteResignation handles a request for a vote that the leader of the current term sends for
+// a later one: it doesn't lead any more, so nothing needs to wait for it, however recent the
+// last message from it is. A request that it sent before it led is for the current term or
+// an earlier one.
+func (n *Node) noteResignation(e Envelope) {
+	switch e.Message.(type) {
+	case PreVote, Vote:
+	default:
+		return
+	}
+	if e.From != n.termLeader || e.Term <= n.hard.Term {
+		return
+	}
+	n.resigned = true
+	n.leader = None
+	n.lastLeaderContact = time.Time{}
+}
+
+// fromResignedLeader reports whether e is a message that the leader of the current term sent
+// before it resigned. A connection that was blocked delivers such messages seconds later.
+func (n *Node) fromResignedLeader(e Envelope) bool {
+	switch e.Message.(type) {
+	case Append, Install:
+		return n.resigned && e.Term == n.hard.Term
+	default:
+		return false
+	}
+}
+
+func (n *Node) forgetTermLeader() { n.termLeader, n.resigned = None, false }
+
 // acceptTerm adopts the term of the message if it is newer, and rejects a message of an
 // older term, so that its sender learns the current one. It reports whether the message
 // should be handled.
@@ -126,7 +161,7 @@
 	if n.role != Follower {
 		n.changeRole(Follower, n.hard.Term, leader)
 	}
-	n.leader = leader
+	n.leader, n.termLeader = leader, leader
 	n.lastLeaderContact = n.now
 	n.resetElectionDeadline()
 }
