raft: a pre-candidate doesn't grant the pre-vote of one it precedes

Callers saw control hosts answer reads and changes with 503 for seconds with a majority running and connected, and gateways reach the end of their key leases.

Cause: two pre-candidates granted each other's pre-votes, so that both started the same term and voted for themselves. Retries come 0.33 to 0.67 s later, and a campaign between regions takes as long, so that with one voter of three lost most retries split again. Traced in a simulated history: six split terms in a row, 3.6 s at 40 to 80 ms one way.

Of two pre-candidates with equal logs, the one with the lower ID now rejects the other's pre-vote, in its first attempt only: if that doesn't win, it may lack a link that the other one has. Votes and up-to-dateness are as before.

TestTwoVotersElectLeaderInTime failed before.

--- a/raft/node.go
+++ b/raft/node.go
@@ -70,6 +70,7 @@
 	lastLeaderContact time.Time // last message from a leader, or the start of the replica
 	nextHeartbeat     time.Time
 	votes             map[ID]bool
+	firstPreVote      bool // role PreCandidate: this is the first attempt since it was follower or candidate
 	peers             map[ID]*progress
 	lastRound         uint64
 	recentRounds      []sentRound // the last maxRecentRounds broadcasts, oldest first
@@ -224,6 +225,7 @@
 // and asks for their votes (role Candidate). transfer is set if the leader requested the
 // election.
 func (n *Node) campaign(role Role, transfer bool) {
+	n.firstPreVote = role == PreCandidate && n.role != PreCandidate
 	n.changeRole(role, n.hard.Term, None)
 	term := n.hard.Term + 1
 	var request Message = PreVote{LastIndex: n.log.lastIndex(), LastTerm: n.log.lastTerm()}
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -407,3 +407,67 @@
 	}
 	return c.Now.Sub(began)
 }
+
+// TestTwoVotersElectLeaderInTime guards against elections that two voters split again and
+// again, while the third is lost: gateways reject requests once key leases end, and those leave
+// 3 s for the loss of a leader.
+func TestTwoVotersElectLeaderInTime(t *testing.T) {
+	const leaderLossBound = 3 * time.Second
+	restart := func(c *simlog.Cluster) {
+		for _, n := range c.Nodes {
+			c.Crash(n, 0)
+		}
+		c.Start(c.Nodes[1])
+		c.Run(time.Duration(c.Random.IntN(1500)) * time.Millisecond)
+		c.Start(c.Nodes[2])
+	}
+	partition := func(c *simlog.Cluster) {
+		c.Crash(c.Nodes[0], 0)
+		c.Isolate(1, true, true)
+		c.Run(2 * time.Second)
+		c.Isolate(1, false, false)
+	}
+	for name, disturb := range map[string]func(*simlog.Cluster){"restarted": restart, "partitioned": partition} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(200) {
+				c := simlog.New(simlog.Options{
+					Seed: seed, Voters: 3, Election: time.Second, Heartbeat: heartbeat, Delay: 80 * time.Millisecond, NoLease: true,
+					SnapshotEvery: 10, New: func() simlog.Machine { return &recordingMachine{} },
+				})
+				c.Run(5*time.Second + time.Duration(c.Random.IntN(1000))*time.Millisecond)
+				disturb(c)
+				connectedAt := c.Now
+				for c.Leader() == nil {
+					c.Step()
+					must.LessEq(t, leaderLossBound, c.Now.Sub(connectedAt), must.Sprintf("seed %d", seed))
+				}
+			}
+		})
+	}
+}
+
+// TestSplitPreVoteOnlyDelaysOneAttempt guards against a pre-candidate that never grants a
+// pre-vote: it precedes the other voter, but lacks the link to the one that both need.
+func TestSplitPreVoteOnlyDelaysOneAttempt(t *testing.T) {
+	for seed := range uint64(50) {
+		c := newCluster(seed, 5, 0)
+		c.Run(5 * time.Second)
+		for _, n := range c.Nodes[3:] {
+			c.Crash(n, 0)
+		}
+		for i := range 3 {
+			c.Isolate(i, true, true)
+		}
+		c.Run(5 * time.Second)
+		for i := range 3 {
+			c.Isolate(i, false, false)
+		}
+		c.SetPartitioned(0, 2, true)
+		c.SetPartitioned(2, 0, true)
+		healedAt := c.Now
+		for c.Leader() == nil {
+			c.Step()
+			must.LessEq(t, 30*time.Second, c.Now.Sub(healedAt), must.Sprintf("seed %d", seed))
+		}
+	}
+}
--- a/raft/step.go
+++ b/raft/step.go
@@ -129,7 +129,7 @@
 }
 
 func (n *Node) handlePreVote(e Envelope, m PreVote) {
-	granted := e.Term > n.hard.Term && !n.leaderLeaseMayRun() && n.isUpToDate(m.LastIndex, m.LastTerm)
+	granted := e.Term > n.hard.Term && !n.leaderLeaseMayRun() && n.isUpToDate(m.LastIndex, m.LastTerm) && !n.precedes(e.From, m)
 	term := n.hard.Term
 	if granted {
 		term = e.Term
@@ -137,6 +137,15 @@
 	n.outgoing = append(n.outgoing, Envelope{n.opts.ID, e.From, term, PreVoteReply{Granted: granted}})
 }
 
+// precedes reports whether this replica is a pre-candidate that another one with an equal log
+// yields to. If both granted each other's pre-votes, both would start the same term and vote
+// for themselves, again and again where a campaign takes as long as the time between two. A
+// pre-candidate that didn't win its first attempt may lack a link that the other one has.
+func (n *Node) precedes(other ID, m PreVote) bool {
+	equalLogs := m.LastIndex == n.log.lastIndex() && m.LastTerm == n.log.lastTerm()
+	return n.role == PreCandidate && n.firstPreVote && equalLogs && n.opts.ID < other
+}
+
 func (n *Node) handleVote(e Envelope, m Vote) {
 	canVote := n.hard.Vote == None || n.hard.Vote == e.From
 	granted := canVote && n.role == Follower && n.isUpToDate(m.LastIndex, m.LastTerm)
