voters: a voter that lost its data is removed before its replacement votes

Callers saw control hosts without a leader although one of three was down: a host lost its data folder, returned under a new identity, and stopped again within the 300 ms in which both identities were voters. Three of four voters are a majority then, and two ran. If the host lost its folder a second time, no command could ever be accepted again.

A voter whose host runs under another identity never votes again. While it counts, a majority is as large as without it or larger, so that removing it first loses nothing. A voter that only isn't heard is still removed last, since it may return. The change also adds the new replica as a learner, so that it learns the log no later than before.

--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -471,3 +471,50 @@
 		}
 	}
 }
+
+// TestHostLostAgainDuringReplacementKeepsQuorum guards against control hosts without a leader
+// although only one of three is down: it lost its disk, returned, and failed while its new
+// replica replaced the old one.
+func TestHostLostAgainDuringReplacementKeepsQuorum(t *testing.T) {
+	const leaderLossBound = 3 * time.Second
+	for returned := time.Duration(0); returned < 2*time.Second; returned += 50 * time.Millisecond {
+		t.Run(returned.String(), func(t *testing.T) {
+			c := simlog.New(simlog.Options{
+				Seed: 1, Voters: 3, Election: time.Second, Heartbeat: heartbeat, Delay: 40 * time.Millisecond, NoLease: true,
+				SnapshotEvery: 10, New: func() simlog.Machine { return &recordingMachine{} },
+			})
+			c.Run(5 * time.Second)
+			lost := c.Nodes[(c.Leader().Index+1)%3]
+			c.LoseDisk(lost)
+			c.Start(lost)
+			policy := voters.Policy{TargetVoters: 3, LostAfter: 2 * time.Second, Standby: true}
+			runWithReconciler(c, policy, returned)
+			c.Crash(lost, 0)
+			runWithReconciler(c, policy, leaderLossBound)
+			served := false
+			must.NotNil(t, c.Leader(), must.Sprint("no leader, two of three hosts run"))
+			c.Read(c.Leader(), func(ok bool) { served = ok })
+			c.Run(time.Second)
+			must.True(t, served)
+		})
+	}
+}
+
+// runWithReconciler advances the time, while the leader replaces lost voters as package voters
+// decides it. Each host is known under the last identity that it ran with.
+func runWithReconciler(c *simlog.Cluster, policy voters.Policy, d time.Duration) {
+	for until := c.Now.Add(d); c.Now.Before(until); {
+		c.Run(min(250*time.Millisecond, until.Sub(c.Now)))
+		leader := c.Leader()
+		if leader == nil {
+			continue
+		}
+		var candidates []voters.Candidate
+		for _, n := range c.Nodes {
+			candidates = append(candidates, voters.Candidate{ID: n.ID})
+		}
+		if next, reason := voters.NextMembership(leader.Raft.Status(), candidates, policy, c.Now); reason != "" {
+			_, _, _ = leader.Raft.ProposeMembers(c.Now, next)
+		}
+	}
+}
--- a/voters/voters.go
+++ b/voters/voters.go
@@ -4,8 +4,8 @@
 // if its host runs a replica with another identity because the data folder was lost.
 // The leader's Reconciler then makes one membership change at a time: it adds a
 // replacement as a learner, makes it a voter once it has caught up, and only then
-// removes the lost voter. If another voter fails during the replacement, the log thus
-// has one voter more than it would if the lost one were removed first.
+// removes the lost voter, which may return meanwhile. One that lost its data can't, and is
+// removed first.
 package voters
 
 import (
@@ -137,6 +137,13 @@
 		}
 		return members, "learners are lost: " + strings.Join(raft.Strings(lost), ", ")
 	}
+	if replaced := replacedVoter(status, candidates); replaced != raft.None && len(members.Voters) > 1 {
+		next = members.Without(replaced)
+		if policy.Standby {
+			next, _ = addLearners(next, candidates)
+		}
+		return next, "the host of voter " + string(replaced) + " has lost its data"
+	}
 	lost := lostVoter(status, candidates, policy, now)
 	needed := lost != raft.None || len(members.Voters) < policy.TargetVoters
 	if needed && len(members.Voters) <= policy.TargetVoters {
@@ -230,15 +237,27 @@
 	return raft.None
 }
 
+// replacedVoter returns a voter whose host runs a replica with another identity, or raft.None.
+// It never votes again, so that it is removed before its replacement votes: with both, a
+// majority would need the replacement as well.
+func replacedVoter(status raft.Status, candidates []Candidate) raft.ID {
+	for _, peer := range status.Peers {
+		if status.Members.IsVoter(peer.ID) && hasOtherIdentity(peer.ID, candidates) {
+			return peer.ID
+		}
+	}
+	return raft.None
+}
+
+// hasOtherIdentity reports whether a replica's host runs a replica with another identity.
+func hasOtherIdentity(id raft.ID, candidates []Candidate) bool {
+	return slices.ContainsFunc(candidates, func(c Candidate) bool { return HostOf(c.ID) == HostOf(id) && c.ID != id })
+}
+
 // isLost reports whether the leader hasn't heard from the peer for policy.LostAfter, or
 // the peer's host now runs a replica with another identity.
 func isLost(peer raft.PeerStatus, candidates []Candidate, policy Policy, now time.Time) bool {
-	for _, candidate := range candidates {
-		if HostOf(candidate.ID) == HostOf(peer.ID) && candidate.ID != peer.ID {
-			return true
-		}
-	}
-	return now.Sub(peer.Heard) > policy.LostAfter
+	return hasOtherIdentity(peer.ID, candidates) || now.Sub(peer.Heard) > policy.LostAfter
 }
 
 // pickLearner selects a candidate that isn't a member yet. To keep the voters spread
