raft, replica: an election ends although disks are slow

What callers saw: gateways rejected all requests, and all control hosts answered operators with 503, for as long as a sync of the control hosts' log took half a second or more and their leader had been lost once. All processes ran.

Cause: a candidate waited 0.33 to 0.67 s for votes, counted from before its own sync, so that it gave up before its requests were sent, and began the next term, with the next sync. Late votes didn't count, a new leader stepped down after its first sync, and a blocked follower didn't read the heartbeats that waited for it.

Ruled out by runs: processor load alone, a slow disk without a lost leader.

Change: time in which the disk blocked a replica doesn't count against it, a candidate waits for its voters' syncs, late votes count, entries are sent before the leader's own sync, what waits is handled before a timer. No message or stored field changes. Slow syncs are logged.

--- a/raft/node.go
+++ b/raft/node.go
@@ -69,8 +69,11 @@
 	electionDeadline  time.Time // when to start the next election
 	lastLeaderContact time.Time // last message from a leader, or the start of the replica
 	nextHeartbeat     time.Time
-	votes             map[ID]bool
-	firstPreVote      bool // role PreCandidate: this is the first attempt since it was follower or candidate
+	blocked           []interval    // of a leader: in which its disk blocked it for long
+	diskTime          time.Duration // how long this replica's disk took recently to make something durable
+	preVotes          map[ID]bool   // granted in the current pre-vote
+	votes             map[ID]bool   // granted in the current term
+	firstPreVote      bool          // role PreCandidate: this is the first attempt since it was follower or candidate
 	peers             map[ID]*progress
 	lastRound         uint64
 	recentRounds      []sentRound // the last maxRecentRounds broadcasts, oldest first
@@ -136,9 +139,14 @@
 	return step + 3*step*time.Duration(slot) + time.Duration(n.opts.Random.Int64N(int64(step)))
 }
 
+// voterSyncs is how many syncs of its disk a voter may need before it can reply: the one that
+// it is busy with, and that of its vote.
+const voterSyncs = 2
+
 // resetElectionDeadline sets a random time for the next election. A candidate retries sooner
-// than a follower that has just lost its leader: a reply takes only one round trip, and the
-// retry shortens the time without a leader after a split vote or a healed partition. Other
+// than a follower that has just lost its leader: a reply takes only one round trip and the
+// voter's syncs, and the retry shortens the time without a leader after a split vote or a
+// healed partition. Voters' disks are taken to be as slow as this replica's own. Other
 // voters wait for a slot by position among the voters, which rotates with the term.
 func (n *Node) resetElectionDeadline() {
 	minDelay := n.opts.ElectionTimeout
@@ -146,6 +154,7 @@
 	if n.role == PreCandidate || n.role == Candidate {
 		minDelay /= 3
 		jitter = minDelay
+		minDelay += voterSyncs * n.diskTime
 	} else if position := slices.Index(n.membership.Voters, n.opts.ID); position >= 0 {
 		slot := minDelay / time.Duration(len(n.membership.Voters))
 		minDelay += slot * time.Duration((uint64(position)+n.hard.Term)%uint64(len(n.membership.Voters)))
@@ -167,6 +176,9 @@
 	}
 }
 
+// Now returns the time of the last call that told the node the time.
+func (n *Node) Now() time.Time { return n.now }
+
 func (n *Node) advanceClock(now time.Time) {
 	if now.After(n.now) {
 		n.now = now
@@ -174,7 +186,7 @@
 }
 
 func (n *Node) tickLeader() {
-	if n.quorumAckTime().Add(n.quorumTimeout()).Before(n.now) {
+	if n.lostQuorum() {
 		n.resign()
 		return
 	}
@@ -183,6 +195,36 @@
 	}
 }
 
+// lostQuorum reports whether the leader has listened for too long without the
+// acknowledgement of a majority. Where leases rest on it, time in which its disk blocked it
+// counts as well.
+func (n *Node) lostQuorum() bool {
+	acked := n.quorumAckTime()
+	silence := n.now.Sub(acked)
+	if n.opts.SkipLeaseWait {
+		silence -= n.blockedSince(acked)
+	}
+	return silence > n.quorumTimeout()
+}
+
+// interval is a time from start to end.
+type interval struct{ start, end time.Time }
+
+// blockedSince returns how long the disk blocked this leader since then, and forgets what
+// was before.
+func (n *Node) blockedSince(since time.Time) time.Duration {
+	n.blocked = slices.DeleteFunc(n.blocked, func(b interval) bool { return !b.end.After(since) })
+	var total time.Duration
+	for _, b := range n.blocked {
+		start := b.start
+		if start.Before(since) {
+			start = since
+		}
+		total += b.end.Sub(start)
+	}
+	return total
+}
+
 // resign steps down for the lack of a majority. A voter campaigns at once: messages that
 // it sent as leader may still be on their way, and followers that receive them would wait
 // for it as if it led. Its pre-vote follows those messages and ends the wait.
@@ -217,7 +259,10 @@
 		n.failReads()
 	}
 	n.role, n.leader = role, leader
-	n.votes = nil
+	n.preVotes = nil
+	if role == Follower || role == Leader {
+		n.votes = nil
+	}
 	n.resetElectionDeadline()
 }
 
@@ -235,7 +280,12 @@
 		n.forgetTermLeader()
 		request = Vote{LastIndex: n.log.lastIndex(), LastTerm: n.log.lastTerm(), Transfer: transfer}
 	}
-	n.votes = map[ID]bool{n.opts.ID: true}
+	own := map[ID]bool{n.opts.ID: true}
+	if role == Candidate {
+		n.votes = own
+	} else {
+		n.preVotes = own
+	}
 	for _, peer := range n.membership.Voters {
 		if peer != n.opts.ID {
 			n.outgoing = append(n.outgoing, Envelope{n.opts.ID, peer, term, request})
@@ -244,28 +294,32 @@
 	n.countVotes(transfer)
 }
 
-// countVotes moves on to the next stage of the campaign if a quorum has granted its vote.
+// countVotes moves on to the next stage of the campaign if a quorum has granted its vote. A
+// pre-candidate still wins the term that it started last: a voter whose disk is slow may
+// grant its vote only after the candidate has begun to ask for the next term.
 func (n *Node) countVotes(transfer bool) {
-	granted := 0
+	switch {
+	case n.role != Follower && n.role != Leader && n.isQuorum(n.votes):
+		n.becomeLeader()
+	case n.role == PreCandidate && n.isQuorum(n.preVotes):
+		n.campaign(Candidate, transfer)
+	}
+}
+
+func (n *Node) isQuorum(granted map[ID]bool) bool {
+	count := 0
 	for _, voter := range n.membership.Voters {
-		if n.votes[voter] {
-			granted++
+		if granted[voter] {
+			count++
 		}
 	}
-	if granted < n.membership.Quorum() {
-		return
-	}
-	if n.role == PreCandidate {
-		n.campaign(Candidate, transfer)
-		return
-	}
-	n.becomeLeader()
+	return count >= n.membership.Quorum()
 }
 
 func (n *Node) becomeLeader() {
 	n.changeRole(Leader, n.hard.Term, n.opts.ID)
 	n.peers = make(map[ID]*progress)
-	n.recentRounds = nil
+	n.recentRounds, n.blocked = nil, nil
 	n.syncProgress()
 	for _, p := range n.peers {
 		p.ackedSentAt, p.lastHeard = n.now, n.now
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -8,7 +8,8 @@
 )
 
 // Ready is one batch of work for the caller, which makes Hard, Install and Entries durable,
-// in that order, then sends Messages, then applies Committed.
+// in that order, then sends Messages, then applies Committed. It may send those that
+// SplitMessages returns as early before anything is durable.
 type Ready struct {
 	Hard      *HardState // nil if unchanged
 	Install   *Snapshot  // a received snapshot, which replaces the log and the state machine's state; nil for none
@@ -16,6 +17,8 @@
 	Messages  []Envelope
 	Committed []Entry
 	Reads     []ReadResult // reads that were confirmed or have failed
+
+	ofLeader bool // of a leader whose term is durable
 }
 
 // Ready returns the pending work and clears it. The caller must do the work and call Advance
@@ -23,6 +26,7 @@
 func (n *Node) Ready() Ready {
 	r := Ready{Messages: n.outgoing, Install: n.pendingInstall, Reads: n.finishedReads}
 	n.outgoing, n.pendingInstall, n.finishedReads = nil, nil, nil
+	r.ofLeader = n.role == Leader && !n.hardStateChanged
 	if n.hardStateChanged {
 		hard := n.hard
 		r.Hard = &hard
@@ -35,6 +39,41 @@
 	return r
 }
 
+// SplitMessages returns the messages that rest on nothing that isn't durable yet, and the
+// others. A leader counts its own entries only once they are durable, so that followers may
+// get them before: their disks and the leader's then work at the same time.
+func (r Ready) SplitMessages() (early, late []Envelope) {
+	if !r.ofLeader {
+		return nil, r.Messages
+	}
+	for _, e := range r.Messages {
+		if _, ok := e.Message.(Append); ok {
+			early = append(early, e)
+			continue
+		}
+		late = append(late, e)
+	}
+	return early, late
+}
+
+// NeedsDisk reports whether anything must be made durable.
+func (r Ready) NeedsDisk() bool {
+	return r.Hard != nil || r.Install != nil || len(r.Entries) > 0
+}
+
+// Resume tells the node that its caller was busy with its disk until now. Meanwhile the
+// node could neither receive messages nor send any, so that this was no time without a
+// leader, nor one in which votes or acknowledgements were due.
+func (n *Node) Resume(now time.Time) {
+	began := n.now
+	n.advanceClock(now)
+	n.electionDeadline = n.electionDeadline.Add(n.now.Sub(began))
+	n.diskTime = max(n.now.Sub(began), n.diskTime/2) // one fast sync may be chance
+	if n.role == Leader && n.now.Sub(began) > n.opts.HeartbeatInterval {
+		n.blocked = append(n.blocked, interval{began, n.now})
+	}
+}
+
 // Advance records that the work of r has been done.
 func (n *Node) Advance(r Ready) {
 	if k := len(r.Entries); k > 0 {
@@ -57,7 +96,7 @@
 
 // Empty reports whether there is no work to do.
 func (r Ready) Empty() bool {
-	return r.Hard == nil && r.Install == nil && len(r.Entries) == 0 && len(r.Messages) == 0 && len(r.Committed) == 0 && len(r.Reads) == 0
+	return !r.NeedsDisk() && len(r.Messages) == 0 && len(r.Committed) == 0 && len(r.Reads) == 0
 }
 
 // Compact replaces the entries up to index by a snapshot. data is the serialized state of the
--- a/raft/step.go
+++ b/raft/step.go
@@ -21,11 +21,11 @@
 	case PreVote:
 		n.handlePreVote(e, m)
 	case PreVoteReply:
-		n.handleVoteReply(e.From, PreCandidate, m.Granted)
+		n.handlePreVoteReply(e.From, m.Granted)
 	case Vote:
 		n.handleVote(e, m)
 	case VoteReply:
-		n.handleVoteReply(e.From, Candidate, m.Granted)
+		n.handleVoteReply(e.From, m.Granted)
 	case Append:
 		n.handleAppend(e, m)
 	case AppendReply:
@@ -157,8 +157,16 @@
 	n.reply(e, VoteReply{Granted: granted})
 }
 
-func (n *Node) handleVoteReply(from ID, role Role, granted bool) {
-	if n.role != role || !granted {
+func (n *Node) handlePreVoteReply(from ID, granted bool) {
+	if n.preVotes == nil || !granted {
+		return
+	}
+	n.preVotes[from] = true
+	n.countVotes(false)
+}
+
+func (n *Node) handleVoteReply(from ID, granted bool) {
+	if n.votes == nil || !granted {
 		return
 	}
 	n.votes[from] = true
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -188,6 +188,8 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			// While the disk blocked this loop, the leader's messages had to wait here.
+			r.handleQueued()
 			r.node.Tick(r.opts.Clock())
 		case in := <-r.inputs:
 			r.handle(in)
@@ -259,12 +261,15 @@
 			r.publishStatus()
 			return nil
 		}
-		if err := r.persistWithRetry(ctx, ready); err != nil {
-			return err
-		}
-		for _, e := range ready.Messages {
-			r.opts.Send(e)
+		early, late := ready.SplitMessages()
+		r.send(early)
+		if ready.NeedsDisk() {
+			if err := r.persistWithRetry(ctx, ready); err != nil {
+				return err
+			}
+			r.resume(ready)
 		}
+		r.send(late)
 		r.apply(ready.Committed)
 		r.node.Advance(ready)
 		r.completeReads(ready.Reads)
@@ -275,6 +280,26 @@
 	}
 }
 
+// slowDiskTime is the time from which a write is logged as slow: the replica handles no
+// heartbeat meanwhile.
+const slowDiskTime = 250 * time.Millisecond
+
+// resume tells the node that the disk blocked it until now.
+func (r *Replica) resume(ready raft.Ready) {
+	began := r.node.Now()
+	now := r.opts.Clock()
+	if took := now.Sub(began); took > slowDiskTime {
+		r.opts.Log.Warn("disk is slow, elections and commands wait for it", zap.Duration("took", took), zap.Int("entries", len(ready.Entries)), zap.Bool("term_or_vote", ready.Hard != nil))
+	}
+	r.node.Resume(now)
+}
+
+func (r *Replica) send(all []raft.Envelope) {
+	for _, e := range all {
+		r.opts.Send(e)
+	}
+}
+
 // diskRetryInterval is the wait before a failed write is retried.
 const diskRetryInterval = 100 * time.Millisecond
 
