TestSlowCallersHoldNoMoreThanTheirBuffers: order the bodies, in virtual time

Seen: beside load, the request that should meet full buffers was served for 20 s.

Cause, in the test: it writes the heads of three slow requests and sends the fourth body without waiting until the gateway has read the three. Where the fourth overtakes one of them, it takes the third buffer, and that slow request is rejected, as the gateway promises for whichever request comes beyond the bound. Two slow bodies remain, and each later body fits. Trace of one such run (bytes in use before each body): slow-0 0, slow-1 901, fourth 1802, slow-2 2703: "the bodies in memory are too many"

The test now runs in a synctest bubble, over connections in memory: the fourth is sent once the gateway waits for all three bodies. The check is stricter: the first try must be rejected as not run and without any delay, instead of one of all tries within 20 s; and the first try after one caller has gone must be served. Where bodies count only once they are complete, or are never released, it fails.

--- a/ingress/buffers_test.go
+++ b/ingress/buffers_test.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
+	"testing/synctest"
 
 	"github.com/shoenig/test/must"
 
@@ -14,48 +14,28 @@
 	"github.com/linenscale/linenscale/platform/platformtest"
 )
 
-// startSlowBody opens a connection and sends the header of a request, but not its body.
-func startSlowBody(t *testing.T, g *gateway, id, framing string) net.Conn {
-	t.Helper()
-	conn, err := net.Dial("tcp", hostPort(g.callers))
-	must.NoError(t, err)
-	t.Cleanup(func() { conn.Close() })
-	err = platformtest.WriteHead(conn, http.MethodPost, "/patient/x", id, framing)
-	must.NoError(t, err)
-	return conn
-}
-
 // TestSlowCallersHoldNoMoreThanTheirBuffers guards against callers that announce long bodies
 // and send them slowly or never: each was given a buffer of the whole length that counted
 // only once the body was complete, so that some hundred of them exhausted the host's memory.
 // Beyond the bound a request is rejected at once, and others are served when one has gone.
 func TestSlowCallersHoldNoMoreThanTheirBuffers(t *testing.T) {
-	g, _ := setUp(t)
-	g.server = ingress.New(func() ingress.Deps {
-		deps := g.server.Deps
-		deps.BufferBytes = 3000
-		return deps
-	}())
-	g.declare()
-	g.callers.Config.Handler = g.server.CallersHandler()
-	var slow []net.Conn
-	for i := range 3 {
-		slow = append(slow, startSlowBody(t, g, fmt.Sprint("slow-", i), "Content-Length: 900"))
-	}
-	post := platformtest.Request{Path: "/safe/x", Method: http.MethodPost, Body: strings.Repeat("x", 900)}
-	outcome := func(want int) {
-		t.Helper()
-		for until := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
-			if do(t, g, post).Status == want {
-				return
-			}
-			must.True(t, time.Now().Before(until), must.Sprintf("status %d", want))
+	limit := func(deps *ingress.Deps) { deps.BufferBytes = 3000 }
+	inMemory(t, limit, platformtest.EngineOptions{}, func(t *testing.T, g *memoryGateway) {
+		var slow []net.Conn
+		for i := range 3 {
+			slow = append(slow, g.startRequest(t, http.MethodPost, "/patient/x", fmt.Sprint("slow-", i), "Content-Length: 900"))
 		}
-	}
-	outcome(http.StatusServiceUnavailable)
-	must.Eq(t, http.StatusOK, do(t, g, platformtest.Request{Path: "/safe/x"}).Status, must.Sprint("a request without a body needs no buffer"))
-	slow[0].Close()
-	outcome(http.StatusOK)
+		synctest.Wait() // until the gateway waits for all three bodies
+		post := platformtest.Request{Path: "/safe/x", Method: http.MethodPost, Body: strings.Repeat("x", 900)}
+		rejected := g.do(t, post)
+		must.Eq(t, http.StatusServiceUnavailable, rejected.Status)
+		must.True(t, rejected.GuaranteesNotRun())
+		must.Zero(t, rejected.Duration, must.Sprint("rejected at once"))
+		must.Eq(t, http.StatusOK, g.do(t, platformtest.Request{Path: "/safe/x"}).Status, must.Sprint("a request without a body needs no buffer"))
+		must.NoError(t, slow[0].Close())
+		synctest.Wait() // until the gateway has noticed
+		must.Eq(t, http.StatusOK, g.do(t, post).Status)
+	})
 }
 
 // TestCallersThatReadNothingDontHoldUpOthers guards against callers that send requests and
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -62,6 +62,16 @@
 
 // newGatewayAt returns a gateway with the given clock.
 func newGatewayAt(t *testing.T, name, region string, clock func() time.Time) *gateway {
+	t.Helper()
+	g := newUnservedGateway(t, name, region, clock, &net.Dialer{Timeout: 300 * time.Millisecond})
+	g.callers, g.handover = httptest.NewServer(g.server.CallersHandler()), httptest.NewServer(g.server.HandoverHandler())
+	t.Cleanup(g.callers.Close)
+	t.Cleanup(g.handover.Close)
+	return g
+}
+
+// newUnservedGateway returns a gateway that doesn't listen yet.
+func newUnservedGateway(t *testing.T, name, region string, clock func() time.Time, dialer relay.Dialer) *gateway {
 	t.Helper()
 	g := &gateway{engines: registry.New("life", time.Minute, clock)}
 	metrics, err := telemetry.NewMetrics()
@@ -72,15 +82,11 @@
 		Peers: func() []roster.Host { return g.peers }, RoundTripTo: func(string) (time.Duration, bool) { return 0, false }, RetryBudget: retry.Policy{Share: 0.2, Extra: 100, Window: 10 * time.Second},
 		Log: zap.NewNop(), Clock: clock,
 	})
-	dialer := &net.Dialer{Timeout: 300 * time.Millisecond}
 	g.server = ingress.New(ingress.Deps{
 		Self: self, Dialect: platform.Dialect{}, Dispatcher: dispatcher, Gateways: func() []roster.Host { return g.peers },
 		Engines: relay.New(dialer, relay.Options{}), Dialer: dialer, Peers: relay.New(dialer, relay.Options{}), Log: zap.NewNop(), Metrics: metrics,
 		Random: func() uint64 { return 1 }, Clock: clock, StopTimeout: time.Second,
 	})
-	g.callers, g.handover = httptest.NewServer(g.server.CallersHandler()), httptest.NewServer(g.server.HandoverHandler())
-	t.Cleanup(g.callers.Close)
-	t.Cleanup(g.handover.Close)
 	return g
 }
 
@@ -102,9 +108,14 @@
 		cancel()
 		group.Wait()
 	})
+	g.register(e, service, dataCentre)
+	return e
+}
+
+// register registers an engine with the gateway.
+func (g *gateway) register(e *platformtest.Engine, service, dataCentre string) {
 	g.engines.Heartbeat(registry.Engine{ID: e.ID, Service: service, Address: e.Address(), DataCentre: dataCentre, Slots: 8, Sequence: 1})
 	g.server.Dispatcher.Tick()
-	return e
 }
 
 // setUp returns a gateway with two engines of each service.
