Free an engine's slot when its answer is complete, not when the caller has read it

Seen: callers that don't read answers of some 100 kB made the gateway reject others with 503 while all engines were idle.

Cause: a ticket counted as load of its engine, and as time that a slot is occupied, until the answer was written to the caller. Answers of up to 256 kB are read completely before, so the engine had been done for long. A blocked write kept the count for as long as the caller stayed connected.

Evidence, before: in the test, with two engines of eight slots and answers of 100 kB after 100 ms, the 67th request is rejected; the log counts 33 requests at each of the idle engines ("expected to be begun after 306ms, and 300ms is the most"). Over TCP, with 100 callers with a receive buffer of 4096 bytes, segments of 1460 and answers of 240 kB, 50 requests were counted at each of two idle engines, and still 15 s later.

Why it works: Ticket.RecordLastByte removes the load and ends the slot time when the answer is complete in memory. Done still records whether the caller got it.

Tests: TestCallersThatReadNothingDontHoldUpOthers sends longer answers too, which fails without the change. TestSlowCallersDontCountAgainstEngines fails if either the load or the slot time lasts until Done (expected wait 30 ms and 1.7 s instead of 20 ms).

--- a/dispatch/throughput.go
+++ b/dispatch/throughput.go
@@ -101,11 +101,15 @@
 	firstEvent.Observe(t.readTokens, took)
 }
 
-// recordCompletion updates the estimates with a complete answer.
+// recordCompletion updates the estimates with a complete answer. now counts as its end
+// unless RecordLastByte was called.
 func (t *Ticket) recordCompletion(now time.Time) {
 	if t.Cold || t.queued || t.firstEventAt.IsZero() || t.dispatcher.wasSuspended(t.sentAt) {
 		return
 	}
+	if !t.lastByteAt.IsZero() {
+		now = t.lastByteAt
+	}
 	t.pool.throughput.answers++
 	t.pool.throughput.answeredAt = now
 	t.pool.throughput.slotTime.Observe(now.Sub(t.sentAt))
--- a/dispatch/throughput_test.go
+++ b/dispatch/throughput_test.go
@@ -103,3 +103,21 @@
 	}
 	must.LessEq(t, 12, sum)
 }
+
+// TestSlowCallersDontCountAgainstEngines guards against engines that seem busy and slow
+// because callers take long to read complete answers.
+func TestSlowCallersDontCountAgainstEngines(t *testing.T) {
+	env := newTestEnv(1, 1)
+	g := env.gateways[0]
+	for i := range 20 {
+		ticket := acquire(t, g, dispatch.Request{ID: fmt.Sprint("r", i), Service: "portal", Target: time.Second})
+		must.Eq(t, 20*time.Millisecond, ticket.ExpectedWait.Round(time.Microsecond))
+		env.advance(20 * time.Millisecond)
+		ticket.RecordFirstByte(true)
+		ticket.RecordLastByte()
+		if i%2 == 0 { // the others never read
+			env.advance(5 * time.Second)
+			ticket.Done(dispatch.Answered)
+		}
+	}
+}
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -27,6 +27,7 @@
 	engine       *engine
 	sentAt       time.Time
 	firstEventAt time.Time // when the answer began; zero if it isn't used for estimates
+	lastByteAt   time.Time // when the answer was complete; zero before that
 	load         Load      // that the request adds to the engine
 	readTokens   float64   // prompt tokens to read before the first event, including those of earlier requests
 	outputTokens int       // expected length of the answer
@@ -107,6 +108,23 @@
 	return now.Sub(t.sentAt)
 }
 
+// RecordLastByte records that the answer is complete. The engine has a free slot from then
+// on, however long the caller takes to read the answer.
+func (t *Ticket) RecordLastByte() {
+	d := t.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t.lastByteAt = d.Clock()
+	t.releaseLoad()
+}
+
+// releaseLoad removes the ticket's load from the engine. The dispatcher's lock is held.
+func (t *Ticket) releaseLoad() {
+	t.engine.ownLoad = t.engine.ownLoad.minus(t.load)
+	t.load = Load{}
+	t.dispatcher.reported[t.engine] = struct{}{}
+}
+
 // Outcome is how a ticket ended.
 type Outcome uint8
 
@@ -144,8 +162,7 @@
 	defer d.mu.Unlock()
 	now := d.Clock()
 	e := t.engine
-	e.ownLoad = e.ownLoad.minus(t.load)
-	d.reported[e] = struct{}{}
+	t.releaseLoad()
 	d.quarantine.End(t.fingerprint, outcome == Answered, now)
 	if t.trial {
 		d.pushback.End(e.hash)
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -21,13 +21,21 @@
 // buffered completely before any of it is sent, so that a truncated one can be retried.
 const maxBufferedAnswer = 256 << 10
 
+// answerHooks are called while an answer arrives. Both are nil for an answer of another
+// gateway.
+type answerHooks struct {
+	firstByte func() // the first bytes of the body have arrived
+	// lastByte is called before an answer is sent to the caller that has arrived completely.
+	// It isn't called for one that is relayed in parts.
+	lastByte func()
+}
+
 // relayAnswer sends an engine's or another gateway's answer to the caller. If it fails
 // before x.answerStarted is set, the caller has received nothing and another attempt is
-// possible. onFirstByte is called once the first bytes of the body have arrived; it may
-// be nil.
-func (s *Server) relayAnswer(x *exchange, resp *http.Response, onFirstByte func()) error {
+// possible.
+func (s *Server) relayAnswer(x *exchange, resp *http.Response, hooks answerHooks) error {
 	if isEventStream(resp) {
-		return s.relayEvents(x, resp, onFirstByte)
+		return s.relayEvents(x, resp, hooks.firstByte)
 	}
 	if x.answerStarted {
 		return errors.New("the stream can't be resumed: the answer is not an event stream")
@@ -39,14 +47,17 @@
 	if err != nil && !full {
 		return &truncatedAnswer{errors.Annotate(err, "answer")}
 	}
-	if onFirstByte != nil {
-		onFirstByte()
+	if hooks.firstByte != nil {
+		hooks.firstByte()
 	}
 	if full || len(head.data) == maxBufferedAnswer {
 		s.writeHead(x, resp, resp.ContentLength)
 		_, err := relay.Copy(x.w, io.MultiReader(bytes.NewReader(head.data), resp.Body), writeTimeout, nil)
 		return err
 	}
+	if hooks.lastByte != nil {
+		hooks.lastByte()
+	}
 	s.writeHead(x, resp, int64(len(head.data)))
 	if _, err := x.w.Write(head.data); err != nil {
 		return &relay.CallerError{Cause: err}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -150,7 +150,10 @@
 	}
 	defer resp.Body.Close()
 	succeeded := resp.StatusCode == http.StatusOK
-	return s.relayAnswer(x, resp, func() { x.firstByteAfter = ticket.RecordFirstByte(succeeded) })
+	return s.relayAnswer(x, resp, answerHooks{
+		firstByte: func() { x.firstByteAfter = ticket.RecordFirstByte(succeeded) },
+		lastByte:  ticket.RecordLastByte,
+	})
 }
 
 // misdirectedAnswer is the error for an answer from another engine than the one that the
--- a/ingress/buffers_test.go
+++ b/ingress/buffers_test.go
@@ -43,28 +43,30 @@
 // never read the answers: the others' answers must stay whole.
 func TestCallersThatReadNothingDontHoldUpOthers(t *testing.T) {
 	const deaf = 100
-	t.Run("one after another", func(t *testing.T) {
-		opts := platformtest.EngineOptions{Pause: 100 * time.Millisecond}
-		inMemory(t, func(*ingress.Deps) {}, opts, func(t *testing.T, g *memoryGateway) {
-			g.mustServeTwenty(t)
-			for i := range deaf {
-				g.startDeafRequest(t, i)
-				time.Sleep(opts.Pause)
-				synctest.Wait()
-				ran, _ := countRuns(g.portal, deafID(i))
-				must.Eq(t, 1, ran, must.Sprint(deafID(i)))
-			}
-			g.mustServeTwenty(t)
+	for _, padding := range []int{200, 100_000} { // shorter and longer than net/http's buffer
+		t.Run(fmt.Sprint("one after another, ", padding), func(t *testing.T) {
+			opts := platformtest.EngineOptions{Pause: 100 * time.Millisecond, Padding: padding}
+			inMemory(t, func(*ingress.Deps) {}, opts, func(t *testing.T, g *memoryGateway) {
+				g.mustServeTwenty(t)
+				for i := range deaf {
+					g.startDeafRequest(t, i)
+					time.Sleep(opts.Pause)
+					synctest.Wait()
+					ran, _ := countRuns(g.portal, deafID(i))
+					must.Eq(t, 1, ran, must.Sprint(deafID(i)))
+				}
+				g.mustServeTwenty(t)
+			})
 		})
-	})
+	}
 	t.Run("at once", func(t *testing.T) {
-		inMemory(t, func(*ingress.Deps) {}, platformtest.EngineOptions{}, func(t *testing.T, g *memoryGateway) {
+		inMemory(t, func(*ingress.Deps) {}, platformtest.EngineOptions{Padding: 200}, func(t *testing.T, g *memoryGateway) {
 			for i := range deaf {
 				g.startDeafRequest(t, i)
 			}
 			for range 20 { // while the deaf callers' requests run or queue, admission may reject others
 				result := g.do(t, platformtest.Request{Path: "/safe/x"})
-				must.True(t, isWhole(result) || result.GuaranteesNotRun() && result.RetryAfter > 0, must.Sprint(result))
+				must.True(t, g.isWhole(result) || result.GuaranteesNotRun() && result.RetryAfter > 0, must.Sprint(result.Status))
 			}
 			time.Sleep(testCatalog.Routes[0].Timeout)
 			g.mustServeTwenty(t)
@@ -85,12 +87,12 @@
 	t.Helper()
 	for range 20 {
 		result := g.do(t, platformtest.Request{Path: "/safe/x"})
-		must.True(t, isWhole(result), must.Sprint(result))
+		must.True(t, g.isWhole(result), must.Sprint(result.Status))
 	}
 }
 
-func isWhole(r platformtest.Result) bool {
-	return r.Status == http.StatusOK && r.Complete && r.Body == platformtest.ResponseBody(r.Engine, r.ID)
+func (g *memoryGateway) isWhole(r platformtest.Result) bool {
+	return r.Status == http.StatusOK && r.Complete && r.Body == platformtest.PaddedResponseBody(r.Engine, r.ID, g.options.Padding)
 }
 
 func TestBufferBytesFollowTheMemory(t *testing.T) {
--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -94,7 +94,7 @@
 	if err == nil {
 		s.remotePaths.recordAnswer(gateway, s.Clock())
 		defer resp.Body.Close()
-		err = s.relayAnswer(x, resp, nil)
+		err = s.relayAnswer(x, resp, answerHooks{})
 	}
 	if err == nil {
 		s.countOutcome(x, "answered_elsewhere")
--- a/ingress/memory_network_test.go
+++ b/ingress/memory_network_test.go
@@ -98,6 +98,7 @@
 	*gateway
 	network *memoryNetwork
 	portal  []*platformtest.Engine
+	options platformtest.EngineOptions // of the engines
 	callers platformtest.Caller
 }
 
@@ -125,6 +126,7 @@
 			must.NoError(t, serveErr)
 		})
 		opts.Service, opts.DataCentre = "portal", "a"
+		g.options = opts
 		for _, address := range []string{"engine1:80", "engine2:80"} {
 			e := platformtest.ServeEngine(ctx, group, network.listen(address), opts)
 			g.register(e, opts.Service, opts.DataCentre)
