Bound the write of a complete answer to its caller

Seen: a caller that doesn't read keeps its answer, up to 256 kB, in the gateway's buffers until it disconnects. A few hundred exhaust them, and then every body is rejected with 503.

Cause: writeTimeout was set for streams and for answers that are relayed in parts, but not where the whole answer is read first and then written.

Why it works: the deadline of the connection ends the write, and with it the handler, which releases the buffer. net/http removes the deadline after the response's last flush, so the next request on the connection isn't affected.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -58,6 +58,8 @@
 	if hooks.lastByte != nil {
 		hooks.lastByte()
 	}
+	// The server resets the deadline after the response's last flush.
+	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(writeTimeout)) // not supported by httptest.ResponseRecorder
 	s.writeHead(x, resp, int64(len(head.data)))
 	if _, err := x.w.Write(head.data); err != nil {
 		return &relay.CallerError{Cause: err}
--- a/ingress/buffers_test.go
+++ b/ingress/buffers_test.go
@@ -95,6 +95,24 @@
 	return r.Status == http.StatusOK && r.Complete && r.Body == platformtest.PaddedResponseBody(r.Engine, r.ID, g.options.Padding)
 }
 
+// TestUnreadAnswersGiveTheirBuffersBack guards against callers that never read: each answer
+// was held in memory for as long as its caller stayed connected.
+func TestUnreadAnswersGiveTheirBuffersBack(t *testing.T) {
+	opts := platformtest.EngineOptions{Padding: 100_000}
+	// Buffers for answers of unknown length double as they grow.
+	limit := func(deps *ingress.Deps) { deps.BufferBytes = 3*128<<10 + 500 }
+	inMemory(t, limit, opts, func(t *testing.T, g *memoryGateway) {
+		for i := range 3 {
+			g.startDeafRequest(t, i)
+		}
+		time.Sleep(time.Second)
+		post := platformtest.Request{Path: "/safe/x", Body: strings.Repeat("x", 900)}
+		must.Eq(t, http.StatusServiceUnavailable, g.do(t, post).Status)
+		time.Sleep(10 * time.Second) // the bound on each write to a caller
+		must.True(t, g.isWhole(g.do(t, post)))
+	})
+}
+
 func TestBufferBytesFollowTheMemory(t *testing.T) {
 	must.Eq(t, 46<<20, ingress.BufferBytesFor(184<<20))
 	must.Eq(t, ingress.DefaultBufferBytes, ingress.BufferBytesFor(0))
