ingress: a caller that reads slowly gets the whole answer

What callers would have seen: since complete answers are written under a deadline, one of up to 256 kB had to be read within 10 s, or the connection was closed in the middle of it.

Cause: the deadline was set once for the whole write, where answers that are relayed in parts have one for each part.

Change: it is set for each 16 kB. A caller that reads nothing is still cut off after 10 s.

Evidence: TestSlowReaderGetsTheWholeAnswer reads 100 kB at 4 kB a second, in virtual time; with the single deadline the connection ends before the answer does.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -8,6 +8,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -58,11 +59,23 @@
 	if hooks.lastByte != nil {
 		hooks.lastByte()
 	}
-	// The server resets the deadline after the response's last flush.
-	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(writeTimeout)) // not supported by httptest.ResponseRecorder
 	s.writeHead(x, resp, int64(len(head.data)))
-	if _, err := x.w.Write(head.data); err != nil {
-		return &relay.CallerError{Cause: err}
+	return writeComplete(x.w, head.data)
+}
+
+// answerPiece is how many bytes of a complete answer are written under one writeTimeout. A
+// caller that reads slowly gets the whole answer; one that reads nothing is cut off.
+const answerPiece = 16 << 10
+
+// writeComplete writes a complete answer to the caller. The server resets the write deadline
+// after the response's last flush. The error is a *relay.CallerError.
+func writeComplete(w http.ResponseWriter, data []byte) error {
+	controller := http.NewResponseController(w)
+	for piece := range slices.Chunk(data, answerPiece) {
+		_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout)) // not supported by httptest.ResponseRecorder
+		if _, err := w.Write(piece); err != nil {
+			return &relay.CallerError{Cause: err}
+		}
 	}
 	return nil
 }
--- a/ingress/buffers_test.go
+++ b/ingress/buffers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -113,6 +114,25 @@
 	})
 }
 
+// TestSlowReaderGetsTheWholeAnswer guards against a caller that reads steadily but slowly and
+// is cut off, because the whole answer had to be written within the bound of one write.
+func TestSlowReaderGetsTheWholeAnswer(t *testing.T) {
+	const padding, bytesPerSecond = 100_000, 4000
+	inMemory(t, func(*ingress.Deps) {}, platformtest.EngineOptions{Padding: padding}, func(t *testing.T, g *memoryGateway) {
+		conn := g.startRequest(t, http.MethodGet, "/safe/x", "slow", "Content-Length: 0")
+		var answer strings.Builder
+		for !strings.HasSuffix(answer.String(), strings.Repeat(".", padding)) {
+			time.Sleep(time.Second)
+			_, err := io.CopyN(&answer, conn, min(bytesPerSecond, int64(padding+1000-answer.Len())))
+			if err != nil {
+				must.ErrorIs(t, err, io.EOF)
+				break
+			}
+		}
+		must.True(t, strings.HasSuffix(answer.String(), strings.Repeat(".", padding)), must.Sprint(answer.Len(), " bytes"))
+	})
+}
+
 func TestBufferBytesFollowTheMemory(t *testing.T) {
 	must.Eq(t, 46<<20, ingress.BufferBytesFor(184<<20))
 	must.Eq(t, ingress.DefaultBufferBytes, ingress.BufferBytesFor(0))
