follow, roster: gateways return to a control host that lost their home

Seen: with more than eight control hosts, gateways are missing in the list of a control host, and in those of the gateways whose home it is, for as long as nothing about them changes. Cause: a control host drops what another one forwarded once that one hasn't answered for 4 s. Its cursor in the other's changes stayed, so that the next answer contained only what had changed since. Change: the roster reports whether what a control host forwarded before is still stored. If not, its hosts are fetched from the start; the former list stays until they have arrived. Why it works: whether changes are enough depends on what is stored when they arrive, not on how long the answer took. An answer that comes before the forwards expire keeps them.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -80,8 +80,9 @@
 	// while the host is suspended.
 	Steady func() time.Duration
 	// OnHosts is called with the changes that another control host forwards of the gateways
-	// whose home it is, also if there are none; nil on a gateway.
-	OnHosts func(incarnation string, gateways []roster.Host, gone []string)
+	// whose home it is, also if there are none; nil on a gateway. It reports whether the
+	// earlier ones are still stored; if not, that control host is asked for all again.
+	OnHosts func(incarnation string, gateways []roster.Host, gone []string) (stored bool)
 	// Rollouts returns what this gateway has counted of the rollouts under way; nil on a
 	// control host.
 	Rollouts func() []rollout.Report
@@ -323,11 +324,23 @@
 		f.updateSelective() // the first answer names other control hosts
 	}
 	if f.OnHosts != nil {
-		f.OnHosts(reply.Life, gatewaysOf(reply.Hosts), reply.Gone)
+		f.forwardHosts(l, args, reply)
 	}
 	return f.shouldFetchState(l, region, reply.Index, now)
 }
 
+// forwardHosts passes the gateways in an answer on, and asks for all of them again if the
+// answer contains only the changes since a state that isn't stored any more. The caller holds
+// the lock.
+func (f *Follower) forwardHosts(l *link, args SyncArgs, reply SyncReply) {
+	stored := f.OnHosts(reply.Life, gatewaysOf(reply.Hosts), reply.Gone)
+	if stored || args.Roster == 0 || reply.Life != args.Life {
+		return
+	}
+	f.Log.Info("gateways that a control host forwarded have expired; fetching all its hosts again", zap.String("address", l.address), zap.String("life", reply.Life))
+	l.restartHosts()
+}
+
 // mergeEngines merges an answer's engines, and returns those whose phase has changed.
 func (f *Follower) mergeEngines(reply SyncReply, now time.Time) []registry.Engine {
 	engines := make([]registry.Engine, len(reply.Engines))
--- a/follow/link.go
+++ b/follow/link.go
@@ -129,6 +129,12 @@
 	l.engineCursor, l.rosterCursor, l.hosts, l.incoming, l.controls, l.fullSince = 0, 0, nil, nil, controls, time.Time{}
 }
 
+// restartHosts makes the next poll ask for all hosts. The former list stays until they have
+// arrived.
+func (l *link) restartHosts() {
+	l.rosterCursor, l.incoming = 0, make(map[string]roster.Host)
+}
+
 // applyHosts applies the hosts in an answer. A control host that has restarted sends all
 // of its hosts instead of the changes; until the last page of them has arrived, the former
 // list stays.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -149,11 +149,14 @@
 }
 
 // ReceiveForwarded stores the changes that another control host, given by its incarnation,
-// forwards of the hosts whose home it is, and that this host has answered just now.
-func (r *Roster) ReceiveForwarded(source string, hosts []Host, gone []string) {
+// forwards of the hosts whose home it is, and that this host has answered just now. It reports
+// whether what that one forwarded before is still stored. Otherwise Expire has dropped it, or
+// there was nothing, and the changes alone are incomplete.
+func (r *Roster) ReceiveForwarded(source string, hosts []Host, gone []string) (stored bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock()
+	_, stored = r.sources[source]
 	r.sources[source] = now
 	for _, h := range hosts {
 		e := r.entryOf(h.Name)
@@ -168,6 +171,7 @@
 			e.withdrawForward(source)
 		}
 	}
+	return stored
 }
 
 // applyForwarded replaces an entry's host by what was forwarded. Reports of the host itself
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -101,6 +101,23 @@
 	must.Eq(t, []string{"g"}, removed)
 }
 
+// TestExpiredForwardsAreReported guards against a control host that goes on with changes only
+// after what they change has been dropped.
+func TestExpiredForwardsAreReported(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := roster.New(func() time.Time { return now })
+	g := roster.Host{Name: "g", Role: roster.RoleGateway, Life: "1"}
+	must.False(t, r.ReceiveForwarded("home", []roster.Host{g}, nil))
+	must.True(t, r.ReceiveForwarded("home", nil, nil))
+	now = now.Add(5 * time.Second)
+	must.True(t, r.ReceiveForwarded("home", nil, nil), must.Sprint("nothing was dropped yet"))
+	now = now.Add(5 * time.Second)
+	r.Expire(2 * time.Second)
+	must.False(t, r.ReceiveForwarded("home", nil, nil))
+	must.True(t, r.ReceiveForwarded("home", []roster.Host{g}, nil))
+	must.Eq(t, []string{"g"}, gatewayNames(r))
+}
+
 // TestLateWithdrawalKeepsTheNewHome guards against a gateway that disappears when it moves
 // to another home, whose forward arrives before the former one's withdrawal.
 func TestLateWithdrawalKeepsTheNewHome(t *testing.T) {
