follow, registry: engines return with the control host that didn't answer

Seen: a gateway that reached no control host for a minute has no engines from then on, and a control host that didn't reach another one lacks its engines, until these restart or drain. Cause: engines are removed whose control host hasn't answered for a minute. The cursor in the changes that it sends stayed, and nothing about these engines had changed there. Change: the registry notes whose engines were removed without a report of their end. When that control host answers, or the home is connected to it again, all links start from the first change; an answer to an earlier poll doesn't undo that. Why it works: the removal itself asks for the engines, not an estimate of how long the control host was away. An engine that was reported to have ended asks for nothing.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -317,6 +317,9 @@
 	f.recordAnswer(l, args, reply, now)
 	l.recordFreshness(reply.Sure, sentAt)
 	f.applyLists(l, args, reply, now)
+	if f.Engines.TakeLapsed(reply.confirmedSources()) {
+		f.restartEngines(l)
+	}
 	if l.host.Region == region {
 		f.regionHeardAt = now
 	}
@@ -351,7 +354,17 @@
 		}
 	}
 	changed := f.Engines.Merge(engines)
-	return append(changed, f.Engines.ConfirmSources(append(reply.Sources, reply.Life))...)
+	return append(changed, f.Engines.ConfirmSources(reply.confirmedSources())...)
+}
+
+// restartEngines makes the next polls ask for all engines, because some of a control host
+// that answers again were removed here. Any control host may be the one that sends them. The
+// caller holds the lock.
+func (f *Follower) restartEngines(l *link) {
+	f.Log.Info("engines of a control host that answers again had been removed; fetching all engines again", zap.String("told_by", l.address), zap.String("life", l.incarnation))
+	for _, other := range f.links {
+		other.engineCursor = 0
+	}
 }
 
 // recordAnswer records that a control host has answered, and what it says of itself. The
@@ -379,7 +392,9 @@
 		return
 	}
 	before := l.rosterChanges
-	l.engineCursor = reply.Number
+	if l.engineCursor == args.Engines { // otherwise it was reset during the poll
+		l.engineCursor = reply.Number
+	}
 	l.applyHosts(reply, reply.Life != args.Life)
 	if l.fullSince.IsZero() && l.hosts != nil {
 		l.fullSince = now
--- a/follow/messages.go
+++ b/follow/messages.go
@@ -3,6 +3,7 @@
 package follow
 
 import (
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -87,6 +88,12 @@
 	return r.Life != args.Life || r.More || r.Index > args.Index || (r.Sure.Known && !args.Sure)
 }
 
+// confirmedSources returns the incarnations of the control hosts whose heartbeats the reply
+// confirms.
+func (r SyncReply) confirmedSources() []string {
+	return append(slices.Clone(r.Sources), r.Life)
+}
+
 // EngineUpdate is the state of an engine as it is sent to another host. Its times are
 // durations, because the clocks of hosts differ.
 type EngineUpdate struct {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -103,8 +103,11 @@
 	// sourceHeard is when the control hosts that receive heartbeats last answered, by
 	// incarnation.
 	sourceHeard map[string]time.Time
-	lastChange  uint64 // number of the last change
-	changed     chan struct{}
+	// lapsed are the control hosts, by incarnation, some of whose engines were removed
+	// although nothing about them had changed: these hosts didn't answer.
+	lapsed     map[string]struct{}
+	lastChange uint64 // number of the last change
+	changed    chan struct{}
 }
 
 type entry struct {
@@ -118,7 +121,7 @@
 // New makes an empty Table. source is the incarnation of this process; heartbeatInterval
 // is the interval at which engines send heartbeats.
 func New(source string, heartbeatInterval time.Duration, clock func() time.Time) *Table {
-	return &Table{source: source, heartbeatInterval: heartbeatInterval, clock: clock, engines: make(map[string]*entry), byAddress: make(map[string][]*entry), suspects: make(map[*entry]struct{}), sourceHeard: make(map[string]time.Time), changed: make(chan struct{})}
+	return &Table{source: source, heartbeatInterval: heartbeatInterval, clock: clock, engines: make(map[string]*entry), byAddress: make(map[string][]*entry), suspects: make(map[*entry]struct{}), sourceHeard: make(map[string]time.Time), lapsed: make(map[string]struct{}), changed: make(chan struct{})}
 }
 
 // Changed returns a channel that is closed by the next change.
@@ -425,15 +428,37 @@
 			t.recordChange(e)
 			unresponsive = append(unresponsive, e.Engine)
 		case age > retention:
-			delete(t.engines, id)
-			t.changeLog.Remove(e)
-			t.removeAddress(e)
-			delete(t.suspects, e)
+			t.remove(id, e)
 		}
 	}
 	return unresponsive
 }
 
+// remove removes an engine. Its source may still receive its heartbeats if nothing was
+// received that says otherwise.
+func (t *Table) remove(id string, e *entry) {
+	if e.Phase == Ready || e.Phase == Draining || e.suspected {
+		t.lapsed[e.Source] = struct{}{}
+	}
+	delete(t.engines, id)
+	t.changeLog.Remove(e)
+	t.removeAddress(e)
+	delete(t.suspects, e)
+}
+
+// TakeLapsed reports whether Expire has removed engines because one of these control hosts,
+// which have answered now, didn't answer: they don't send what hasn't changed. It reports
+// each removal once.
+func (t *Table) TakeLapsed(sources []string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := len(t.lapsed)
+	for _, source := range sources {
+		delete(t.lapsed, source)
+	}
+	return len(t.lapsed) < before
+}
+
 // ChangedSince returns the engines that match and whose last change has a higher number
 // than the given one, sorted by ID, and the number of the table's last change.
 func (t *Table) ChangedSince(number uint64, matches func(e Engine) bool) ([]Engine, uint64) {
