dispatch, pace: a region is used again soon after its answers were late

Callers got answers from other regions, 160 ms away, for up to half a minute and more after this region's engines were fast again, and an engine with a rate limit got no requests meanwhile.

Cause: while the answers were late, the interval of the trials doubled up to 16 s, and a trial's answer only halved the estimate, since everything before it still counted as one answer.

What was before now counts as a tenth of an answer, so that one trial corrects the estimate, and trials are at most 6 s apart: the soak expects that an engine gets requests from 6 s after all faults on.

TestRegionIsUsedSoonAfterSlowAnswers failed before after 8 s and 16 s of late answers: no request ran here for 25 s, and for 30 s.

--- a/dispatch/throughput_test.go
+++ b/dispatch/throughput_test.go
@@ -121,3 +121,23 @@
 		}
 	}
 }
+
+// TestRegionIsUsedSoonAfterSlowAnswers guards against an engine that gets no requests for the
+// rest of a run: while the answers were late, trials grew rare, and each later one corrects only
+// half of the estimate. The soak expects requests at an engine 6 s after all faults have ended.
+func TestRegionIsUsedSoonAfterSlowAnswers(t *testing.T) {
+	const settleTime, window = 6, 4 // seconds, as in the soak
+	for _, slowFor := range []time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second, 16 * time.Second} {
+		t.Run(slowFor.String(), func(t *testing.T) {
+			env := newTestEnv(1, 1)
+			g := env.gateways[0]
+			env.chooseLocal(t, g, slowFor, 1500*time.Millisecond)
+			counts := env.chooseLocal(t, g, 30*time.Second, 20*time.Millisecond)
+			sum := 0
+			for _, n := range counts[settleTime : settleTime+window] {
+				sum += n
+			}
+			must.GreaterEq(t, 4, sum, must.Sprint(counts))
+		})
+	}
+}
--- a/dispatch/trial.go
+++ b/dispatch/trial.go
@@ -15,7 +15,7 @@
 	minTrialInterval = time.Second
 	// maxTrialInterval bounds the interval, which doubles with each trial: where the
 	// engines are really slower, the caller of each trial waits longer.
-	maxTrialInterval = 16 * time.Second
+	maxTrialInterval = 6 * time.Second
 )
 
 // trials is the state of a service's trials since a request was last expected to be
@@ -52,7 +52,7 @@
 	return true
 }
 
-// discount lets the answers so far count as little as one.
+// discount lets the answers so far count little beside the next one.
 func (s *throughputEstimator) discount() {
 	s.firstEvent.Discount()
 	s.outputPerToken.Discount()
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -34,6 +34,9 @@
 	outlierFactor = 3.0
 	// errorSmoothing is the weight of the latest error.
 	errorSmoothing = 0.05
+	// discountedWeight is what all earlier observations together count after Discount, in
+	// observations.
+	discountedWeight = 0.1
 	// priorErrorShare is the initial mean absolute error as a share of the prior
 	// duration.
 	priorErrorShare = 0.3
@@ -69,10 +72,10 @@
 	l.add(work, expected+residual, 1)
 }
 
-// Discount lets all earlier observations together count as one, so that the next few
-// correct an estimate that may be out of date.
+// Discount lets all earlier observations together count less than one, so that the next one
+// corrects an estimate that may be out of date.
 func (l *LinearEstimator) Discount() {
-	factor := min(1, 1/l.sumWeight)
+	factor := min(1, discountedWeight/l.sumWeight)
 	for _, sum := range []*float64{&l.sumWeight, &l.sumX, &l.sumY, &l.sumXX, &l.sumXY} {
 		*sum *= factor
 	}
@@ -118,10 +121,10 @@
 	m.sumWeight = observationDecay*m.sumWeight + 1
 }
 
-// Discount lets all earlier observations together count as one, so that the next few
-// correct an estimate that may be out of date.
+// Discount lets all earlier observations together count less than one, so that the next one
+// corrects an estimate that may be out of date.
 func (m *MeanEstimator) Discount() {
-	factor := min(1, 1/m.sumWeight)
+	factor := min(1, discountedWeight/m.sumWeight)
 	m.sum *= factor
 	m.sumWeight *= factor
 }
