Soak: a reload sends its signals under the lock

What was seen: a data race in 1 of 16 race builds of the soak beside heavy load, between the reload fault, which reads each host's process, and the start of a host after a restart. Under the race detector it would fail the test.

Cause: the fault sent its signals without the lock under which processes are replaced.

Change: it holds the lock. No check is changed.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -36,6 +36,8 @@
 	{"lose data folder", 2, wipeDataDir},
 	{"pause", 4, func(w *World, r *rand.Rand) string { return w.pauseFor(pick(r, w.Hosts), randomDuration(r, 300, 3000)) }},
 	{"reload", 1, func(w *World, _ *rand.Rand) string {
+		w.mu.Lock() // hosts may be started again meanwhile
+		defer w.mu.Unlock()
 		for _, h := range w.Hosts {
 			w.signal(h, syscall.SIGHUP)
 		}
