Soak: the timeline shows its own suspensions, and when everything was served and drained

Cause: the logs of a failed run couldn't tell whether hosts lost each other by themselves, or because the soak's process, through which all traffic passes, didn't run. Nor did they show which part of the calm a failure fell into.

Change: timeline.log has 'process did not run', 'served', 'drain' with the engine, and 'work ended'. No check is changed.

--- a/soak/run.go
+++ b/soak/run.go
@@ -111,9 +111,11 @@
 	if !w.waitServed(recoveryTimeout) {
 		w.Checker.AddProblem("not everything is served %v after all harm ended: %s", recoveryTimeout, w.firstUnserved())
 	}
+	w.Timeline.Record("served", "")
 	w.drainWhileCalm()
 	stop()
 	work.Wait()
+	w.Timeline.Record("work ended", "")
 	w.readAllControlHosts()
 	w.Checker.CheckEngines()
 	report.SmallAccountRuns, report.CrashedEngines, report.LimitedEnginePeak, report.Backoffs = w.Checker.SmallAccountRuns, w.Checker.PoisonRuns, w.Checker.LimitedEnginePeak, w.Checker.Backoffs
@@ -251,6 +253,7 @@
 func (w *World) drainWhileCalm() {
 	time.Sleep(drainTime + time.Second)
 	for _, e := range w.liveEngines()[:2] {
+		w.Timeline.Record("drain", "engine=%s service=%s region=%s", e.ID, e.Service, e.Region)
 		e.SetDraining()
 		w.removeEngine(e)
 	}
--- a/soak/world.go
+++ b/soak/world.go
@@ -21,6 +21,8 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/linenscale/linenscale/internal/loopback"
+	"github.com/linenscale/linenscale/internal/steady"
+	"github.com/linenscale/linenscale/internal/suspension"
 	"github.com/linenscale/linenscale/internal/width"
 	"github.com/linenscale/linenscale/platform/platformtest"
 	"github.com/linenscale/linenscale/roster"
@@ -118,6 +120,7 @@
 		Timeline: timeline, Options: opts, Net: NewNetwork(ctx, group, width.New(opts.Bandwidth)), Checker: NewChecker(), random: rand.New(rand.NewPCG(opts.Seed, 11)),
 		regions: make(map[string]string), ctx: ctx, group: group,
 	}
+	w.recordSuspensions()
 	for r := range opts.Regions {
 		w.regions[fmt.Sprintf("dc%d", r)] = fmt.Sprintf("region%d", r)
 		public, err := w.claimNetwork()
@@ -155,6 +158,15 @@
 	return w, w.addLimitedEngine()
 }
 
+// recordSuspensions records when this process didn't run. All traffic between hosts passes
+// through it, so that they couldn't reach each other meanwhile.
+func (w *World) recordSuspensions() {
+	detector := suspension.New(steady.Time, func(length time.Duration) {
+		w.Timeline.Record("process did not run", "for=%v", length)
+	})
+	w.group.Go(func() { _ = detector.Run(w.ctx) }) // it returns only when the world ends
+}
+
 // claimNetwork reserves a loopback network until the world's context ends.
 func (w *World) claimNetwork() (*loopback.Network, error) {
 	network, err := loopback.Claim()
