--- a/raft/doc.go
+++ b/raft/doc.go
@@ -23,6 +23,10 @@
 //     this leader has stepped down, and no longer waits for it. Otherwise heartbeats that a
 //     blocked connection delivers late would keep the voters waiting for a leader that
 //     doesn't lead. The lease of a leader ends before it steps down.
+//   - Split votes: of two pre-candidates with equal logs, one yields to the other.
+//   - Slow disks: time in which a replica waits for its disk doesn't count against its
+//     timers, a candidate waits for its voters' syncs, and a leader sends its entries before
+//     its own sync, after which it counts them.
 //   - Membership changes add or remove one voter at a time; a new voter is first a learner
 //     that catches up. A new leader starts no change before it has committed an entry of
 //     its own term.
