raft: a pre-vote from before its sender led is no resignation

What callers could have seen: a host served under an old configuration, since two leaders held the lease of the control log at once.

Cause: a pre-candidate still wins the term that it started last, by a late vote. Its request for a pre-vote of the next term may then arrive after its first heartbeat: package rpc handles each call in a goroutine of its own, and after a stall many are handled at once. The voter took that request for the resignation of its leader, dropped the wait on which the lease rests, and voted for another replica.

Change: only a request whose sender had an entry of the current term in its log tells of a resignation. A leader appends one when it begins to lead, and nobody else can have one before.

Evidence: TestPreVoteFromBeforeLeadershipKeepsLease failed before. The random histories beside it (slow disks, stalls, crashes, transfers; one leader a term, one entry at an index, one lease at a time) passed before too: they don't reach this order.

--- a/raft/step.go
+++ b/raft/step.go
@@ -41,15 +41,20 @@
 
 // noteResignation handles a request for a vote that the leader of the current term sends for
 // a later one: it doesn't lead any more, so nothing needs to wait for it, however recent the
-// last message from it is. A request that it sent before it led is for the current term or
-// an earlier one.
+// last message from it is. A request that it sent before it led may be for a later term too,
+// since a pre-candidate still wins the term that it started last, but then its log had no
+// entry of the current term yet.
 func (n *Node) noteResignation(e Envelope) {
-	switch e.Message.(type) {
-	case PreVote, Vote:
+	var lastTerm uint64
+	switch m := e.Message.(type) {
+	case PreVote:
+		lastTerm = m.LastTerm
+	case Vote:
+		lastTerm = m.LastTerm
 	default:
 		return
 	}
-	if e.From != n.termLeader || e.Term <= n.hard.Term {
+	if e.From != n.termLeader || e.Term <= n.hard.Term || lastTerm != n.hard.Term {
 		return
 	}
 	n.resigned = true
