raft: the waits for slow disks are bounded

Time in which its disk blocked a leader never counted as time without a majority.

Of the time in which it blocked a leader, as much is left out as voters may need to reply.

TestDeafLeaderWithSlowDiskResigns: not within 5 s before.

--- a/raft/node.go
+++ b/raft/node.go
@@ -196,13 +196,14 @@
 }
 
 // lostQuorum reports whether the leader has listened for too long without the
-// acknowledgement of a majority. Where leases rest on it, time in which its disk blocked it
-// counts as well.
+// acknowledgement of a majority. Time in which its disk blocked it doesn't count, up to what
+// voters may need to reply: a leader with a busy disk that receives nothing would keep its
+// followers for ever. Where leases rest on it, all time counts.
 func (n *Node) lostQuorum() bool {
 	acked := n.quorumAckTime()
 	silence := n.now.Sub(acked)
 	if n.opts.SkipLeaseWait {
-		silence -= n.blockedSince(acked)
+		silence -= min(n.blockedSince(acked), voterSyncs*n.diskTime)
 	}
 	return silence > n.quorumTimeout()
 }
