replica: a transfer of the leadership ends the lease before it is sent

What callers could have seen: a host served under an old configuration, since the former leader renewed its lease.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -261,6 +261,9 @@
 			r.publishStatus()
 			return nil
 		}
+		if r.node.Status().Role != raft.Leader {
+			r.publishStatus() // what is sent may let another replica lead, while this one still publishes a lease
+		}
 		early, late := ready.SplitMessages()
 		r.send(early)
 		if ready.NeedsDisk() {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -104,6 +104,12 @@
 }
 
 func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	return newClusterThat(t, func(raft.Envelope) {})
+}
+
+// newClusterThat is newCluster for a cluster that calls observe before it sends a message.
+func newClusterThat(t *testing.T, observe func(raft.Envelope)) *cluster {
 	t.Helper()
 	ids := []raft.ID{"a", "b", "c"}
 	c := &cluster{clockOffsets: make([]atomic.Int64, len(ids))}
@@ -115,7 +121,10 @@
 		must.NoError(t, replica.Initialize(folder, ids))
 		r, err := replica.Open(replica.Options{
 			ID: id, ElectionTimeout: 100 * time.Millisecond, HeartbeatInterval: 25 * time.Millisecond, Folder: folder, Machine: &counter{},
-			Send:  func(e raft.Envelope) { c.deliver(i, slices.Index(ids, e.To), e) },
+			Send: func(e raft.Envelope) {
+				observe(e)
+				c.deliver(i, slices.Index(ids, e.To), e)
+			},
 			Clock: func() time.Time { return time.Now().Add(time.Duration(c.clockOffsets[i].Load())) }, SnapshotEvery: 1000, Log: zap.NewNop(), Seed: uint64(i),
 		})
 		must.NoError(t, err)
@@ -199,3 +208,28 @@
 	proposeWithRetry(t, r)
 	eventually(t, "commands applied after the disk accepts writes", func() bool { return machine.applied.Load() >= 2 })
 }
+
+// TestTransferEndsLeaseBeforeItIsSent guards against two leaders that renew leases: the next
+// leader may win as soon as it is asked to, while the former one still publishes its lease.
+func TestTransferEndsLeaseBeforeItIsSent(t *testing.T) {
+	var sending atomic.Pointer[func(raft.Envelope)]
+	c := newClusterThat(t, func(e raft.Envelope) {
+		if observe := sending.Load(); observe != nil {
+			(*observe)(e)
+		}
+	})
+	first := c.waitForLeader(t)
+	var sent, held atomic.Bool
+	observe := func(e raft.Envelope) {
+		if _, ok := e.Message.(raft.TimeoutNow); ok {
+			held.Store(!c.replicas[first].Status().Lease.IsZero())
+			sent.Store(true)
+		}
+	}
+	sending.Store(&observe)
+	eventually(t, "the leadership is transferred", func() bool {
+		c.replicas[first].TransferLeadership([]raft.ID{"a", "b", "c"}[(first+1)%3])
+		return sent.Load()
+	})
+	must.False(t, held.Load(), must.Sprint("the lease must have ended"))
+}
