voters: a voter that answers keeps its identity

Cause: reports of hosts are stored in the order in which they arrive. One from before the host lost its data, which arrives late, let the leader remove the voter that runs there now, so that one more failure left no majority.

Change: a replica counts as replaced once it has not answered for a second.

Evidence: TestStaleIdentityKeepsVoter failed before; TestHostLostAgainDuringReplacementKeepsQuorum passes unchanged.

--- a/voters/voters.go
+++ b/voters/voters.go
@@ -137,7 +137,7 @@
 		}
 		return members, "learners are lost: " + strings.Join(raft.Strings(lost), ", ")
 	}
-	if replaced := replacedVoter(status, candidates); replaced != raft.None && len(members.Voters) > 1 {
+	if replaced := replacedVoter(status, candidates, now); replaced != raft.None && len(members.Voters) > 1 {
 		next = members.Without(replaced)
 		if policy.Standby {
 			next, _ = addLearners(next, candidates)
@@ -240,24 +240,30 @@
 // replacedVoter returns a voter whose host runs a replica with another identity, or raft.None.
 // It never votes again, so that it is removed before its replacement votes: with both, a
 // majority would need the replacement as well.
-func replacedVoter(status raft.Status, candidates []Candidate) raft.ID {
+func replacedVoter(status raft.Status, candidates []Candidate, now time.Time) raft.ID {
 	for _, peer := range status.Peers {
-		if status.Members.IsVoter(peer.ID) && hasOtherIdentity(peer.ID, candidates) {
+		if status.Members.IsVoter(peer.ID) && hasOtherIdentity(peer, candidates, now) {
 			return peer.ID
 		}
 	}
 	return raft.None
 }
 
+// identityTimeout is how long a replica that answered keeps its identity, whatever its host
+// reports: a report from before the host lost its data may arrive late.
+const identityTimeout = time.Second
+
 // hasOtherIdentity reports whether a replica's host runs a replica with another identity.
-func hasOtherIdentity(id raft.ID, candidates []Candidate) bool {
-	return slices.ContainsFunc(candidates, func(c Candidate) bool { return HostOf(c.ID) == HostOf(id) && c.ID != id })
+func hasOtherIdentity(peer raft.PeerStatus, candidates []Candidate, now time.Time) bool {
+	return now.Sub(peer.Heard) > identityTimeout && slices.ContainsFunc(candidates, func(c Candidate) bool {
+		return HostOf(c.ID) == HostOf(peer.ID) && c.ID != peer.ID
+	})
 }
 
 // isLost reports whether the leader hasn't heard from the peer for policy.LostAfter, or
 // the peer's host now runs a replica with another identity.
 func isLost(peer raft.PeerStatus, candidates []Candidate, policy Policy, now time.Time) bool {
-	return hasOtherIdentity(peer.ID, candidates) || now.Sub(peer.Heard) > policy.LostAfter
+	return hasOtherIdentity(peer, candidates, now) || now.Sub(peer.Heard) > policy.LostAfter
 }
 
 // pickLearner selects a candidate that isn't a member yet. To keep the voters spread
--- a/voters/voters_test.go
+++ b/voters/voters_test.go
@@ -75,3 +75,17 @@
 		}
 	}
 }
+
+// TestStaleIdentityKeepsVoter guards against the removal of a voter that answers: a report that
+// its host sent before it lost its data arrives after the later ones.
+func TestStaleIdentityKeepsVoter(t *testing.T) {
+	now := time.Unix(1000, 0)
+	candidates := []voters.Candidate{{ID: "a#1"}, {ID: "b#1"}, {ID: "c#1"}}
+	status := raft.Status{ID: "a#1", Commit: 9, Members: raft.Membership{Voters: []raft.ID{"a#1", "b#2", "c#1"}}}
+	policy := voters.Policy{TargetVoters: 3, LostAfter: 15 * time.Second, Standby: true}
+	for _, id := range status.Members.Voters[1:] {
+		status.Peers = append(status.Peers, raft.PeerStatus{ID: id, Match: 9, Heard: now.Add(-300 * time.Millisecond)})
+	}
+	next, reason := voters.NextMembership(status, candidates, policy, now)
+	must.True(t, reason == "" || next.IsVoter("b#2"), must.Sprint(reason))
+}
