--- a/raft/node.go
+++ b/raft/node.go
@@ -139,10 +139,6 @@
 	return step + 3*step*time.Duration(slot) + time.Duration(n.opts.Random.Int64N(int64(step)))
 }
 
-// voterSyncs is how many syncs of its disk a voter may need before it can reply: the one that
-// it is busy with, and that of its vote.
-const voterSyncs = 2
-
 // resetElectionDeadline sets a random time for the next election. A candidate retries sooner
 // than a follower that has just lost its leader: a reply takes only one round trip and the
 // voter's syncs, and the retry shortens the time without a leader after a split vote or a
@@ -195,37 +191,6 @@
 	}
 }
 
-// lostQuorum reports whether the leader has listened for too long without the
-// acknowledgement of a majority. Time in which its disk blocked it doesn't count, up to what
-// voters may need to reply: a leader with a busy disk that receives nothing would keep its
-// followers for ever. Where leases rest on it, all time counts.
-func (n *Node) lostQuorum() bool {
-	acked := n.quorumAckTime()
-	silence := n.now.Sub(acked)
-	if n.opts.SkipLeaseWait {
-		silence -= min(n.blockedSince(acked), voterSyncs*n.diskTime)
-	}
-	return silence > n.quorumTimeout()
-}
-
-// interval is a time from start to end.
-type interval struct{ start, end time.Time }
-
-// blockedSince returns how long the disk blocked this leader since then, and forgets what
-// was before.
-func (n *Node) blockedSince(since time.Time) time.Duration {
-	n.blocked = slices.DeleteFunc(n.blocked, func(b interval) bool { return !b.end.After(since) })
-	var total time.Duration
-	for _, b := range n.blocked {
-		start := b.start
-		if start.Before(since) {
-			start = since
-		}
-		total += b.end.Sub(start)
-	}
-	return total
-}
-
 // resign steps down for the lack of a majority. A voter campaigns at once: messages that
 // it sent as leader may still be on their way, and followers that receive them would wait
 // for it as if it led. Its pre-vote follows those messages and ends the wait.
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -56,30 +56,6 @@
 	return early, late
 }
 
-// NeedsDisk reports whether anything must be made durable.
-func (r Ready) NeedsDisk() bool {
-	return r.Hard != nil || r.Install != nil || len(r.Entries) > 0
-}
-
-// maxDiskTimeouts limits the time that a disk is taken to need, in election timeouts. A write that
-// was refused for minutes says nothing of the next one, and a pre-candidate writes nothing that
-// would correct it.
-const maxDiskTimeouts = 2
-
-// Resume tells the node that its caller was busy with its disk until now. Meanwhile the
-// node could neither receive messages nor send any, so that this was no time without a
-// leader, nor one in which votes or acknowledgements were due.
-func (n *Node) Resume(now time.Time) {
-	began := n.now
-	n.advanceClock(now)
-	n.electionDeadline = n.electionDeadline.Add(n.now.Sub(began))
-	n.diskTime = max(n.now.Sub(began), n.diskTime/2) // one fast sync may be chance
-	n.diskTime = min(n.diskTime, maxDiskTimeouts*n.opts.ElectionTimeout)
-	if n.role == Leader && n.now.Sub(began) > n.opts.HeartbeatInterval {
-		n.blocked = append(n.blocked, interval{began, n.now})
-	}
-}
-
 // Advance records that the work of r has been done.
 func (n *Node) Advance(r Ready) {
 	if k := len(r.Entries); k > 0 {
