ingress: attempts log the engine's version and the stream that they continue

Cause: no log line or metric tells which software version an engine has, nor that a request takes a stream up, so that the ways in which two versions can be joined (by a gateway within one answer, by a caller's next try, by a hand-over) can't be told apart. Change: engine_version, resumes and last_event on 'engine chosen', the last two on 'handing over request'; linenscale_stream_continuations counts attempts that continue a stream, by service and by who resumes it. Conclusion: the lines of one stream now show each join and the way it came.

--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -14,6 +14,7 @@
 // Ticket permits sending one request to one engine.
 type Ticket struct {
 	Engine       string // ID of the engine
+	Version      string // of the engine's software; "" if it reports none
 	Address      string
 	Explanation  string // score of the engine, for the log
 	Cold         bool
@@ -53,7 +54,7 @@
 func (d *Dispatcher) issueTicket(p *pool, e *engine, req Request, s score, now time.Time) *Ticket {
 	e.use()
 	t := &Ticket{
-		Engine: e.ID, Address: e.Address, Explanation: s.String(), Cold: d.isCold(p, e, now), ExpectedWait: s.wait,
+		Engine: e.ID, Version: e.Version, Address: e.Address, Explanation: s.String(), Cold: d.isCold(p, e, now), ExpectedWait: s.wait,
 		dispatcher: d, pool: p, engine: e, sentAt: now, load: Load{Requests: 1}, route: req.Route, outputTokens: req.Prompt.OutputTokens, queued: s.load.Requests >= e.Slots, fingerprint: req.Fingerprint,
 	}
 	if p.rollout != nil {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -74,8 +74,9 @@
 		return false, err
 	}
 	p.triedEngines = append(p.triedEngines, ticket.Engine)
-	s.Log.Info("engine chosen", x.logFields(zap.String("engine", ticket.Engine), zap.String("address", ticket.Address),
+	s.Log.Info("engine chosen", x.logFields(zap.String("engine", ticket.Engine), zap.String("engine_version", ticket.Version), zap.String("address", ticket.Address), zap.String("resumes", x.meta.Resumes), zap.String("last_event", p.lastEventID),
 		zap.Int("attempt", p.sends+p.unreachable+1), zap.String("why", ticket.Explanation), zap.String("part", x.meta.Prompt.AffinityKey()), zap.Bool("cold", ticket.Cold), zap.String("copy_from", ticket.TransferFrom), zap.Duration("remaining", s.remaining(x)), zap.Stringer("fingerprint", x.fingerprint), zap.String("limit", ticket.Limit()))...)
+	s.countContinuation(x)
 	x.announceSend()
 	err = s.send(x, p, ticket)
 	retry = s.finishAttempt(x, p, ticket, err)
--- a/ingress/dialect.go
+++ b/ingress/dialect.go
@@ -20,6 +20,7 @@
 	Prompt      dispatch.Prompt
 	Tokens      int               // prompt plus longest answer; -1 if not stated
 	LastEventID string            // ID of the last stream event that the caller has; "" for none
+	Resumes     string            // ID of the request that brought the first event of the stream that the caller resumes; "" for none
 	Key         catalog.KeyDigest // digest of the API key; "" for none
 }
 
--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -72,7 +72,7 @@
 // pathBroken reports whether the network path to that gateway, or the gateway itself, has
 // failed.
 func (s *Server) handOver(x *exchange, gateway roster.Host) (pathBroken bool, err error) {
-	s.Log.Info("handing over request", x.logFields(zap.String("gateway", gateway.Name), zap.String("region", gateway.Region), zap.Duration("remaining", s.remaining(x)))...)
+	s.Log.Info("handing over request", x.logFields(zap.String("gateway", gateway.Name), zap.String("region", gateway.Region), zap.String("resumes", x.meta.Resumes), zap.String("last_event", x.progress.lastEventID), zap.Duration("remaining", s.remaining(x)))...)
 	header := relay.ForwardableHeaders(x.r.Header)
 	if x.progress.lastEventID != "" {
 		header = s.Dialect.ResumeHeader(header, x.progress.lastEventID)
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -34,6 +34,7 @@
 	limitEvents     metric.Int64Counter
 	pushbackEvents  metric.Int64Counter
 	trafficBytes    metric.Int64Counter
+	continuations   metric.Int64Counter
 	accountLabels   labelSet // the accounts that have counters of their own
 	engineLabels    labelSet // the engines that have counters of their own
 }
@@ -48,7 +49,7 @@
 	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
 	meter := provider.Meter("linenscale")
 	m := &Metrics{provider: provider, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
-	var errs [14]error
+	var errs [15]error
 	m.requests, errs[0] = meter.Int64Counter("linenscale_requests", metric.WithDescription("requests that have ended, by service and outcome"))
 	m.attempts, errs[1] = meter.Int64Counter("linenscale_attempts", metric.WithDescription("attempts sent to engines and entry hosts, by service and outcome"))
 	m.firstByte, errs[2] = meter.Float64Histogram("linenscale_first_byte_seconds", metric.WithDescription("time to the first byte of an answer"), metric.WithUnit("s"))
@@ -63,6 +64,7 @@
 	m.limitEvents, errs[11] = meter.Int64Counter("linenscale_limited_engines", metric.WithDescription("events of engines that announce rate limits, by engine and event"))
 	m.pushbackEvents, errs[12] = meter.Int64Counter("linenscale_pushback", metric.WithDescription("events of engines that ask for backoff or announce draining, by engine and event"))
 	m.trafficBytes, errs[13] = meter.Int64Counter("linenscale_traffic", metric.WithDescription("bytes exchanged with other hosts, by kind and distance"), metric.WithUnit("By"))
+	m.continuations, errs[14] = meter.Int64Counter("linenscale_stream_continuations", metric.WithDescription("attempts that continue a stream, by service and by who resumes it"))
 	for _, err := range errs {
 		if err != nil {
 			return nil, errors.Annotate(err, "metrics")
@@ -109,6 +111,13 @@
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("outcome", outcome)))
 }
 
+// CountContinuation counts an attempt that continues a stream after the events that the caller
+// has. by says who resumes it: the caller, a gateway within one answer, or a gateway that
+// another one handed the stream over to.
+func (m *Metrics) CountContinuation(service, by string) {
+	m.continuations.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("by", by)))
+}
+
 // RecordFirstByte records the time to the first byte of an answer, and how much of it the
 // request waited for a slot.
 func (m *Metrics) RecordFirstByte(service string, total, queued time.Duration) {
