--- a/ingress/handover_test.go
+++ b/ingress/handover_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -21,6 +22,31 @@
 // startTruncatingProxy starts a proxy to an address and returns its own address. It closes
 // the first connection after limit bytes of the answer.
 func startTruncatingProxy(t *testing.T, upstream string, limit int64) string {
+	t.Helper()
+	return startProxy(t, upstream, func(to io.Writer, from io.Reader) { _, _ = io.CopyN(to, from, limit) })
+}
+
+// startProxyUntil is startTruncatingProxy for a first connection that closes once the answer has
+// contained a marker.
+func startProxyUntil(t *testing.T, upstream, marker string) string {
+	t.Helper()
+	return startProxy(t, upstream, func(to io.Writer, from io.Reader) {
+		var seen []byte
+		chunk := make([]byte, 1)
+		for !bytes.Contains(seen, []byte(marker)) {
+			n, err := from.Read(chunk)
+			if err != nil {
+				return
+			}
+			seen = append(seen, chunk[:n]...)
+			_, _ = to.Write(chunk[:n])
+		}
+	})
+}
+
+// startProxy starts a proxy to an address. It relays the first connection's answer by copyFirst
+// and then closes that connection.
+func startProxy(t *testing.T, upstream string, copyFirst func(to io.Writer, from io.Reader)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -32,8 +58,11 @@
 			if err != nil {
 				return
 			}
-			truncate := first.CompareAndSwap(false, true)
-			group.Go(func() { pipe(conn, upstream, truncate, limit) })
+			relay := copyFirst
+			if !first.CompareAndSwap(false, true) {
+				relay = func(to io.Writer, from io.Reader) { _, _ = io.Copy(to, from) }
+			}
+			group.Go(func() { pipe(conn, upstream, relay) })
 		}
 	})
 	t.Cleanup(func() {
@@ -44,7 +73,7 @@
 }
 
 // pipe copies bytes between a connection and an address until either side ends.
-func pipe(conn net.Conn, address string, truncate bool, limit int64) {
+func pipe(conn net.Conn, address string, answer func(to io.Writer, from io.Reader)) {
 	defer conn.Close()
 	upstream, err := net.Dial("tcp", address)
 	if err != nil {
@@ -56,11 +85,7 @@
 		_, _ = io.Copy(upstream, conn) // ends when the connection closes
 		upstream.Close()
 	})
-	if truncate {
-		_, _ = io.CopyN(conn, upstream, limit)
-	} else {
-		_, _ = io.Copy(conn, upstream)
-	}
+	answer(conn, upstream)
 	conn.Close()
 	group.Wait()
 }
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -99,10 +99,16 @@
 
 // start starts an engine and registers it with the gateway.
 func (g *gateway) start(t *testing.T, service, dataCentre string) *platformtest.Engine {
+	t.Helper()
+	return g.startVersion(t, service, dataCentre, platformtest.DefaultVersion)
+}
+
+// startVersion is start for an engine with that software version.
+func (g *gateway) startVersion(t *testing.T, service, dataCentre, version string) *platformtest.Engine {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	group := pool.New()
-	e, err := platformtest.StartEngine(ctx, group, "127.0.0.1:0", platformtest.EngineOptions{Service: service, DataCentre: dataCentre})
+	e, err := platformtest.StartEngine(ctx, group, "127.0.0.1:0", platformtest.EngineOptions{Service: service, DataCentre: dataCentre, Version: version})
 	must.NoError(t, err)
 	t.Cleanup(func() {
 		cancel()
@@ -114,7 +120,7 @@
 
 // register registers an engine with the gateway.
 func (g *gateway) register(e *platformtest.Engine, service, dataCentre string) {
-	g.engines.Heartbeat(registry.Engine{ID: e.ID, Service: service, Address: e.Address(), DataCentre: dataCentre, Slots: 8, Sequence: 1})
+	g.engines.Heartbeat(registry.Engine{ID: e.ID, Service: service, Version: e.Version(), Address: e.Address(), DataCentre: dataCentre, Slots: 8, Sequence: 1})
 	g.server.Dispatcher.Tick()
 }
 
