ingress, dispatch, streams: a broken stream continues at the version that began it

Callers saw streams whose later events came from engines of another software version than the first ones, within one answer. Cause: a gateway continued a stream at any engine of the service. It kept the last event, not who had written the events; a hand-over passed on the last event only, and the other gateway even drew a service of the route anew. Change: a stream has an origin, the service and software version of the engine that writes its first event. Further attempts, by this gateway or after a hand-over, go only to engines of that origin, also while a rollout keeps new requests off it. Gateways state the origin in their answers to hand-overs, and report their region's versions. An answer whose origin isn't certain (an engine that has started again, a gateway of an earlier release) is not passed on. The hand-over test with a truncating proxy now cuts after a given event instead of after 330 bytes, since the head is longer. Conclusion: joins within one answer are closed.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -145,7 +145,7 @@
 func (d *Dispatcher) drawCandidates(p *pool, req Request, id uint64, now time.Time) []candidate {
 	size := d.sampleSize()
 	out := make([]candidate, 0, sampleSizeFew+2)
-	for _, e := range p.usable {
+	for _, e := range p.enginesFor(req) {
 		c := candidate{e, rendezvous.Rank(id, e.hash)}
 		if len(out) == size && c.rank <= out[size-1].rank || !d.canUse(p, e, req, now) {
 			continue
@@ -169,7 +169,7 @@
 	hash := hashString(key)
 	var preferred *engine
 	var highest uint64
-	for _, e := range p.usable {
+	for _, e := range p.enginesFor(req) {
 		if r := rendezvous.Rank(hash, e.addressHash); (preferred == nil || r > highest) && d.canUse(p, e, req, now) {
 			preferred, highest = e, r
 		}
@@ -186,15 +186,15 @@
 
 // canUse reports whether this request may be sent to the engine.
 func (d *Dispatcher) canUse(p *pool, e *engine, req Request, now time.Time) bool {
-	return d.exclusionOf(p, e, now) == "" && !slices.Contains(req.Tried, e.ID)
+	return d.exclusionFor(p, e, req, now) == "" && !slices.Contains(req.Tried, e.ID)
 }
 
 // fallback returns the engine to use if no other can be: of those with an overridable
 // exclusion, the one whose exclusion after failures ends first; nil if there is none.
 func (d *Dispatcher) fallback(p *pool, req Request, now time.Time) *engine {
 	var found *engine
-	for _, e := range p.usable {
-		if d.exclusionOf(p, e, now).isOverridable() && !slices.Contains(req.Tried, e.ID) && (found == nil || e.excludedUntil.Before(found.excludedUntil)) {
+	for _, e := range p.enginesFor(req) {
+		if d.exclusionFor(p, e, req, now).isOverridable() && !slices.Contains(req.Tried, e.ID) && (found == nil || e.excludedUntil.Before(found.excludedUntil)) {
 			found = e
 		}
 	}
@@ -207,7 +207,7 @@
 	excluded := make(map[exclusion]int)
 	var available earliest
 	for _, e := range p.sorted {
-		reason := d.exclusionOf(p, e, now)
+		reason := d.exclusionFor(p, e, req, now)
 		available.add(d.exclusionEnd(e, reason, now))
 		if reason == "" && slices.Contains(req.Tried, e.ID) {
 			reason = excludedTried
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"github.com/linenscale/linenscale/rollout"
 	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/roster"
+	"github.com/linenscale/linenscale/streams"
 	"github.com/linenscale/linenscale/telemetry"
 )
 
@@ -218,6 +219,8 @@
 	Permitted func(region string) bool
 	// Fingerprint is equal for all repeats of the request.
 	Fingerprint quarantine.Fingerprint
+	// Origin is set if the request continues a stream: only engines of its version may.
+	Origin *streams.Origin
 }
 
 // Acquire returns a ticket for the engine with the lowest expected cost. The error is a
--- a/dispatch/pushback.go
+++ b/dispatch/pushback.go
@@ -65,9 +65,12 @@
 	defer d.mu.Unlock()
 	now := d.Clock()
 	reason := d.exclusionOf(t.pool, t.engine, now)
-	if reason == excludedVersion && t.canary && t.pool.rollout.Stage == rollout.Canary {
+	if reason == excludedVersion && (t.continues || t.canary && t.pool.rollout.Stage == rollout.Canary) {
 		reason = d.exclusionBesidesVersion(t.pool, t.engine, now)
 	}
+	if t.continues && !t.isCurrent() {
+		reason = excludedRestarted
+	}
 	switch reason {
 	case "", excludedTrial, excludedLimited, excludedFailing, excludedPeerBackoff, excludedCold:
 		return nil
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -112,7 +112,7 @@
 		d.Log.Error("region report not sent: encoding failed", telemetry.ErrorField(err))
 		return rollup.Message{}, false
 	}
-	return rollup.Message{From: d.Name, Remote: []rollup.RegionReport{{Region: d.Region, Digests: body, Accounts: d.regionUsage(now), Crashes: d.quarantine.OutgoingRemote(now)}}}, true
+	return rollup.Message{From: d.Name, Remote: []rollup.RegionReport{{Region: d.Region, Digests: body, Accounts: d.regionUsage(now), Crashes: d.quarantine.OutgoingRemote(now), Versions: d.servingVersions(now)}}}, true
 }
 
 func (d *Dispatcher) digest(p *pool, now time.Time) Digest {
@@ -176,6 +176,7 @@
 		return
 	}
 	remote.applyDigests(digests, d.roundTrip(r.Region), now.Add(-r.Age))
+	remote.applyVersions(r.Versions)
 	d.applyRemoteUsage(r.Region, r.Accounts, now.Add(-r.Age))
 }
 
@@ -238,7 +239,7 @@
 // there is no recent report from the region or no usable engine there.
 func (d *Dispatcher) estimateRemote(region string, p *pool, req Request, isHome bool, now time.Time) (score, bool) {
 	remote, ok := d.remotes[region]
-	if !ok || !remote.isFresh(now) || remote.digests[p.service.Name].Engines == 0 {
+	if !ok || !remote.isFresh(now) || remote.digests[p.service.Name].Engines == 0 || remote.lacksVersion(req.Origin) {
 		return score{}, false
 	}
 	in := remote.costInputs(req, p.throughput.current(), isHome, now)
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -6,12 +6,15 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/linenscale/linenscale/streams"
 )
 
 // remoteRegion is the known state of another region.
 type remoteRegion struct {
 	reportedAt time.Time // when its last report arrived in this region
 	digests    map[string]Digest
+	versions   map[streams.Origin]int  // engines that serve, by service and version; nil if not reported
 	inFlight   []*RemoteRequest        // sent there, and not in its last report yet
 	cached     map[string]cachedBlocks // by service: prompt blocks sent there
 }
--- a/dispatch/rollouts.go
+++ b/dispatch/rollouts.go
@@ -70,7 +70,7 @@
 // control hosts selects nothing, since no rollback would reach it.
 func (d *Dispatcher) canaryFor(p *pool, req Request, now time.Time) *engine {
 	r := p.rollout
-	if r == nil || !r.restricts || len(r.canaries) == 0 || len(req.Tried) > 0 || !d.Rollouts.Selects(r.Rollout, hashString(req.ID)) {
+	if r == nil || !r.restricts || len(r.canaries) == 0 || len(req.Tried) > 0 || req.Origin != nil || !d.Rollouts.Selects(r.Rollout, hashString(req.ID)) {
 		return nil
 	}
 	if d.ConnectedControlHosts != nil && d.ConnectedControlHosts() == 0 {
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -45,6 +45,8 @@
 	served bool
 	// canary is set if a rollout selected the request for the engine's version.
 	canary bool
+	// continues is set if the request continues a stream.
+	continues bool
 	// startedRollout is the ID of the service's rollout when the ticket was issued.
 	startedRollout uint64
 }
@@ -55,7 +57,7 @@
 	e.use()
 	t := &Ticket{
 		Engine: e.ID, Version: e.Version, Address: e.Address, Explanation: s.String(), Cold: d.isCold(p, e, now), ExpectedWait: s.wait,
-		dispatcher: d, pool: p, engine: e, sentAt: now, load: Load{Requests: 1}, route: req.Route, outputTokens: req.Prompt.OutputTokens, queued: s.load.Requests >= e.Slots, fingerprint: req.Fingerprint,
+		dispatcher: d, pool: p, engine: e, sentAt: now, load: Load{Requests: 1}, route: req.Route, outputTokens: req.Prompt.OutputTokens, queued: s.load.Requests >= e.Slots, fingerprint: req.Fingerprint, continues: req.Origin != nil,
 	}
 	if p.rollout != nil {
 		t.startedRollout, t.canary = p.rollout.ID, p.excludesVersion(e)
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -16,16 +16,18 @@
 
 	"github.com/linenscale/linenscale/relay"
 	"github.com/linenscale/linenscale/request"
+	"github.com/linenscale/linenscale/streams"
 )
 
 // maxBufferedAnswer is the length up to which an answer that is not an event stream is
 // buffered completely before any of it is sent, so that a truncated one can be retried.
 const maxBufferedAnswer = 256 << 10
 
-// answerHooks are called while an answer arrives. Both are nil for an answer of another
-// gateway.
-type answerHooks struct {
-	firstByte func() // the first bytes of the body have arrived
+// answerSource is where an answer comes from. The functions are called while it arrives; both
+// are nil for an answer of another gateway.
+type answerSource struct {
+	origin    *streams.Origin // of a stream that the answer begins; nil if not known
+	firstByte func()          // the first bytes of the body have arrived
 	// lastByte is called before an answer is sent to the caller that has arrived completely.
 	// It isn't called for one that is relayed in parts.
 	lastByte func()
@@ -34,9 +36,9 @@
 // relayAnswer sends an engine's or another gateway's answer to the caller. If it fails
 // before x.answerStarted is set, the caller has received nothing and another attempt is
 // possible.
-func (s *Server) relayAnswer(x *exchange, resp *http.Response, hooks answerHooks) error {
+func (s *Server) relayAnswer(x *exchange, resp *http.Response, source answerSource) error {
 	if isEventStream(resp) {
-		return s.relayEvents(x, resp, hooks.firstByte)
+		return s.relayEvents(x, resp, source)
 	}
 	if x.answerStarted {
 		return errors.New("the stream can't be resumed: the answer is not an event stream")
@@ -48,16 +50,16 @@
 	if err != nil && !full {
 		return &truncatedAnswer{errors.Annotate(err, "answer")}
 	}
-	if hooks.firstByte != nil {
-		hooks.firstByte()
+	if source.firstByte != nil {
+		source.firstByte()
 	}
 	if full || len(head.data) == maxBufferedAnswer {
 		s.writeHead(x, resp, resp.ContentLength)
 		_, err := relay.Copy(x.w, io.MultiReader(bytes.NewReader(head.data), resp.Body), writeTimeout, nil)
 		return err
 	}
-	if hooks.lastByte != nil {
-		hooks.lastByte()
+	if source.lastByte != nil {
+		source.lastByte()
 	}
 	s.writeHead(x, resp, int64(len(head.data)))
 	return writeComplete(x.w, head.data)
@@ -112,6 +114,7 @@
 	if !x.chunked {
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	x.setOriginHeader(header)
 	header.Del(request.HeaderSends)
 	if x.handedOver {
 		header.Set(request.HeaderSends, strconv.Itoa(x.progress.sends+1))
@@ -122,7 +125,8 @@
 
 // relayEvents relays an event stream as it arrives. It forwards complete events only, so
 // that another engine can resume the stream after the last event sent.
-func (s *Server) relayEvents(x *exchange, resp *http.Response, onFirstByte func()) error {
+func (s *Server) relayEvents(x *exchange, resp *http.Response, source answerSource) error {
+	onFirstByte := source.firstByte
 	var splitter eventSplitter
 	chunk := make([]byte, readChunkBytes)
 	out := relay.NewWriter(x.w, writeTimeout)
@@ -144,6 +148,7 @@
 		}
 		if len(complete) > 0 || err == io.EOF {
 			if !x.answerStarted {
+				x.beginStream(source.origin)
 				s.writeHead(x, resp, -1)
 			}
 			if err := out.WriteFlush(complete); err != nil {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -74,7 +74,7 @@
 		return false, err
 	}
 	p.triedEngines = append(p.triedEngines, ticket.Engine)
-	s.Log.Info("engine chosen", x.logFields(zap.String("engine", ticket.Engine), zap.String("engine_version", ticket.Version), zap.String("address", ticket.Address), zap.String("resumes", x.meta.Resumes), zap.String("last_event", p.lastEventID),
+	s.Log.Info("engine chosen", x.logFields(zap.String("engine", ticket.Engine), zap.String("engine_version", ticket.Version), zap.String("address", ticket.Address), zap.String("resumes", x.meta.Resumes), zap.String("last_event", p.lastEventID), x.originField(),
 		zap.Int("attempt", p.sends+p.unreachable+1), zap.String("why", ticket.Explanation), zap.String("part", x.meta.Prompt.AffinityKey()), zap.Bool("cold", ticket.Cold), zap.String("copy_from", ticket.TransferFrom), zap.Duration("remaining", s.remaining(x)), zap.Stringer("fingerprint", x.fingerprint), zap.String("limit", ticket.Limit()))...)
 	s.countContinuation(x)
 	x.announceSend()
@@ -85,14 +85,15 @@
 
 // acquireTicket reserves an engine and, for every send after the first, spends one retry
 // of the service's budget. If every engine has been tried and one of them may have run the
-// request, engines that were tried before become eligible again.
+// request, engines that were tried before become eligible again, unless the request continues a
+// stream and engines of its version may serve in another region.
 func (s *Server) acquireTicket(x *exchange, p *progress) (*dispatch.Ticket, error) {
 	if s.remaining(x) <= 0 {
 		return nil, deadlineRejection(p)
 	}
 	req := x.dispatchRequest(p.triedEngines)
 	ticket, err := s.Dispatcher.Acquire(req)
-	if err != nil && p.mayHaveRun {
+	if err != nil && p.mayHaveRun && !(x.origin != nil && s.hasOtherRegion(x)) {
 		req.Tried = nil
 		ticket, err = s.Dispatcher.Acquire(req)
 	}
@@ -151,7 +152,8 @@
 	}
 	defer resp.Body.Close()
 	succeeded := resp.StatusCode == http.StatusOK
-	return s.relayAnswer(x, resp, answerHooks{
+	return s.relayAnswer(x, resp, answerSource{
+		origin:    ticketOrigin(ticket),
 		firstByte: func() { x.firstByteAfter = ticket.RecordFirstByte(succeeded) },
 		lastByte:  ticket.RecordLastByte,
 	})
@@ -179,7 +181,7 @@
 	case x.answerStarted && resp.StatusCode != http.StatusOK, s.retriesServerError(x, p, resp):
 		return relay.NewFailure(false, false, errors.Errorf("engine failed with status %d", resp.StatusCode))
 	default:
-		return nil
+		return x.checkOrigin(ticketOrigin(ticket))
 	}
 }
 
@@ -206,7 +208,7 @@
 	if outcome == dispatch.Abandoned {
 		return false
 	}
-	return (notRun || x.route.Repeatable()) && p.sends < x.route.Attempts && p.unreachable < maxUnreachable
+	return (notRun || x.route.Repeatable()) && x.mayContinue() && p.sends < x.route.Attempts && p.unreachable < maxUnreachable
 }
 
 // classifyOutcome maps the error of an attempt to the outcome that the dispatcher records
--- a/ingress/continuation.go
+++ b/ingress/continuation.go
@@ -1,8 +1,22 @@
 // This file defines the continuation of streams: attempts that go on after the events that
-// the caller has.
+// the caller has. They go only to engines of the software version that began the stream.
 
 package ingress
 
+import (
+	"net/http"
+	"slices"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/linenscale/linenscale/catalog"
+	"github.com/linenscale/linenscale/dispatch"
+	"github.com/linenscale/linenscale/relay"
+	"github.com/linenscale/linenscale/request"
+	"github.com/linenscale/linenscale/streams"
+)
+
 // Who continues a stream.
 const (
 	continuedByCaller   = "caller"   // the caller resumes it with a request of its own
@@ -13,7 +27,7 @@
 // countContinuation counts an attempt if it continues a stream.
 func (s *Server) countContinuation(x *exchange) {
 	switch {
-	case x.progress.lastEventID == "":
+	case x.origin == nil:
 	case x.handedOver:
 		s.Metrics.CountContinuation(x.service, continuedByHandover)
 	case x.answerStarted:
@@ -22,3 +36,82 @@
 		s.Metrics.CountContinuation(x.service, continuedByCaller)
 	}
 }
+
+// continuesStreams reports whether the route's streams may be continued at another engine.
+func continuesStreams(route catalog.Route) bool {
+	return route.Kind == catalog.KindStream && route.Resumable
+}
+
+// beginStream records whose engine writes the first event of the answer; nil if that isn't
+// known.
+func (x *exchange) beginStream(origin *streams.Origin) {
+	if x.origin == nil && continuesStreams(x.route) {
+		x.origin = origin
+	}
+}
+
+// mayContinue reports whether another attempt can complete the answer. After its first event,
+// that requires the stream's origin and the ID of its last event.
+func (x *exchange) mayContinue() bool {
+	return !x.answerStarted || (x.origin != nil && x.progress.lastEventID != "")
+}
+
+// adoptOrigin makes a request that continues a stream run at the service that began it. The
+// error is a rejection if the route doesn't lead to that service.
+func (x *exchange) adoptOrigin(origin streams.Origin) error {
+	if !slices.ContainsFunc(x.route.Backends, func(b catalog.Backend) bool { return b.Service == origin.Service }) {
+		return &request.NotRun{Reason: request.ReasonUnknownStream, Message: "the route no longer leads to " + origin.Service + ", where the stream began"}
+	}
+	x.origin, x.service = &origin, origin.Service
+	return nil
+}
+
+// ticketOrigin returns the origin of a stream that the ticket's engine begins; nil if the
+// engine has started again meanwhile.
+func ticketOrigin(ticket *dispatch.Ticket) *streams.Origin {
+	if origin, current := ticket.Origin(); current {
+		return &origin
+	}
+	return nil
+}
+
+// checkOrigin returns an error if the answer may come from another version than the one that
+// began the stream.
+func (x *exchange) checkOrigin(answering *streams.Origin) error {
+	if x.origin == nil || (answering != nil && *answering == *x.origin) {
+		return nil
+	}
+	return relay.NewFailure(false, false, errors.Errorf("the stream began at %s, and the answer may be of another version", x.origin))
+}
+
+// remoteOrigin returns the origin that another gateway states in its answer; nil for none.
+func remoteOrigin(resp *http.Response) *streams.Origin {
+	origin, ok := streams.Parse(resp.Header.Get(request.HeaderStreamOrigin))
+	if !ok {
+		return nil
+	}
+	return &origin
+}
+
+// setOriginHeader states the stream's origin to the gateway that handed the request over. It
+// removes what the answer states, which callers must not get.
+func (x *exchange) setOriginHeader(header http.Header) {
+	header.Del(request.HeaderStreamOrigin)
+	if x.handedOver && x.origin != nil {
+		header.Set(request.HeaderStreamOrigin, x.origin.String())
+	}
+}
+
+// hasOtherRegion reports whether a request that this gateway may hand over could run in a
+// region that hasn't been tried.
+func (s *Server) hasOtherRegion(x *exchange) bool {
+	return !x.handedOver && len(s.otherRegions(x)) > 0
+}
+
+// originField returns the log field with the origin of a continued stream.
+func (x *exchange) originField() zap.Field {
+	if x.origin == nil {
+		return zap.Skip()
+	}
+	return zap.Stringer("origin", x.origin)
+}
--- a/ingress/continuation_test.go
+++ b/ingress/continuation_test.go
@@ -1,7 +1,9 @@
 package ingress_test
 
 import (
+	"context"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -9,6 +11,8 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/linenscale/linenscale/platform/platformtest"
+	"github.com/linenscale/linenscale/request"
+	"github.com/linenscale/linenscale/streams"
 )
 
 // versions are the software versions of the engines in these tests.
@@ -101,6 +105,63 @@
 	}
 }
 
+// earlierRelease makes a gateway's hand-over handler behave like that of a release that knows no
+// origins: it ignores the one that it gets, and states none.
+func earlierRelease(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Del("Linenscale-Handover-Origin")
+		r.Header.Del("Last-Event-Id")
+		handler.ServeHTTP(&withoutOrigin{w}, r)
+	})
+}
+
+type withoutOrigin struct{ http.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *withoutOrigin) WriteHeader(status int) {
+	w.Header().Del("Linenscale-Stream-Origin")
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap returns the original writer for http.ResponseController.
+func (w *withoutOrigin) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// TestStreamIsNotJoinedByAnEarlierRelease guards against the answer of a gateway that may have
+// continued the stream at any version.
+func TestStreamIsNotJoinedByAnEarlierRelease(t *testing.T) {
+	lagos, kano, _ := twoRegions(t)
+	earlier := httptest.NewServer(earlierRelease(kano.server.HandoverHandler()))
+	t.Cleanup(earlier.Close)
+	lagos.peers[0].Handover = hostPort(earlier)
+	faulty := lagos.startVersion(t, "model", "a", "v2")
+	faulty.SetFaults(platformtest.NewFaultPlan(platformtest.FaultTruncate, -1))
+	result := do(t, lagos, platformtest.Request{Path: "/review/1", IsPrompt: true, Deadline: 5 * time.Second})
+	must.Eq(t, "v2", versionOf(result.Body), must.Sprint(result.Body))
+	must.False(t, result.Complete)
+}
+
+// TestHandedOverStreamStaysAtItsService guards against a gateway that draws another service of
+// the route for the rest of a stream.
+func TestHandedOverStreamStaysAtItsService(t *testing.T) {
+	kano := newGateway(t, "g2", "kano")
+	kano.declare()
+	engines := map[string]*platformtest.Engine{"model": kano.start(t, "model", "b"), "model2": kano.start(t, "model2", "b")}
+	handOver := func(service string) platformtest.Result {
+		header := make(http.Header)
+		origin := streams.Origin{Service: service, Version: platformtest.DefaultVersion}
+		handover := request.Request{ID: "r1", Deadline: time.Now().Add(5 * time.Second), Origin: &origin}.WithVisitedHost("g1")
+		handover.SetHandoverHeaders(header, time.Now(), 1)
+		var caller platformtest.Caller
+		result, err := caller.Do(context.Background(), hostPort(kano.handover), platformtest.Request{Host: "h", Path: "/split/1", IsPrompt: true, LastEvent: "2", Header: header})
+		must.NoError(t, err)
+		return result
+	}
+	for service, e := range engines {
+		must.Eq(t, e.ID, handOver(service).Engine)
+	}
+	must.True(t, handOver("portal").GuaranteesNotRun(), must.Sprint("the route doesn't lead there"))
+}
+
 // begin sends requests until the gateway's answer breaks within the stream, and returns it.
 func begin(t *testing.T, g *gateway, engines []*platformtest.Engine) platformtest.Result {
 	t.Helper()
--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -72,12 +72,12 @@
 // pathBroken reports whether the network path to that gateway, or the gateway itself, has
 // failed.
 func (s *Server) handOver(x *exchange, gateway roster.Host) (pathBroken bool, err error) {
-	s.Log.Info("handing over request", x.logFields(zap.String("gateway", gateway.Name), zap.String("region", gateway.Region), zap.String("resumes", x.meta.Resumes), zap.String("last_event", x.progress.lastEventID), zap.Duration("remaining", s.remaining(x)))...)
+	s.Log.Info("handing over request", x.logFields(zap.String("gateway", gateway.Name), zap.String("region", gateway.Region), zap.String("resumes", x.meta.Resumes), zap.String("last_event", x.progress.lastEventID), x.originField(), zap.Duration("remaining", s.remaining(x)))...)
 	header := relay.ForwardableHeaders(x.r.Header)
 	if x.progress.lastEventID != "" {
 		header = s.Dialect.ResumeHeader(header, x.progress.lastEventID)
 	}
-	handover := request.Request{ID: x.meta.ID, Deadline: x.deadline, PriorSends: x.progress.sends}.WithVisitedHost(s.Self.Name)
+	handover := request.Request{ID: x.meta.ID, Deadline: x.deadline, PriorSends: x.progress.sends, Origin: x.origin}.WithVisitedHost(s.Self.Name)
 	handover.SetHandoverHeaders(header, s.Clock(), uint64(x.catalog.table.Version()))
 	sendsBefore := x.progress.sends
 	remote := s.Dispatcher.BeginRemote(gateway.Region, x.dispatchRequest(nil))
@@ -94,7 +94,7 @@
 	if err == nil {
 		s.remotePaths.recordAnswer(gateway, s.Clock())
 		defer resp.Body.Close()
-		err = s.relayAnswer(x, resp, answerHooks{})
+		err = s.relayAnswer(x, resp, answerSource{origin: remoteOrigin(resp)})
 	}
 	if err == nil {
 		s.countOutcome(x, "answered_elsewhere")
@@ -135,6 +135,12 @@
 		if x.answerStarted && resp.StatusCode != http.StatusOK {
 			return relay.NewFailure(false, false, errors.Errorf("the other gateway answered the resumed stream with status %d", resp.StatusCode))
 		}
+		if resp.StatusCode != http.StatusOK {
+			return nil
+		}
+		if err := x.checkOrigin(remoteOrigin(resp)); err != nil {
+			return &request.OutcomeUnknown{Message: err.Error()}
+		}
 		return nil
 	case request.OutcomeValueNotRun:
 		wait, err := time.ParseDuration(resp.Header.Get("Retry-After") + "s")
--- a/ingress/handover_test.go
+++ b/ingress/handover_test.go
@@ -121,7 +121,7 @@
 		t.Run(path[1:5], func(t *testing.T) {
 			lagos, kano, engines := twoRegions(t)
 			truncating := lagos.peers[0]
-			truncating.Name, truncating.Handover = "g3", startTruncatingProxy(t, hostPort(kano.handover), 330)
+			truncating.Name, truncating.Handover = "g3", startProxyUntil(t, hostPort(kano.handover), "event 1\n\n")
 			lagos.peers = append(lagos.peers, truncating) // the random number 1 picks the second of two
 			result := do(t, lagos, platformtest.Request{Path: path, IsPrompt: true, Deadline: 5 * time.Second})
 			must.Eq(t, resumable, result.Complete, must.Sprint(result.Status, result.Body))
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -38,11 +38,12 @@
 		{Name: "unsafe2", Host: "h", Prefix: "/unsafe2/", Kind: catalog.KindUnsafe, Timeout: time.Second, Target: 500 * time.Millisecond, Attempts: 2, Backends: []catalog.Backend{{Service: "portal", Weight: 1}}},
 		{Name: "review", Host: "h", Prefix: "/review/", Kind: catalog.KindStream, Resumable: true, Timeout: time.Second, Target: time.Second, Attempts: 2, Backends: []catalog.Backend{{Service: "model", Weight: 1}}},
 		{Name: "chat", Host: "h", Prefix: "/chat/", Kind: catalog.KindStream, Timeout: time.Second, Target: time.Second, Attempts: 1, Backends: []catalog.Backend{{Service: "model", Weight: 1}}},
+		{Name: "split", Host: "h", Prefix: "/split/", Kind: catalog.KindStream, Resumable: true, Timeout: time.Second, Target: time.Second, Attempts: 2, Backends: []catalog.Backend{{Service: "model", Weight: 2}, {Service: "model2", Weight: 1}}},
 		{Name: "home", Host: "h", Prefix: "/home/", Kind: catalog.KindSafe, Timeout: time.Second, Target: time.Second, Attempts: 2, Homes: []string{"kano"}, Backends: []catalog.Backend{{Service: "portal", Weight: 1}}},
 		{Name: "patient", Host: "h", Prefix: "/patient/", Kind: catalog.KindSafe, Timeout: time.Minute, Target: time.Second, Attempts: 2, Backends: []catalog.Backend{{Service: "nobody", Weight: 1}}},
 		{Name: "empty", Host: "h", Prefix: "/empty/", Kind: catalog.KindSafe, Timeout: time.Second, Target: time.Second, Attempts: 2, Backends: []catalog.Backend{{Service: "nobody", Weight: 1}}},
 	},
-	Services: []catalog.Service{{Name: "portal"}, {Name: "model", Model: &catalog.ModelSpec{Slots: 8, CacheTokens: 100_000}}, {Name: "nobody"}},
+	Services: []catalog.Service{{Name: "portal"}, {Name: "model", Model: &catalog.ModelSpec{Slots: 8, CacheTokens: 100_000}}, {Name: "model2", Model: &catalog.ModelSpec{Slots: 8, CacheTokens: 100_000}}, {Name: "nobody"}},
 	Limits:   catalog.Limits{BodyBytes: 1000},
 }
 
--- a/ingress/receive.go
+++ b/ingress/receive.go
@@ -20,6 +20,7 @@
 	"github.com/linenscale/linenscale/dispatch"
 	"github.com/linenscale/linenscale/quarantine"
 	"github.com/linenscale/linenscale/request"
+	"github.com/linenscale/linenscale/streams"
 )
 
 // exchange is one request and its state as it passes through the stages.
@@ -44,9 +45,10 @@
 	answerStarted  bool // the answer's head was sent to the caller
 	chunked        bool // the answer's head stated no length
 	progress       progress
-	firstByteAfter time.Duration // from the send until the answer began
-	lastEventAt    time.Time     // when the last stream event was relayed
-	longestPause   time.Duration // between two stream events
+	origin         *streams.Origin // of the stream that further attempts continue; nil before its first event
+	firstByteAfter time.Duration   // from the send until the answer began
+	lastEventAt    time.Time       // when the last stream event was relayed
+	longestPause   time.Duration   // between two stream events
 }
 
 // serve passes a request through all stages. Every path writes exactly one final answer,
@@ -76,10 +78,12 @@
 // receive decodes the headers, matches the route, checks the account and reads the body.
 func (s *Server) receive(x *exchange) error {
 	remaining := time.Duration(0)
+	var origin *streams.Origin
 	if !x.handedOver {
 		request.RemoveHandoverHeaders(x.r.Header)
 	} else {
 		x.progress.sends = request.ParseSends(x.r.Header)
+		origin = request.ParseOrigin(x.r.Header)
 		var err error
 		if _, remaining, err = request.ExtractHandover(x.r.Header); err != nil {
 			return err
@@ -96,6 +100,11 @@
 	if err := s.matchRoute(x); err != nil {
 		return err
 	}
+	if origin != nil && continuesStreams(x.route) {
+		if err := x.adoptOrigin(*origin); err != nil {
+			return err
+		}
+	}
 	if err := s.checkAccount(x); err != nil {
 		return err
 	}
@@ -188,9 +197,14 @@
 
 // dispatchRequest returns the description of the request for the dispatcher.
 func (x *exchange) dispatchRequest(triedEngines []string) dispatch.Request {
+	target := x.route.Target
+	if x.origin != nil {
+		// A stream that waits for its own version is worth more than one that ends here.
+		target = max(target, x.deadline.Sub(x.startedAt))
+	}
 	return dispatch.Request{
 		ID: x.meta.ID, Route: x.route.Name, Service: x.service, Prompt: x.meta.Prompt, Deadline: x.deadline, Tried: triedEngines,
-		Target: x.route.Target, Permitted: x.mayRunIn, Fingerprint: x.fingerprint,
+		Target: target, Permitted: x.mayRunIn, Fingerprint: x.fingerprint, Origin: x.origin,
 	}
 }
 
--- a/ingress/region.go
+++ b/ingress/region.go
@@ -64,7 +64,7 @@
 	}
 	var unknown *request.OutcomeUnknown
 	if errors.As(err, &unknown) {
-		return x.route.Repeatable()
+		return x.route.Repeatable() && x.mayContinue()
 	}
 	return lacksCapacity(err)
 }
@@ -79,15 +79,27 @@
 	return errors.As(err, &rejection) && (rejection.Reason == request.ReasonNoEngine || rejection.Reason == request.ReasonOverload)
 }
 
-// chooseRegion returns the region to try next; ok is false if none is left. The error is a
-// rejection if even the best region is overloaded.
-func (s *Server) chooseRegion(x *exchange, local bool) (region string, ok bool, err error) {
-	var reachable []string
+// otherRegions returns the regions to which the request can be handed over: those that haven't
+// been tried and may run it, with a gateway that can be reached, unless a continued stream's
+// version is known to be missing there.
+func (s *Server) otherRegions(x *exchange) []string {
+	var regions []string
 	for _, h := range s.Gateways() {
-		if !slices.Contains(reachable, h.Region) && !slices.Contains(x.triedRegions, h.Region) && x.mayRunIn(h.Region) && s.acceptsHandover(h) {
-			reachable = append(reachable, h.Region)
+		if slices.Contains(regions, h.Region) || slices.Contains(x.triedRegions, h.Region) || !x.mayRunIn(h.Region) || !s.acceptsHandover(h) {
+			continue
 		}
+		if x.origin != nil && s.Dispatcher.LacksVersion(h.Region, *x.origin) {
+			continue
+		}
+		regions = append(regions, h.Region)
 	}
+	return regions
+}
+
+// chooseRegion returns the region to try next; ok is false if none is left. The error is a
+// rejection if even the best region is overloaded.
+func (s *Server) chooseRegion(x *exchange, local bool) (region string, ok bool, err error) {
+	reachable := s.otherRegions(x)
 	if !local && len(reachable) == 0 {
 		return "", false, nil
 	}
--- a/request/handover.go
+++ b/request/handover.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/linenscale/linenscale/streams"
 )
 
 // handoverPrefix starts the name of every header that only entry hosts may send.
@@ -20,6 +22,7 @@
 	headerRemaining = handoverPrefix + "Remaining" // milliseconds until the deadline
 	headerRevision  = handoverPrefix + "Revision"  // configuration revision that the sender admitted the request under
 	headerSends     = handoverPrefix + "Sends"     // number of sends to engines so far
+	headerOrigin    = handoverPrefix + "Origin"    // origin of the stream that the request continues
 )
 
 // HeaderSends is set on every answer to a request that was handed over. Its value is
@@ -27,6 +30,10 @@
 // breaks later repeats it as a trailer, next to HeaderOutcome.
 const HeaderSends = "Linenscale-Sends"
 
+// HeaderStreamOrigin is set on the answer to a hand-over that is a resumable stream. Its value
+// is the streams.Origin of the engine that answers.
+const HeaderStreamOrigin = "Linenscale-Stream-Origin"
+
 // HeaderReason carries the Reason of a refusal between entry hosts, next to
 // HeaderOutcome.
 const HeaderReason = "Linenscale-Reason"
@@ -64,6 +71,9 @@
 	if r.PriorSends > 0 {
 		header.Set(headerSends, strconv.Itoa(r.PriorSends))
 	}
+	if r.Origin != nil {
+		header.Set(headerOrigin, r.Origin.String())
+	}
 }
 
 // ParseSends returns how many times a request was sent to engines before it was
@@ -76,6 +86,16 @@
 	return max(0, sends)
 }
 
+// ParseOrigin returns the origin of the stream that a handed-over request continues; nil if the
+// header states none. Call it before ExtractHandover, which removes the header.
+func ParseOrigin(header http.Header) *streams.Origin {
+	origin, ok := streams.Parse(header.Get(headerOrigin))
+	if !ok {
+		return nil
+	}
+	return &origin
+}
+
 // ExtractHandover reads and removes the hand-over headers. It returns the entry hosts
 // visited so far and the time left until the deadline. The error is a *NotRun if a
 // header is missing or malformed, no time is left, or there were more than
--- a/request/refusal.go
+++ b/request/refusal.go
@@ -31,6 +31,7 @@
 	ReasonUnknownKey     Reason = "unknown_key"
 	ReasonOverAllowance  Reason = "over_allowance"
 	ReasonQuarantined    Reason = "crashes_engines"
+	ReasonUnknownStream  Reason = "unknown_stream" // it isn't known which version began the stream to resume
 )
 
 // Refusal is a final answer that doesn't come from an engine. It is either a
--- a/request/request.go
+++ b/request/request.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/linenscale/linenscale/streams"
 )
 
 // Headers that callers set. HeaderHome is required; the others are optional.
@@ -66,11 +68,12 @@
 	Class          Class
 	IdempotencyKey string // idempotency key, or ""
 	Deadline       time.Time
-	Model          string   // set once the body has been read
-	VisitedHosts   []string // entry hosts visited so far, in order
-	Repeatable     bool     // the request may run more than once
-	PriorSends     int      // number of sends to engines before the request was handed over
-	PrefixChain    []uint64 // hashes of the prompt's prefixes, each one block longer
+	Model          string          // set once the body has been read
+	VisitedHosts   []string        // entry hosts visited so far, in order
+	Repeatable     bool            // the request may run more than once
+	PriorSends     int             // number of sends to engines before the request was handed over
+	Origin         *streams.Origin // of the stream that the request continues; nil if it begins one
+	PrefixChain    []uint64        // hashes of the prompt's prefixes, each one block longer
 }
 
 // WithModel returns a copy of the request with the model that its body names.
--- a/rollup/report.go
+++ b/rollup/report.go
@@ -85,6 +85,17 @@
 	Accounts []AccountUsage `cbor:"4,keyasint,omitempty"`
 	// The crash records of requests that the region's gateways report.
 	Crashes []quarantine.CrashReport `cbor:"5,keyasint,omitempty"`
+	// The software versions of the region's engines.
+	Versions []VersionCount `cbor:"6,keyasint,omitempty"`
+}
+
+// VersionCount is the number of a region's engines that serve one service at one software
+// version.
+type VersionCount struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Version string // "" if the engines report none
+	Engines int
 }
 
 // Message is what gateways send to each other: the Report of one gateway, to its leader or
