streams, ingress: a caller's resumption continues at the version that began the stream

Cause: nothing kept where a stream began once its answer had ended, so that a resumption was a request like any other. Change: package streams. Before a stream's first event is sent to its caller, the gateway sends a record (ID, service, version) to two gateways of its region and to one of each other region that may run the request, chosen by rendezvous hashing of the ID. A gateway that gets a resumption looks for the request that Resumes names: in its own records, then by asking up to four gateways of its region and two of each other one. The first record decides; a resumption refreshes it, and a stopping gateway hands its records off. Records expire 5 s after the caller's time is over. Datagrams of earlier releases are read as before, and they ignore the new ones. Conclusion: the version is known at any gateway, also after the one that began the stream is lost with one more of its region, or with the whole region.

--- a/daemon/member.go
+++ b/daemon/member.go
@@ -18,11 +18,9 @@
 
 	"github.com/linenscale/linenscale/dispatch"
 	"github.com/linenscale/linenscale/follow"
-	"github.com/linenscale/linenscale/internal/duty"
 	"github.com/linenscale/linenscale/internal/steady"
 	"github.com/linenscale/linenscale/internal/suspension"
 	"github.com/linenscale/linenscale/registry"
-	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/roster"
 	"github.com/linenscale/linenscale/settings"
 	"github.com/linenscale/linenscale/telemetry"
@@ -252,19 +250,6 @@
 	}
 }
 
-// sendLoadReports sends this gateway's load reports to other gateways at regular
-// intervals. A report that can't be sent is dropped; the next one supersedes it.
-func (m *member) sendLoadReports(ctx context.Context, d *dispatch.Dispatcher, datagrams *wire.Datagrams[rollup.Message]) error {
-	duty.Every(ctx, rollup.ReportInterval, func() {
-		for _, out := range d.Outgoing() {
-			if err := datagrams.Send(out.Message, out.To); err != nil {
-				m.log.Debug("load report not sent", telemetry.ErrorField(err))
-			}
-		}
-	})
-	return nil
-}
-
 // listen listens on an address by which others reach this host.
 func (m *member) listen(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", m.settings.BindAddress(address))
--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -27,7 +27,6 @@
 	"github.com/linenscale/linenscale/relay"
 	"github.com/linenscale/linenscale/retry"
 	"github.com/linenscale/linenscale/rollout"
-	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/roster"
 	"github.com/linenscale/linenscale/telemetry"
 	"github.com/linenscale/linenscale/wire"
@@ -113,6 +112,10 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	datagrams, err := wire.ListenDatagrams[Datagram](m.settings.BindAddress(m.settings.PeerAddress()), m.deployment())
+	if err != nil {
+		return errors.Trace(err)
+	}
 	engines := registry.New(m.incarnation, m.settings.Heartbeat, steady.Time)
 	self := m.rosterEntry()
 	self.Handover = m.settings.HandoverAddress()
@@ -136,6 +139,7 @@
 		RetryBudget: retry.Policy(m.settings.Retries), Allowances: meter, Log: m.log, Metrics: m.metrics, Clock: steady.Time, SuspendedSince: m.suspensions.SuspendedSince,
 		Rollouts: rollout.Policy(m.settings.Rollouts), ConnectedControlHosts: follower.ConnectedCount,
 	})
+	directory := m.newStreamDirectory(self, follower.Gateways, datagrams)
 	dialer := m.engineDialer()
 	client := relay.New(dialer, relay.Options{IdleTimeout: engineIdleTimeout})
 	server = ingress.New(ingress.Deps{
@@ -143,22 +147,19 @@
 		Engines: client, Dialer: dialer, Peers: relay.New(m.counted(trafficHandover, m.peerDialer(false)), relay.Options{IdleTimeout: peerIdleTimeout}), Log: m.log, Metrics: m.metrics,
 		Random: rand.Uint64, Clock: steady.Time, StopTimeout: m.settings.StopTime - stopMargin,
 		KeyLease:   ingress.KeyLease{RevokedWithin: m.settings.KeysRevokedWithin, FreshAsOf: follower.FreshAsOf, Steady: steady.Now},
-		Allowances: meter, Regions: regions, BufferBytes: ingress.BufferBytesFor(int64(m.settings.MemoryMiB) << 20),
+		Allowances: meter, Regions: regions, BufferBytes: ingress.BufferBytesFor(int64(m.settings.MemoryMiB) << 20), Streams: directory,
 	})
 	group.Go(follower.Run)
 	group.Go(func(ctx context.Context) error { return runDispatcher(ctx, dispatcher, engines) })
 	group.Go(server.ProbeSuspects)
-	datagrams, err := wire.ListenDatagrams[rollup.Message](m.settings.BindAddress(m.settings.PeerAddress()), m.deployment())
-	if err != nil {
-		return errors.Trace(err)
-	}
 	loads := make(map[string]*telemetry.Traffic)
 	for _, distance := range []string{trafficRegion, trafficRemote, trafficUnknown} {
 		loads[distance] = m.metrics.Traffic(trafficLoads, distance)
 	}
 	datagrams.OnSend = func(address string, size int) { loads[m.distanceOf(address)].Add(size) }
-	group.Go(func(ctx context.Context) error { return datagrams.Run(ctx, dispatcher.Receive) })
+	group.Go(func(ctx context.Context) error { return receiveDatagrams(ctx, datagrams, dispatcher, directory) })
 	group.Go(func(ctx context.Context) error { return m.sendLoadReports(ctx, dispatcher, datagrams) })
+	group.Go(func(ctx context.Context) error { return expireStreams(ctx, directory) })
 	m.serve(group, m.settings.Listen.Ready, platform.NewReadinessHandler(server.Ready))
 	m.serve(group, m.settings.Listen.Metrics, withStatusPages(m.metrics.Handler(), meter, dispatcher))
 	group.Go(func(context.Context) error {
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -148,7 +148,7 @@
 		}
 		if len(complete) > 0 || err == io.EOF {
 			if !x.answerStarted {
-				x.beginStream(source.origin)
+				s.beginStream(x, source.origin)
 				s.writeHead(x, resp, -1)
 			}
 			if err := out.WriteFlush(complete); err != nil {
--- a/ingress/continuation.go
+++ b/ingress/continuation.go
@@ -6,6 +6,7 @@
 import (
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
@@ -42,12 +43,61 @@
 	return route.Kind == catalog.KindStream && route.Resumable
 }
 
-// beginStream records whose engine writes the first event of the answer; nil if that isn't
-// known.
-func (x *exchange) beginStream(origin *streams.Origin) {
-	if x.origin == nil && continuesStreams(x.route) {
+// beginStream records whose engine writes the first event of the answer; origin is nil if that
+// isn't known. It is called before the caller gets that event, so that no caller resumes a
+// stream that isn't recorded. A resumed stream is recorded again: gateways that kept its
+// record may be gone by now.
+func (s *Server) beginStream(x *exchange, origin *streams.Origin) {
+	if !continuesStreams(x.route) {
+		return
+	}
+	if x.origin == nil {
 		x.origin = origin
 	}
+	if x.origin == nil || x.handedOver {
+		return
+	}
+	stream := x.meta.ID
+	if x.resumesStream() {
+		stream = x.meta.Resumes
+	}
+	s.Streams.Begin(stream, *x.origin, max(x.route.Timeout, x.meta.Timeout), x.mayRunIn)
+}
+
+// resumesStream reports whether the caller resumes a stream that an earlier request began.
+func (x *exchange) resumesStream() bool {
+	return continuesStreams(x.route) && (x.meta.Resumes != "" || x.meta.LastEventID != "")
+}
+
+// unknownRetryAfter is the Retry-After if gateways that may know a stream's origin didn't
+// answer. They may be slow, or their network may be partitioned for a moment.
+const unknownRetryAfter = 300 * time.Millisecond
+
+// findOrigin sets the origin of the stream that the caller resumes. The error is a rejection
+// if it isn't known: the stream can't be continued without the risk of joining it from two
+// versions.
+func (s *Server) findOrigin(x *exchange) error {
+	if x.origin != nil || !x.resumesStream() {
+		return nil
+	}
+	var finding streams.Finding = streams.NotFound{}
+	if x.meta.Resumes != "" {
+		finding = s.Streams.Find(x.r.Context(), x.meta.Resumes, x.mayRunIn)
+	}
+	rejection := &request.NotRun{Reason: request.ReasonUnknownStream}
+	switch f := finding.(type) {
+	case streams.Found:
+		s.Metrics.CountStreamSearch(x.service, "found")
+		return x.adoptOrigin(f.Origin)
+	case streams.Unanswered:
+		s.Metrics.CountStreamSearch(x.service, "unanswered")
+		rejection.Message, rejection.RetryAfter = "gateways that may know which version began the stream didn't answer", unknownRetryAfter
+	default:
+		s.Metrics.CountStreamSearch(x.service, "not_found")
+		rejection.Message = "no gateway knows which version began the stream"
+	}
+	s.Log.Warn("stream to resume is not known; rejecting the request", x.logFields(zap.String("resumes", x.meta.Resumes), zap.String("last_event", x.meta.LastEventID), zap.String("why", rejection.Message))...)
+	return rejection
 }
 
 // mayContinue reports whether another attempt can complete the answer. After its first event,
--- a/ingress/continuation_test.go
+++ b/ingress/continuation_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -12,17 +15,27 @@
 
 	"github.com/linenscale/linenscale/platform/platformtest"
 	"github.com/linenscale/linenscale/request"
+	"github.com/linenscale/linenscale/roster"
 	"github.com/linenscale/linenscale/streams"
 )
 
 // versions are the software versions of the engines in these tests.
 var versions = []string{"v1", "v2"}
 
+// streamEvents is the length of the streams of engines that startVersion starts.
+const streamEvents = 12
+
+// startVersion starts an engine with that software version.
+func (g *gateway) startVersion(t *testing.T, service, dataCentre, version string) *platformtest.Engine {
+	t.Helper()
+	return g.startEngine(t, platformtest.EngineOptions{Service: service, DataCentre: dataCentre, Version: version, Events: streamEvents})
+}
+
 // versionOf returns the version that wrote a stream's body, or "" if it isn't the beginning of a
 // stream of one version.
 func versionOf(body string) string {
 	for _, v := range versions {
-		if body != "" && strings.HasPrefix(platformtest.StreamText(v, 5), body) {
+		if body != "" && strings.HasPrefix(platformtest.StreamText(v, streamEvents), body) {
 			return v
 		}
 	}
@@ -53,8 +66,7 @@
 	for range streamsPerTest {
 		injectFault(engines, platformtest.FaultTruncate, 1)
 		result := do(t, g, platformtest.Request{Path: "/review/1", IsPrompt: true})
-		must.NotEq(t, "", versionOf(result.Body), must.Sprint(result.Body))
-		must.True(t, result.Complete, must.Sprint("two other engines of its version serve"))
+		mustComplete(t, "", result)
 	}
 }
 
@@ -75,22 +87,22 @@
 // TestHandedOverStreamContinuesAtItsVersion guards against a hand-over that loses the version of
 // the events that the caller has.
 func TestHandedOverStreamContinuesAtItsVersion(t *testing.T) {
-	lagos, kano, _ := twoRegions(t)
+	lagos, kano := newRegions(t)
 	kano.startBothVersions(t, "b", 2)
+	peers := lagos.peers
 	for range streamsPerTest {
-		truncating := lagos.peers[0]
+		truncating := peers[1]
 		truncating.Name, truncating.Handover = "g3", startProxyUntil(t, hostPort(kano.handover), "event 2")
-		lagos.peers = append(lagos.peers[:1:1], truncating) // the random number 1 picks the second of two
+		lagos.peers = append(slices.Clone(peers), truncating) // the random number 1 picks the second of two
 		result := do(t, lagos, platformtest.Request{Path: "/review/1", IsPrompt: true, Deadline: 5 * time.Second})
-		must.NotEq(t, "", versionOf(result.Body), must.Sprint(result.Body))
-		must.True(t, result.Complete, must.Sprint(result.Body))
+		mustComplete(t, "", result)
 	}
 }
 
 // TestStreamMovesToTheRegionOfItsVersion guards against a continuation at the local engines of
 // another version while engines of the stream's version serve in another region.
 func TestStreamMovesToTheRegionOfItsVersion(t *testing.T) {
-	lagos, kano, _ := twoRegions(t)
+	lagos, kano := newRegions(t)
 	kano.startVersion(t, "model", "b", "v2")
 	kano.startVersion(t, "model", "b", "v2")
 	faulty := lagos.startVersion(t, "model", "a", "v2")
@@ -100,8 +112,7 @@
 	for range streamsPerTest {
 		faulty.SetFaults(platformtest.NewFaultPlan(platformtest.FaultTruncate, -1))
 		result := do(t, lagos, platformtest.Request{Path: "/review/1", IsPrompt: true, Deadline: 5 * time.Second})
-		must.NotEq(t, "", versionOf(result.Body), must.Sprint(result.Body))
-		must.True(t, result.Complete, must.Sprint(result.Body))
+		mustComplete(t, "", result)
 	}
 }
 
@@ -129,10 +140,11 @@
 // TestStreamIsNotJoinedByAnEarlierRelease guards against the answer of a gateway that may have
 // continued the stream at any version.
 func TestStreamIsNotJoinedByAnEarlierRelease(t *testing.T) {
-	lagos, kano, _ := twoRegions(t)
+	lagos, kano := newRegions(t)
 	earlier := httptest.NewServer(earlierRelease(kano.server.HandoverHandler()))
 	t.Cleanup(earlier.Close)
-	lagos.peers[0].Handover = hostPort(earlier)
+	lagos.peers[1].Handover = hostPort(earlier)
+	kano.startVersion(t, "model", "b", "v1")
 	faulty := lagos.startVersion(t, "model", "a", "v2")
 	faulty.SetFaults(platformtest.NewFaultPlan(platformtest.FaultTruncate, -1))
 	result := do(t, lagos, platformtest.Request{Path: "/review/1", IsPrompt: true, Deadline: 5 * time.Second})
@@ -195,8 +207,177 @@
 	engines := g.startBothVersions(t, "a", 2)
 	for range streamsPerTest {
 		first := begin(t, g, engines)
-		rest := resume(t, g, first.ID, first.Body)
+		mustComplete(t, first.Body, resume(t, g, first.ID, first.Body))
+	}
+}
+
+// newGateways returns so many gateways of one region that reach each other, and two engines of
+// each version, which all of them know.
+func newGateways(t *testing.T, count int) ([]*gateway, []*platformtest.Engine) {
+	t.Helper()
+	var gateways []*gateway
+	for i := range count {
+		gateways = append(gateways, newGateway(t, fmt.Sprint("g", i), "lagos"))
+	}
+	connect(gateways...)
+	engines := gateways[0].startBothVersions(t, "a", 2)
+	for _, g := range gateways[1:] {
+		for _, e := range engines {
+			g.register(e, "model", "a")
+		}
+	}
+	return gateways, engines
+}
+
+// connect makes gateways know and reach each other, and declares the routes.
+func connect(gateways ...*gateway) {
+	var hosts []roster.Host
+	reached := make(map[string]*gateway)
+	for _, g := range gateways {
+		self := g.server.Self
+		self.Peer, self.Handover = self.Name, hostPort(g.handover)
+		hosts = append(hosts, self)
+		reached[self.Name] = g
+	}
+	for _, g := range gateways {
+		g.peers, g.reached = hosts, reached
+		g.declare()
+	}
+}
+
+// newRegions returns two gateways in two regions that know and reach each other.
+func newRegions(t *testing.T) (lagos, kano *gateway) {
+	t.Helper()
+	lagos, kano = newGateway(t, "g1", "lagos"), newGateway(t, "g2", "kano")
+	connect(lagos, kano)
+	return lagos, kano
+}
+
+// disconnect makes a gateway lose and get no messages, as if it was killed or partitioned.
+func disconnect(lost *gateway, others ...*gateway) {
+	lost.reached = nil
+	for _, g := range others {
+		g.reached = maps.Clone(g.reached)
+		delete(g.reached, lost.server.Self.Name)
+	}
+}
+
+// mustComplete checks that an answer completes the stream that body begins, in one version.
+func mustComplete(t *testing.T, body string, rest platformtest.Result) {
+	t.Helper()
+	must.Eq(t, http.StatusOK, rest.Status)
+	must.True(t, rest.Complete, must.Sprint(rest.Body))
+	must.Eq(t, platformtest.StreamText(versionOf(body+rest.Body), streamEvents), body+rest.Body)
+}
+
+// TestCallerResumesAtAnotherGateway guards against a gateway that doesn't know, or guesses, which
+// version began a stream elsewhere, also when the gateway that began it is gone.
+func TestCallerResumesAtAnotherGateway(t *testing.T) {
+	for _, killed := range []bool{false, true} {
+		gateways, engines := newGateways(t, 4)
+		var begun []platformtest.Result
+		for range streamsPerTest {
+			begun = append(begun, begin(t, gateways[0], engines))
+		}
+		if killed {
+			disconnect(gateways[0], gateways[1:]...)
+		}
+		for i, first := range begun {
+			mustComplete(t, first.Body, resume(t, gateways[1+i%3], first.ID, first.Body))
+		}
+	}
+}
+
+// TestResumedStreamIsResumedAgain guards against a chain of resumptions that loses the version,
+// also when no gateway of the first one is left.
+func TestResumedStreamIsResumedAgain(t *testing.T) {
+	gateways, engines := newGateways(t, 6)
+	first := begin(t, gateways[0], engines)
+	injectFault(engines, platformtest.FaultTruncate, 2)
+	second := resume(t, gateways[1], first.ID, first.Body)
+	must.False(t, second.Complete, must.Sprint(second.Status, second.Body))
+	disconnect(gateways[0], gateways[1:]...)
+	body := first.Body + second.Body
+	mustComplete(t, body, resume(t, gateways[2], first.ID, body))
+}
+
+// TestCallerResumesInAnotherRegion guards against a stream whose version is forgotten with the
+// region where it began.
+func TestCallerResumesInAnotherRegion(t *testing.T) {
+	lagos, kano := newRegions(t)
+	engines := lagos.startBothVersions(t, "a", 2)
+	kano.startBothVersions(t, "b", 2)
+	for range streamsPerTest {
+		first := begin(t, lagos, engines)
+		mustComplete(t, first.Body, resume(t, kano, first.ID, first.Body))
+	}
+	first := begin(t, lagos, engines)
+	disconnect(lagos, kano)
+	mustComplete(t, first.Body, resume(t, kano, first.ID, first.Body))
+}
+
+// TestResumptionIsHandedOverToItsVersion guards against a resumption that runs at another
+// version in the region to which it is handed over.
+func TestResumptionIsHandedOverToItsVersion(t *testing.T) {
+	lagos, kano := newRegions(t)
+	faulty := lagos.startVersion(t, "model", "a", "v2")
+	lagos.startVersion(t, "model", "a", "v1")
+	kano.startBothVersions(t, "b", 2)
+	for range streamsPerTest {
+		injectFault([]*platformtest.Engine{faulty}, platformtest.FaultTruncate, -1)
+		lagos.peers = lagos.peers[:1]
+		first := do(t, lagos, platformtest.Request{Path: "/review/1", IsPrompt: true})
+		connect(lagos, kano)
+		if first.Complete {
+			continue // it began at the other version
+		}
+		mustComplete(t, first.Body, resume(t, lagos, first.ID, first.Body))
+	}
+}
+
+// TestUnknownStreamIsRejected guards against a resumption at any version while nobody knows the
+// stream's. The rejection says that it hasn't run, and no engine has received it.
+func TestUnknownStreamIsRejected(t *testing.T) {
+	gateways, engines := newGateways(t, 3)
+	first := begin(t, gateways[0], engines)
+	for _, unknown := range []platformtest.Request{
+		{Resumes: "never-seen", LastEvent: "2"},
+		{LastEvent: "2"},
+		{Resumes: "never-seen"},
+	} {
+		unknown.Path, unknown.IsPrompt = "/review/1", true
+		result := do(t, gateways[1], unknown)
+		must.True(t, result.GuaranteesNotRun(), must.Sprint(result.Status))
+		_, arrived := countRuns(engines, result.ID)
+		must.Zero(t, arrived)
+	}
+	isolated := newGateway(t, "g9", "lagos")
+	isolated.peers = gateways[0].peers
+	isolated.declare()
+	for _, e := range engines {
+		isolated.register(e, "model", "a")
+	}
+	result := resume(t, isolated, first.ID, first.Body)
+	must.True(t, result.GuaranteesNotRun(), must.Sprint(result.Status))
+	must.Positive(t, result.RetryAfter, must.Sprint("others may answer later"))
+}
+
+// TestStreamsOfOneVersionGoOnDuringARelease guards against streams that are rejected although two
+// engines of their version serve, while most engines are of another one.
+func TestStreamsOfOneVersionGoOnDuringARelease(t *testing.T) {
+	gateways, engines := newGateways(t, 3)
+	for range 4 {
+		e := gateways[0].startVersion(t, "model", "a", "v3")
+		for _, g := range gateways[1:] {
+			g.register(e, "model", "a")
+		}
+		engines = append(engines, e)
+	}
+	for i := range streamsPerTest {
+		injectFault(engines, platformtest.FaultTruncate, -1)
+		first := do(t, gateways[i%3], platformtest.Request{Path: "/review/1", IsPrompt: true})
+		injectFault(engines, platformtest.FaultNone, 0)
+		rest := resume(t, gateways[(i+1)%3], first.ID, first.Body)
 		must.True(t, rest.Complete, must.Sprint(rest.Status))
-		must.NotEq(t, "", versionOf(first.Body+rest.Body), must.Sprint(first.Body+rest.Body))
 	}
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -17,6 +17,7 @@
 	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/relay"
 	"github.com/linenscale/linenscale/roster"
+	"github.com/linenscale/linenscale/streams"
 	"github.com/linenscale/linenscale/telemetry"
 )
 
@@ -60,6 +61,7 @@
 	KeyLease    KeyLease
 	Allowances  *allowance.Meter // nil if allowances are not enforced
 	Regions     []string         // all regions of the deployment
+	Streams     *streams.Directory
 	// BufferBytes bounds the bodies and answers that all requests together hold in memory;
 	// 0 for DefaultBufferBytes.
 	BufferBytes int64
@@ -163,6 +165,7 @@
 func (s *Server) stop(servers []*http.Server) {
 	s.stopping.Store(true)
 	s.Log.Info("stopping", zap.Int64("in_flight", s.inFlight.Load()), zap.Duration("at_most", s.StopTimeout))
+	s.Streams.HandOff()
 	stopCtx, cancel := context.WithTimeout(context.Background(), s.StopTimeout)
 	defer cancel()
 	for _, server := range servers {
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -26,6 +26,7 @@
 	"github.com/linenscale/linenscale/relay"
 	"github.com/linenscale/linenscale/retry"
 	"github.com/linenscale/linenscale/roster"
+	"github.com/linenscale/linenscale/streams"
 	"github.com/linenscale/linenscale/telemetry"
 )
 
@@ -54,6 +55,19 @@
 	callers  *httptest.Server
 	handover *httptest.Server
 	peers    []roster.Host
+	streams  *streams.Directory
+	// reached are the gateways to which messages about streams arrive, by name.
+	reached map[string]*gateway
+}
+
+// sendStreams delivers a message about streams.
+func (g *gateway) sendStreams(m streams.Message, addresses []string) error {
+	for _, address := range addresses {
+		if to, ok := g.reached[address]; ok {
+			to.streams.Receive(m)
+		}
+	}
+	return nil
 }
 
 func newGateway(t *testing.T, name, region string) *gateway {
@@ -83,10 +97,14 @@
 		Peers: func() []roster.Host { return g.peers }, RoundTripTo: func(string) (time.Duration, bool) { return 0, false }, RetryBudget: retry.Policy{Share: 0.2, Extra: 100, Window: 10 * time.Second},
 		Log: zap.NewNop(), Clock: clock,
 	})
+	g.streams = streams.New(streams.Deps{
+		Self: roster.Host{Name: name, Role: roster.RoleGateway, Region: region, Peer: name}, Hosts: func() []roster.Host { return g.peers },
+		Send: g.sendStreams, Clock: clock, Log: zap.NewNop(),
+	})
 	g.server = ingress.New(ingress.Deps{
 		Self: self, Dialect: platform.Dialect{}, Dispatcher: dispatcher, Gateways: func() []roster.Host { return g.peers },
 		Engines: relay.New(dialer, relay.Options{}), Dialer: dialer, Peers: relay.New(dialer, relay.Options{}), Log: zap.NewNop(), Metrics: metrics,
-		Random: func() uint64 { return 1 }, Clock: clock, StopTimeout: time.Second,
+		Random: func() uint64 { return 1 }, Clock: clock, StopTimeout: time.Second, Streams: g.streams,
 	})
 	return g
 }
@@ -101,21 +119,21 @@
 // start starts an engine and registers it with the gateway.
 func (g *gateway) start(t *testing.T, service, dataCentre string) *platformtest.Engine {
 	t.Helper()
-	return g.startVersion(t, service, dataCentre, platformtest.DefaultVersion)
+	return g.startEngine(t, platformtest.EngineOptions{Service: service, DataCentre: dataCentre})
 }
 
-// startVersion is start for an engine with that software version.
-func (g *gateway) startVersion(t *testing.T, service, dataCentre, version string) *platformtest.Engine {
+// startEngine is start for an engine with those options.
+func (g *gateway) startEngine(t *testing.T, opts platformtest.EngineOptions) *platformtest.Engine {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	group := pool.New()
-	e, err := platformtest.StartEngine(ctx, group, "127.0.0.1:0", platformtest.EngineOptions{Service: service, DataCentre: dataCentre, Version: version})
+	e, err := platformtest.StartEngine(ctx, group, "127.0.0.1:0", opts)
 	must.NoError(t, err)
 	t.Cleanup(func() {
 		cancel()
 		group.Wait()
 	})
-	g.register(e, service, dataCentre)
+	g.register(e, opts.Service, opts.DataCentre)
 	return e
 }
 
--- a/ingress/receive.go
+++ b/ingress/receive.go
@@ -67,8 +67,10 @@
 		ctx, cancel := context.WithTimeout(r.Context(), s.remaining(x))
 		defer cancel()
 		x.r = r.WithContext(ctx)
-		defer s.Metrics.RequestStarted(x.service)()
-		err = s.runInBestRegion(x)
+		if err = s.findOrigin(x); err == nil {
+			defer s.Metrics.RequestStarted(x.service)()
+			err = s.runInBestRegion(x)
+		}
 	}
 	if err != nil {
 		s.writeRejection(x, request.AsRefusal(err))
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -35,6 +35,7 @@
 	pushbackEvents  metric.Int64Counter
 	trafficBytes    metric.Int64Counter
 	continuations   metric.Int64Counter
+	streamSearches  metric.Int64Counter
 	accountLabels   labelSet // the accounts that have counters of their own
 	engineLabels    labelSet // the engines that have counters of their own
 }
@@ -49,7 +50,7 @@
 	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
 	meter := provider.Meter("linenscale")
 	m := &Metrics{provider: provider, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
-	var errs [15]error
+	var errs [16]error
 	m.requests, errs[0] = meter.Int64Counter("linenscale_requests", metric.WithDescription("requests that have ended, by service and outcome"))
 	m.attempts, errs[1] = meter.Int64Counter("linenscale_attempts", metric.WithDescription("attempts sent to engines and entry hosts, by service and outcome"))
 	m.firstByte, errs[2] = meter.Float64Histogram("linenscale_first_byte_seconds", metric.WithDescription("time to the first byte of an answer"), metric.WithUnit("s"))
@@ -65,6 +66,7 @@
 	m.pushbackEvents, errs[12] = meter.Int64Counter("linenscale_pushback", metric.WithDescription("events of engines that ask for backoff or announce draining, by engine and event"))
 	m.trafficBytes, errs[13] = meter.Int64Counter("linenscale_traffic", metric.WithDescription("bytes exchanged with other hosts, by kind and distance"), metric.WithUnit("By"))
 	m.continuations, errs[14] = meter.Int64Counter("linenscale_stream_continuations", metric.WithDescription("attempts that continue a stream, by service and by who resumes it"))
+	m.streamSearches, errs[15] = meter.Int64Counter("linenscale_stream_searches", metric.WithDescription("searches for the origin of a stream that a caller resumes, by service and outcome"))
 	for _, err := range errs {
 		if err != nil {
 			return nil, errors.Annotate(err, "metrics")
@@ -118,6 +120,11 @@
 	m.continuations.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("by", by)))
 }
 
+// CountStreamSearch counts a search for the origin of a stream that a caller resumes.
+func (m *Metrics) CountStreamSearch(service, outcome string) {
+	m.streamSearches.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("outcome", outcome)))
+}
+
 // RecordFirstByte records the time to the first byte of an answer, and how much of it the
 // request waited for a slot.
 func (m *Metrics) RecordFirstByte(service string, total, queued time.Duration) {
