streams, ingress: callers that name no earlier request are recognised by its content

Change: a stream is recorded under two keys, the ID of its request and the fingerprint of the request's content (caller, place and body), which repeats share. A resumption that names a request is looked up by the ID only; one that names none by the content. Streams of two versions with the same content leave the answer open, and the resumption is rejected. Conclusion: resumptions without Resumes go on where a record survives; after the loss of all gateways nobody knows, and the rejection says so.

--- a/ingress/continuation.go
+++ b/ingress/continuation.go
@@ -57,11 +57,23 @@
 	if x.origin == nil || x.handedOver {
 		return
 	}
-	stream := x.meta.ID
-	if x.resumesStream() {
-		stream = x.meta.Resumes
+	for _, key := range x.streamKeys() {
+		s.Streams.Begin(key, *x.origin, max(x.route.Timeout, x.meta.Timeout), x.mayRunIn)
+	}
+}
+
+// streamKeys returns the keys under which the caller may resume the stream of this request.
+// Callers that name no request resume it by sending the same content.
+func (x *exchange) streamKeys() []streams.Key {
+	content := streams.ByContent(x.fingerprint.String())
+	switch {
+	case !x.resumesStream():
+		return []streams.Key{streams.ByRequest(x.meta.ID), content}
+	case x.meta.Resumes != "":
+		return []streams.Key{streams.ByRequest(x.meta.Resumes), content}
+	default:
+		return []streams.Key{content}
 	}
-	s.Streams.Begin(stream, *x.origin, max(x.route.Timeout, x.meta.Timeout), x.mayRunIn)
 }
 
 // resumesStream reports whether the caller resumes a stream that an earlier request began.
@@ -80,10 +92,7 @@
 	if x.origin != nil || !x.resumesStream() {
 		return nil
 	}
-	var finding streams.Finding = streams.NotFound{}
-	if x.meta.Resumes != "" {
-		finding = s.Streams.Find(x.r.Context(), x.meta.Resumes, x.mayRunIn)
-	}
+	finding := s.Streams.Find(x.r.Context(), x.streamKeys()[0], x.mayRunIn)
 	rejection := &request.NotRun{Reason: request.ReasonUnknownStream}
 	switch f := finding.(type) {
 	case streams.Found:
@@ -96,7 +105,7 @@
 		s.Metrics.CountStreamSearch(x.service, "not_found")
 		rejection.Message = "no gateway knows which version began the stream"
 	}
-	s.Log.Warn("stream to resume is not known; rejecting the request", x.logFields(zap.String("resumes", x.meta.Resumes), zap.String("last_event", x.meta.LastEventID), zap.String("why", rejection.Message))...)
+	s.Log.Warn("stream to resume is not known; rejecting the request", x.logFields(zap.String("resumes", x.meta.Resumes), zap.String("last_event", x.meta.LastEventID), zap.Stringer("fingerprint", x.fingerprint), zap.String("why", rejection.Message))...)
 	return rejection
 }
 
--- a/streams/directory.go
+++ b/streams/directory.go
@@ -51,7 +51,7 @@
 }
 
 // Directory knows where streams began. Each record is kept by the gateway that answered the
-// caller and by a few others, chosen by rendezvous hashing of the stream's ID, so that any
+// caller and by a few others, chosen by rendezvous hashing of the stream's key, so that any
 // gateway knows whom to ask. Nothing is sent when a stream ends: records expire. It is safe
 // for concurrent use. New makes one.
 type Directory struct {
@@ -64,7 +64,7 @@
 
 // New returns a directory without records.
 func New(deps Deps) *Directory {
-	return &Directory{Deps: deps, table: table{records: make(map[string]kept)}, searches: make(map[uint64]*search)}
+	return &Directory{Deps: deps, table: table{records: make(map[Key]kept)}, searches: make(map[uint64]*search)}
 }
 
 // Finding is the result of a search: Found, NotFound or Unanswered.
@@ -83,13 +83,23 @@
 func (NotFound) finding()   {}
 func (Unanswered) finding() {}
 
+// Key names a stream. ByRequest and ByContent make them.
+type Key string
+
+// ByRequest returns the key of the stream that began with the request with that ID.
+func ByRequest(id string) Key { return Key("r" + id) }
+
+// ByContent returns the key of a stream whose request has that fingerprint. Callers that don't
+// name the request that began the stream send the same content again.
+func ByContent(fingerprint string) Key { return Key("c" + fingerprint) }
+
 // Begin records where a stream begins. It must be called before the stream's first event is
 // sent to the caller. timeout is how long the caller waits for the whole stream; the record is
 // kept only in regions that permitted accepts.
-func (d *Directory) Begin(stream string, origin Origin, timeout time.Duration, permitted func(region string) bool) {
+func (d *Directory) Begin(stream Key, origin Origin, timeout time.Duration, permitted func(region string) bool) {
 	r := Record{Stream: stream, Service: origin.Service, Version: origin.Version, KeepForMS: (timeout + resumeSlack).Milliseconds()}
 	if permitted(d.Self.Region) && !d.table.put(r, d.Clock()) {
-		d.Log.Debug("stream not recorded: no room, or its ID is too long", zap.String("request", stream))
+		d.Log.Debug("stream not recorded: no room, or its key is too long", zap.String("stream", string(stream)))
 		return
 	}
 	d.send(Message{Records: []Record{r}}, d.keepers(stream, permitted))
@@ -97,7 +107,7 @@
 
 // Find searches for the origin of a stream. permitted says where the request that resumes it
 // may run.
-func (d *Directory) Find(ctx context.Context, stream string, permitted func(region string) bool) Finding {
+func (d *Directory) Find(ctx context.Context, stream Key, permitted func(region string) bool) Finding {
 	if origin, known := d.table.get(stream, d.Clock()); known {
 		return Found{origin}
 	}
@@ -176,7 +186,7 @@
 }
 
 // keepers returns the addresses of the other gateways that keep a stream's record.
-func (d *Directory) keepers(stream string, permitted func(region string) bool) []string {
+func (d *Directory) keepers(stream Key, permitted func(region string) bool) []string {
 	var out []string
 	for _, h := range d.ranked(stream, permitted, localCopies, remoteCopies, func(h roster.Host) bool { return !h.Stopping }) {
 		out = append(out, h.Peer)
@@ -186,18 +196,18 @@
 
 // askable returns the gateways to ask for a stream's record. Those that are stopping still
 // answer.
-func (d *Directory) askable(stream string, permitted func(region string) bool) []roster.Host {
+func (d *Directory) askable(stream Key, permitted func(region string) bool) []roster.Host {
 	return d.ranked(stream, permitted, localAsked, remoteAsked, func(roster.Host) bool { return true })
 }
 
 // ranked returns the gateways that rank highest for a stream: so many of the own region and of
 // each other one.
-func (d *Directory) ranked(stream string, permitted func(region string) bool, local, remote int, accepts func(roster.Host) bool) []roster.Host {
+func (d *Directory) ranked(stream Key, permitted func(region string) bool, local, remote int, accepts func(roster.Host) bool) []roster.Host {
 	type candidate struct {
 		host roster.Host
 		rank uint64
 	}
-	key := xxhash.Sum64String(stream)
+	key := xxhash.Sum64String(string(stream))
 	regions := make(map[string][]candidate)
 	for _, h := range d.Hosts() {
 		if h.Name == d.Self.Name || h.Peer == "" || !permitted(h.Region) || !accepts(h) {
--- a/streams/message.go
+++ b/streams/message.go
@@ -11,7 +11,7 @@
 
 // Record says where one stream began.
 type Record struct {
-	Stream    string `cbor:"1,keyasint"` // ID of the request that brought its first event
+	Stream    Key    `cbor:"1,keyasint"`
 	Service   string `cbor:"2,keyasint"`
 	Version   string `cbor:"3,keyasint,omitempty"`
 	KeepForMS int64  `cbor:"4,keyasint"` // for so long its caller may still resume it
@@ -20,7 +20,7 @@
 // Question asks a gateway where a stream began.
 type Question struct {
 	Number  uint64 `cbor:"1,keyasint"` // repeated in the answer
-	Stream  string `cbor:"2,keyasint"`
+	Stream  Key    `cbor:"2,keyasint"`
 	ReplyTo string `cbor:"3,keyasint"` // address of the asking gateway
 }
 
--- a/streams/table.go
+++ b/streams/table.go
@@ -21,13 +21,13 @@
 // table holds the records of one gateway until they expire.
 type table struct {
 	mu      sync.Mutex
-	records map[string]kept
+	records map[Key]kept
 }
 
 // kept is where one stream began.
 type kept struct {
 	origin    Origin
-	contested bool // records contradict each other: a caller has used one ID twice
+	contested bool // records contradict each other: one ID was used twice, or two streams have the same content
 	expiresAt time.Time
 }
 
@@ -54,7 +54,7 @@
 }
 
 // get returns the origin of a stream, and false if it isn't known.
-func (t *table) get(stream string, now time.Time) (Origin, bool) {
+func (t *table) get(stream Key, now time.Time) (Origin, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	k, known := t.records[stream]
