soak, platformtest: versions side by side, and callers that take streams up

Change: model engines have two versions in turn, whose events differ, and streams have twelve events. Callers break off one stream in three, and take up each one that is broken at any gateway of any region, again and again. Checks: what a caller has is the stream of one version, whole if it ends as whole; of twelve or more resumptions at gateways undisturbed for 6 s, while two engines of their version are live, half the share goes on that new streams begin with.

--- a/soak/check.go
+++ b/soak/check.go
@@ -18,6 +18,7 @@
 	atMostOnce  bool   // an engine may run it only once
 	maxAttempts int    // limit on the engines that receive it
 	region      string // the only region that may run it; "" for any
+	resumable   bool   // callers take up its streams
 }
 
 // kinds has one entry for each of the declaration's permanent routes.
@@ -26,7 +27,7 @@
 	{name: "unsafe", service: "portal", atMostOnce: true, maxAttempts: 1},
 	{name: "bound", service: "portal", maxAttempts: 2, region: "region0"},
 	{name: "chat", service: "model", model: true, atMostOnce: true, maxAttempts: 1},
-	{name: "review", service: "model", model: true, maxAttempts: 2},
+	{name: "review", service: "model", model: true, maxAttempts: 2, resumable: true},
 }
 
 func kindOfPath(path string) (requestKind, bool) {
@@ -42,22 +43,25 @@
 // Checker compares what callers, engines and operators observed with what linenscale
 // guarantees, and collects the violations. It is safe for concurrent use.
 type Checker struct {
-	mu                sync.Mutex
-	engines           []*Engine
-	notRun            map[string]string   // by request that was reported as not run: the gateway that said so
-	newest            int64               // highest accepted version
-	acceptedAt        map[int64]time.Time // by version
-	keyUses           map[string]keyUse   // by request
-	calmSince         time.Time           // when fault injection ended; zero while it goes on
-	problems          []string
-	Answers           map[string]int // by kind and status
-	Checks            int
-	SmallAccountRuns  int // requests of the small account that ran
-	PoisonRuns        int // runs of the request that crashes engines
-	LimitedEnginePeak int // most requests within limitWindow at the rate-limited engine, while calm
-	limitedEngine     *Engine
-	Backoffs          int                    // backoffs that engines asked for
-	disturbances      map[string][]time.Time // by IP address: when a host's process was started or got a signal
+	mu                                    sync.Mutex
+	engines                               []*Engine
+	notRun                                map[string]string   // by request that was reported as not run: the gateway that said so
+	newest                                int64               // highest accepted version
+	acceptedAt                            map[int64]time.Time // by version
+	keyUses                               map[string]keyUse   // by request
+	calmSince                             time.Time           // when fault injection ended; zero while it goes on
+	problems                              []string
+	Answers                               map[string]int // by kind and status
+	Checks                                int
+	SmallAccountRuns                      int // requests of the small account that ran
+	PoisonRuns                            int // runs of the request that crashes engines
+	LimitedEnginePeak                     int // most requests within limitWindow at the rate-limited engine, while calm
+	limitedEngine                         *Engine
+	Resumptions                           int // requests that took up a stream
+	ResumptionsCounted, ResumptionsGoneOn int // at undisturbed gateways, see checkResumptions
+	begun, resumed                        []streamStart
+	Backoffs                              int                    // backoffs that engines asked for
+	disturbances                          map[string][]time.Time // by IP address: when a host's process was started or got a signal
 }
 
 // NewChecker returns a checker without observations.
@@ -127,7 +131,7 @@
 	}
 	want := platformtest.ResponseBody(r.Engine, r.ID)
 	if k.model {
-		want = completeStream
+		want = platformtest.StreamText(versionOf(r.Body), streamEvents)
 	}
 	switch {
 	case r.Engine == "":
@@ -139,15 +143,6 @@
 	}
 }
 
-// completeStream is the stream with which every engine answers.
-var completeStream = func() string {
-	all := ""
-	for n := 1; n <= 5; n++ {
-		all += platformtest.EventText(n)
-	}
-	return all
-}()
-
 // CheckRead checks a read at a control host that returned version got. It must be at least
 // newest, the newest version that had been accepted when the read began.
 func (c *Checker) CheckRead(control string, newest, got int64) {
@@ -176,6 +171,7 @@
 	c.checkPoison(engines)
 	c.checkEngineLimit()
 	c.checkPushback(engines)
+	c.checkResumptions()
 	ran, reached := make(map[string]int), make(map[string]int)
 	for _, e := range engines {
 		acked := e.DrainAckedAt()
--- a/soak/world.go
+++ b/soak/world.go
@@ -93,6 +93,8 @@
 	ctx        context.Context
 	group      *conc.WaitGroup
 
+	enginesStarted atomic.Int64
+
 	mu       sync.Mutex
 	engines  []*Engine
 	lastWipe time.Time // when a data folder was last deleted
@@ -221,7 +223,7 @@
 	ctx, cancel := context.WithCancel(w.ctx)
 	group := pool.New()
 	e, err := platformtest.StartEngine(ctx, group, address(w.listenNets[region].IP(engineIP), 0), platformtest.EngineOptions{
-		Service: service, DataCentre: fmt.Sprintf("dc%d", region), Heartbeat: heartbeat, Pause: 15 * time.Millisecond, CrashOn: poisonBody,
+		Service: service, DataCentre: fmt.Sprintf("dc%d", region), Heartbeat: heartbeat, Pause: 15 * time.Millisecond, CrashOn: poisonBody, Version: w.nextVersion(), Events: streamEvents,
 	})
 	if err != nil {
 		cancel()
