registry: another software version of an engine is a change for other hosts

Cause: control hosts sent other hosts an engine's version only together with another change. An engine that started again at another version under its ID, without stating its start time, kept its old version at all gateways, and a stream could continue there. Found while looking for the class of streams joined from two versions. Change: a different version counts as a change. Figures: TestVersionOfAnEngineIsAChange failed before, passes now. Conclusion: gateways know the new version as soon as its heartbeat arrives; in the time between start and heartbeat they still don't.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -303,7 +303,7 @@
 func sameForOthers(a, b Engine) bool {
 	shift := a.ColdUntil.Sub(b.ColdUntil).Abs()
 	bothWarm := !b.IsCold(b.Heard) && !a.IsCold(b.Heard)
-	return a.Born == b.Born && a.Phase == b.Phase && a.Source == b.Source && a.Address == b.Address && a.Slots == b.Slots &&
+	return a.Born == b.Born && a.Version == b.Version && a.Phase == b.Phase && a.Source == b.Source && a.Address == b.Address && a.Slots == b.Slots &&
 		a.GoneAt.IsZero() == b.GoneAt.IsZero() && (bothWarm || shift < coldEndTolerance)
 }
 
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -267,3 +267,15 @@
 		})
 	}
 }
+
+// TestVersionOfAnEngineIsAChange guards against gateways that keep the software version that an
+// engine had before it started again under its ID without a start time.
+func TestVersionOfAnEngineIsAChange(t *testing.T) {
+	table := registry.New("life", time.Second, time.Now)
+	table.Heartbeat(registry.Engine{ID: "i-1", Service: "s", Address: "10.0.0.1:80", Version: "v1", Slots: 1, Sequence: 1})
+	before := table.LastChange()
+	must.True(t, table.Heartbeat(registry.Engine{ID: "i-1", Service: "s", Address: "10.0.0.1:80", Version: "v2", Slots: 1, Sequence: 2}))
+	changed, _ := table.ChangedSince(before, func(registry.Engine) bool { return true })
+	must.Len(t, 1, changed)
+	must.Eq(t, "v2", changed[0].Version)
+}
