dispatch: caches are transferred between engines of one software version only

Cause: an engine that lacks a prompt's shared blocks fetches them from any engine that has them. Engines of another version are no fit source: the same class as streams joined from two versions, found by looking for what else is joined from two engines. Change: the source is chosen for each version. Conclusion: nothing that one version has written continues at another.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -78,11 +78,12 @@
 		in := p.costInputs(c.engine, req, now)
 		// No guess is needed where some engine is known to have cached the blocks.
 		in.preferred = c.engine == s.preferred && !s.cached
-		if in.transferable = s.source.tokensFor(c.engine, in.cached); in.transferable > 0 {
+		source := s.sources.forEngine(c.engine)
+		if in.transferable = source.tokensFor(c.engine, in.cached); in.transferable > 0 {
 			in.transferTime = transferTime(*p.service.Model, in.transferable)
 		}
 		estimated := estimate(in, req, 0)
-		estimated.source = s.source.engine
+		estimated.source = source.engine
 		estimated.unresponsive, estimated.rank = c.engine.Phase == registry.Unresponsive, c.rank
 		if best == nil || estimated.less(bestScore) {
 			best, bestScore = c.engine, estimated
@@ -106,9 +107,9 @@
 // sample is the part of a pool that one choice considers.
 type sample struct {
 	candidates []candidate
-	preferred  *engine        // the candidate ranked first for the shared blocks, or nil
-	cached     bool           // some candidate is known to have cached the shared blocks
-	source     transferSource // engine to transfer them from
+	preferred  *engine         // the candidate ranked first for the shared blocks, or nil
+	cached     bool            // some candidate is known to have cached the shared blocks
+	sources    transferSources // engines to transfer them from
 }
 
 // sample collects the engines to consider: a few drawn by their rank for the request,
@@ -121,7 +122,7 @@
 	id := hashString(req.ID)
 	s := sample{candidates: d.drawCandidates(p, req, id, now), preferred: d.preferredEngine(p, req, now)}
 	holders := p.cacheHoldersOf(req.Prompt, now)
-	s.source = d.transferSourceFor(p, req.Prompt, holders, now)
+	s.sources = d.transferSourcesFor(p, req.Prompt, holders, now)
 	for _, e := range holders {
 		if d.canUse(p, e, req, now) {
 			s.cached = true
--- a/dispatch/transfer.go
+++ b/dispatch/transfer.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/linenscale/linenscale/catalog"
@@ -28,25 +29,44 @@
 	tokens int
 }
 
-// transferSourceFor returns the engine to transfer a prompt's shared blocks from: of the
-// holders, the one to which they were sent last, since cached blocks are evicted over
-// time. The result is empty if no holder can serve the transfer, the service's engines
-// can't transfer, or the blocks are too small to be worth it.
-func (d *Dispatcher) transferSourceFor(p *pool, prompt Prompt, holders []*engine, now time.Time) transferSource {
+// transferSources holds the engine to transfer from for each software version: what one has
+// made of a prompt is not for another.
+type transferSources []transferSource
+
+// forEngine returns the source for an engine; empty if there is none.
+func (s transferSources) forEngine(e *engine) transferSource {
+	for _, source := range s {
+		if source.engine.Version == e.Version {
+			return source
+		}
+	}
+	return transferSource{}
+}
+
+// transferSourcesFor returns the engines to transfer a prompt's shared blocks from: of the
+// holders of each version, the one to which they were sent last, since cached blocks are
+// evicted over time. The result is empty if no holder can serve the transfer, the service's
+// engines can't transfer, or the blocks are too small to be worth it.
+func (d *Dispatcher) transferSourcesFor(p *pool, prompt Prompt, holders []*engine, now time.Time) transferSources {
 	if p.service.Model == nil || !p.service.Model.CanTransferCache() || prompt.sharedTokens() < minTransferTokens {
-		return transferSource{}
+		return nil
 	}
 	hash := hashBlock(prompt.AffinityKey())
-	var best transferSource
+	var sources transferSources
 	for _, e := range holders {
 		if e.Phase == registry.Unresponsive || !d.exclusionOf(p, e, now).allowsTransfer() {
 			continue
 		}
-		if best.engine == nil || e.cached[hash].After(best.engine.cached[hash]) {
-			best = transferSource{e, min(e.cached.tokens(prompt, now), prompt.sharedTokens())}
+		found := transferSource{e, min(e.cached.tokens(prompt, now), prompt.sharedTokens())}
+		at := slices.IndexFunc(sources, func(s transferSource) bool { return s.engine.Version == e.Version })
+		switch {
+		case at < 0:
+			sources = append(sources, found)
+		case e.cached[hash].After(sources[at].engine.cached[hash]):
+			sources[at] = found
 		}
 	}
-	return best
+	return sources
 }
 
 // allowsTransfer reports whether an engine with this exclusion may serve transfers. A
--- a/dispatch/transfer_test.go
+++ b/dispatch/transfer_test.go
@@ -109,3 +109,25 @@
 	}
 	must.Eq(t, "", acquire(t, env.gateways[0], longRequest("after", "p")).TransferFrom)
 }
+
+// TestCacheIsTransferredWithinAVersion guards against an engine that continues from what another
+// software version has made of a prompt.
+func TestCacheIsTransferredWithinAVersion(t *testing.T) {
+	env := newTestEnv(1, 0)
+	env.enableTransfers()
+	versionAt := make(map[string]string)
+	for i := range 4 {
+		e := registry.Engine{ID: fmt.Sprint("i-", i), Service: "review", Slots: 16, Version: fmt.Sprint("v", i%2)}
+		env.heartbeat(e)
+		versionAt["10.1.0.1:"+e.ID] = e.Version
+	}
+	transfers := 0
+	for i := range 40 {
+		ticket := acquire(t, env.gateways[0], longRequest(fmt.Sprint("r", i), "p"))
+		if ticket.TransferFrom != "" {
+			transfers++
+			must.Eq(t, ticket.Version, versionAt[ticket.TransferFrom])
+		}
+	}
+	must.Positive(t, transfers)
+}
