--- a/ingress/continuation.go
+++ b/ingress/continuation.go
@@ -76,9 +76,10 @@
 	}
 }
 
-// resumesStream reports whether the caller resumes a stream that an earlier request began.
+// resumesStream reports whether the caller resumes a stream that an earlier request began. The
+// route's streams may have been resumable then, even if they aren't any more.
 func (x *exchange) resumesStream() bool {
-	return continuesStreams(x.route) && (x.meta.Resumes != "" || x.meta.LastEventID != "")
+	return x.route.Kind == catalog.KindStream && (x.meta.Resumes != "" || x.meta.LastEventID != "")
 }
 
 // unknownRetryAfter is the Retry-After if gateways that may know a stream's origin didn't
@@ -101,7 +102,10 @@
 	case streams.Unanswered:
 		s.Metrics.CountStreamSearch(x.service, "unanswered")
 		rejection.Message, rejection.RetryAfter = "gateways that may know which version began the stream didn't answer", unknownRetryAfter
-	default:
+	case streams.Contested:
+		s.Metrics.CountStreamSearch(x.service, "contested")
+		rejection.Message = "streams of several versions have the same identity"
+	case streams.NotFound:
 		s.Metrics.CountStreamSearch(x.service, "not_found")
 		rejection.Message = "no gateway knows which version began the stream"
 	}
--- a/ingress/continuation_test.go
+++ b/ingress/continuation_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/platform/platformtest"
 	"github.com/linenscale/linenscale/request"
 	"github.com/linenscale/linenscale/roster"
@@ -408,3 +409,22 @@
 	result := resumeByContent(gateways[1], "the same", body)
 	must.True(t, result.GuaranteesNotRun(), must.Sprint(result.Status))
 }
+
+// TestResumptionOnARouteThatNoLongerResumes guards against a stream that is joined because its
+// route was resumable only when it began.
+func TestResumptionOnARouteThatNoLongerResumes(t *testing.T) {
+	gateways, engines := newGateways(t, 2)
+	first := begin(t, gateways[0], engines)
+	changed := testCatalog
+	changed.Version++
+	changed.Routes = slices.Clone(changed.Routes)
+	for i := range changed.Routes {
+		changed.Routes[i].Resumable = false
+	}
+	gateways[1].server.ApplyState(ledger.State{Index: 2, Catalog: changed})
+	rest := resume(t, gateways[1], first.ID, first.Body)
+	must.Eq(t, http.StatusOK, rest.Status)
+	must.NotEq(t, "", versionOf(first.Body+rest.Body), must.Sprint(first.Body+rest.Body))
+	result := resume(t, gateways[1], "never-seen", first.Body)
+	must.True(t, result.GuaranteesNotRun(), must.Sprint(result.Status))
+}
--- a/streams/directory.go
+++ b/streams/directory.go
@@ -67,7 +67,7 @@
 	return &Directory{Deps: deps, table: table{records: make(map[Key]kept)}, searches: make(map[uint64]*search)}
 }
 
-// Finding is the result of a search: Found, NotFound or Unanswered.
+// Finding is the result of a search: Found, NotFound, Contested or Unanswered.
 type Finding interface{ finding() }
 
 // Found means that a gateway has a record of the stream.
@@ -76,11 +76,16 @@
 // NotFound means that all gateways that should have a record have answered, and none has one.
 type NotFound struct{}
 
+// Contested means that records contradict each other: a caller has used one ID for two streams,
+// or two streams have the same content.
+type Contested struct{}
+
 // Unanswered means that no gateway that answered has a record, and some didn't answer.
 type Unanswered struct{}
 
 func (Found) finding()      {}
 func (NotFound) finding()   {}
+func (Contested) finding()  {}
 func (Unanswered) finding() {}
 
 // Key names a stream. ByRequest and ByContent make them.
@@ -108,8 +113,8 @@
 // Find searches for the origin of a stream. permitted says where the request that resumes it
 // may run.
 func (d *Directory) Find(ctx context.Context, stream Key, permitted func(region string) bool) Finding {
-	if origin, known := d.table.get(stream, d.Clock()); known {
-		return Found{origin}
+	if k, known := d.table.get(stream, d.Clock()); known {
+		return k.finding()
 	}
 	asked := d.askable(stream, permitted)
 	if len(asked) == 0 || len(stream) > maxTextBytes {
@@ -140,10 +145,10 @@
 		d.table.put(r, now)
 	}
 	for _, q := range m.Questions {
-		origin, known := d.table.get(q.Stream, now)
-		answer := Answer{Number: q.Number, From: d.Self.Name, Known: known}
-		if known {
-			answer.Service, answer.Version = origin.Service, origin.Version
+		answer := Answer{Number: q.Number, From: d.Self.Name}
+		if k, known := d.table.get(q.Stream, now); known {
+			answer.Known, answer.Contested = !k.contested, k.contested
+			answer.Service, answer.Version = k.origin.Service, k.origin.Version
 		}
 		d.send(Message{Answers: []Answer{answer}}, []string{q.ReplyTo})
 	}
--- a/streams/directory_test.go
+++ b/streams/directory_test.go
@@ -202,7 +202,19 @@
 	d.Begin("s", v1, time.Second, anywhere)
 	d.Begin("s", streams.Origin{Service: "review", Version: "v2"}, time.Second, anywhere)
 	d.Begin("s", v1, time.Second, anywhere)
-	must.Eq(t, "", m.find("lagos-0", "s"))
+	must.Eq[streams.Finding](t, streams.Contested{}, d.Find(context.Background(), "s", anywhere))
+}
+
+// TestContestedRecordEndsASearch guards against a gateway that takes the one record of several
+// that it is told of.
+func TestContestedRecordEndsASearch(t *testing.T) {
+	m := newMesh([]string{"lagos"}, 3)
+	for i, version := range []string{"v1", "v2"} {
+		m.directories[fmt.Sprint("lagos-", i)].Begin("s", streams.Origin{Service: "review", Version: version}, time.Second, anywhere)
+	}
+	for _, h := range m.hosts {
+		must.Eq[streams.Finding](t, streams.Contested{}, m.directories[h.Peer].Find(context.Background(), "s", anywhere), must.Sprint(h.Name))
+	}
 }
 
 // TestRecordsExpire guards against records that are kept for ever, or dropped while the caller
@@ -267,3 +279,40 @@
 		must.LessEq(t, 16, m.sent-before)
 	}
 }
+
+// BenchmarkStream measures what one stream costs the gateway that begins it, without the system
+// calls: both records, for deployments of three regions.
+func BenchmarkStream(b *testing.B) {
+	for _, gateways := range []int{8, 60, 300, 985} {
+		b.Run(fmt.Sprint(gateways), func(b *testing.B) {
+			m := newMesh([]string{"lagos", "kano", "abuja"}, (gateways+2)/3)
+			d := m.directories["lagos-0"]
+			d.Deps.Send = func(message streams.Message, addresses []string) error {
+				data, err := cbor.Marshal(message)
+				m.sent, m.sentBytes = m.sent+len(addresses), m.sentBytes+len(addresses)*len(data)
+				return err
+			}
+			b.ReportAllocs()
+			streamsBegun := 0
+			for b.Loop() {
+				id := fmt.Sprintf("%016x", streamsBegun)
+				d.Begin(streams.ByRequest(id), streams.Origin{Service: "huvo11a", Version: "v1.1"}, 5*time.Second, anywhere)
+				d.Begin(streams.ByContent(id), streams.Origin{Service: "huvo11a", Version: "v1.1"}, 5*time.Second, anywhere)
+				streamsBegun++
+			}
+			b.ReportMetric(float64(m.sent)/float64(streamsBegun), "messages/stream")
+			b.ReportMetric(float64(m.sentBytes)/float64(m.sent), "bytes/message")
+		})
+	}
+}
+
+// BenchmarkRecord measures the memory of one record.
+func BenchmarkRecord(b *testing.B) {
+	m := newMesh([]string{"lagos"}, 1)
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		m.directories["lagos-0"].Receive(streams.Message{Records: []streams.Record{{Stream: key(i), Service: "huvo11a", Version: "v1.1", KeepForMS: 10000}}})
+		i++
+	}
+}
--- a/streams/message.go
+++ b/streams/message.go
@@ -28,11 +28,12 @@
 type Answer struct {
 	Number uint64 `cbor:"1,keyasint"`
 	From   string `cbor:"2,keyasint"` // name of the answering gateway
-	// Known is false if the gateway has no record of the stream, or records that contradict
-	// each other.
+	// Known is false if the gateway has no record of the stream.
 	Known   bool   `cbor:"3,keyasint,omitempty"`
 	Service string `cbor:"4,keyasint,omitempty"`
 	Version string `cbor:"5,keyasint,omitempty"`
+	// Contested says that the gateway has records that contradict each other.
+	Contested bool `cbor:"6,keyasint,omitempty"`
 }
 
 // maxRecordsPerMessage keeps a message with records within one packet of a common network.
--- a/streams/search.go
+++ b/streams/search.go
@@ -36,7 +36,7 @@
 	return out
 }
 
-// apply applies an answer. The first record that a gateway has ends the search.
+// apply applies an answer. The first gateway that has a record ends the search.
 func (s *search) apply(a Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -45,6 +45,9 @@
 	}
 	delete(s.waiting, a.From)
 	switch {
+	case a.Contested:
+		s.done = true
+		s.result <- Contested{}
 	case a.Known:
 		s.done = true
 		s.result <- Found{Origin{a.Service, a.Version}}
--- a/streams/table.go
+++ b/streams/table.go
@@ -31,6 +31,14 @@
 	expiresAt time.Time
 }
 
+// finding returns what the record says.
+func (k kept) finding() Finding {
+	if k.contested {
+		return Contested{}
+	}
+	return Found{k.origin}
+}
+
 // put adds a record. It returns false if there is no room for it, or it is malformed.
 func (t *table) put(r Record, now time.Time) bool {
 	if r.Stream == "" || r.Service == "" || r.KeepForMS <= 0 || max(len(r.Stream), len(r.Service), len(r.Version)) > maxTextBytes {
@@ -53,12 +61,12 @@
 	return true
 }
 
-// get returns the origin of a stream, and false if it isn't known.
-func (t *table) get(stream Key, now time.Time) (Origin, bool) {
+// get returns the record of a stream, and false if there is none.
+func (t *table) get(stream Key, now time.Time) (kept, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	k, known := t.records[stream]
-	return k.origin, known && !k.contested && now.Before(k.expiresAt)
+	return k, known && now.Before(k.expiresAt)
 }
 
 // expire removes the records that have expired.
