--- a/dispatch/versions.go
+++ b/dispatch/versions.go
@@ -1,5 +1,5 @@
 // This file restricts requests that continue a stream to engines of the software version that
-// began it, and tells other regions which versions serve here.
+// began it, and reports to other regions which versions serve here.
 
 package dispatch
 
