dispatch, ingress: streams without a record continue where one version alone serves

Cause: records of streams live in gateways' memory, and nothing else was asked. Regions report versions that have ended lately with the count 0. Conclusion: only what may be of two versions is rejected.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -48,6 +48,9 @@
 	// ConnectedControlHosts counts the control hosts that this gateway is in contact with;
 	// nil for always some.
 	ConnectedControlHosts func() int
+	// ViewIsSteady reports whether this gateway has been in contact with all control hosts for
+	// a while, so that it knows all engines of its region; nil for never.
+	ViewIsSteady func() bool
 }
 
 // wasSuspended reports whether this process was suspended since the given time.
--- a/dispatch/versions.go
+++ b/dispatch/versions.go
@@ -58,8 +58,8 @@
 }
 
 // servingVersions counts this region's engines by service and version. It includes those that
-// accept few or no requests just now, since a continued stream may wait for them. The lock is
-// held.
+// accept few or no requests just now, since a continued stream may wait for them. Versions of
+// which engines have only drained or ended lately have the count 0. The lock is held.
 func (d *Dispatcher) servingVersions(now time.Time) []rollup.VersionCount {
 	counts := make(map[streams.Origin]int)
 	for _, s := range d.catalog.Services() {
@@ -68,9 +68,11 @@
 			continue
 		}
 		for _, e := range p.sorted {
+			serving := 0
 			if reason := d.exclusionBesidesVersion(p, e, now); reason == "" || reason.isTransient() || reason == excludedCold {
-				counts[streams.Origin{Service: s.Name, Version: e.Version}]++
+				serving = 1
 			}
+			counts[streams.Origin{Service: s.Name, Version: e.Version}] += serving
 		}
 	}
 	out := make([]rollup.VersionCount, 0, len(counts))
@@ -100,6 +102,44 @@
 	return origin != nil && r.versions != nil && r.versions[*origin] == 0
 }
 
+// SoleVersion returns the only version at which a stream of the service can have begun lately:
+// all engines in the permitted regions have it, including those that have ended since the
+// registry last removed any. It returns false unless that is certain, so while a region or a
+// control host isn't in contact.
+func (d *Dispatcher) SoleVersion(service string, permitted func(region string) bool) (streams.Origin, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p, ok := d.pools[service]
+	if !ok || d.ViewIsSteady == nil || !d.ViewIsSteady() {
+		return streams.Origin{}, false
+	}
+	versions := make(map[streams.Origin]struct{})
+	for _, e := range p.sorted {
+		versions[streams.Origin{Service: service, Version: e.Version}] = struct{}{}
+	}
+	for _, region := range d.RegionOf {
+		if region == d.Region || !permitted(region) {
+			continue
+		}
+		remote, reported := d.remotes[region]
+		if !reported || !remote.isFresh(d.Clock()) || remote.versions == nil {
+			return streams.Origin{}, false
+		}
+		for origin := range remote.versions {
+			if origin.Service == service {
+				versions[origin] = struct{}{}
+			}
+		}
+	}
+	if len(versions) != 1 {
+		return streams.Origin{}, false
+	}
+	for origin := range versions {
+		return origin, true
+	}
+	return streams.Origin{}, false
+}
+
 // LacksVersion reports whether another region is known to have no engine that can continue a
 // stream of that origin. It returns false without a recent report of the region.
 func (d *Dispatcher) LacksVersion(region string, origin streams.Origin) bool {
--- a/dispatch/versions_test.go
+++ b/dispatch/versions_test.go
@@ -12,6 +12,7 @@
 	"github.com/linenscale/linenscale/registry"
 	"github.com/linenscale/linenscale/request"
 	"github.com/linenscale/linenscale/rollout"
+	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/streams"
 )
 
@@ -104,3 +105,47 @@
 	g.Receive(older)
 	must.False(t, g.LacksVersion("kano", origin("v3")), must.Sprint("gateways of an earlier release report no versions"))
 }
+
+// TestSoleVersionIsCertain guards against a stream without a record that continues although
+// another version may have begun it, and against one that is rejected although none can.
+func TestSoleVersionIsCertain(t *testing.T) {
+	anywhere := func(string) bool { return true }
+	here := func(region string) bool { return region == "lagos" }
+	env := newTestEnv(1, 0)
+	g := env.gateways[0]
+	steady := true
+	g.ViewIsSteady = func() bool { return steady }
+	sole := func(permitted func(string) bool) string {
+		origin, ok := g.SoleVersion("review", permitted)
+		must.Eq(t, ok, origin.Version != "")
+		return origin.Version
+	}
+	reportOf := func(versions ...rollup.VersionCount) rollup.Message {
+		m := loadReport("kano", 4, 0)
+		m.Remote[0].Versions = versions
+		return m
+	}
+	must.Eq(t, "", sole(here), must.Sprint("no engine is known"))
+	env.heartbeat(registry.Engine{ID: "i-1", Service: "review", Slots: 16, Version: "v1"})
+	must.Eq(t, "v1", sole(here))
+	must.Eq(t, "", sole(anywhere), must.Sprint("kano has not reported"))
+	g.Receive(reportOf())
+	must.Eq(t, "", sole(anywhere), must.Sprint("kano's gateways report no versions"))
+	g.Receive(reportOf(rollup.VersionCount{Service: "review", Version: "v1", Engines: 4}, rollup.VersionCount{Service: "portal", Version: "v9", Engines: 1}))
+	must.Eq(t, "v1", sole(anywhere))
+	steady = false
+	must.Eq(t, "", sole(anywhere), must.Sprint("a control host isn't in contact"))
+	steady = true
+	g.Receive(reportOf(rollup.VersionCount{Service: "review", Version: "v1", Engines: 4}, rollup.VersionCount{Service: "review", Version: "v2"}))
+	must.Eq(t, "", sole(anywhere), must.Sprint("an engine of v2 has ended in kano lately"))
+	must.Eq(t, "v1", sole(here), must.Sprint("the request may not run in kano"))
+	g.Receive(reportOf(rollup.VersionCount{Service: "review", Version: "v1", Engines: 4}))
+	env.now = env.now.Add(2 * time.Second)
+	must.Eq(t, "", sole(anywhere), must.Sprint("kano's report is too old"))
+	env.heartbeat(registry.Engine{ID: "i-2", Service: "review", Slots: 16, Version: "v2"})
+	env.engines.MarkLeft("i-2", 0)
+	env.tick()
+	must.Eq(t, "", sole(here), must.Sprint("an engine of v2 has ended here lately"))
+	g.ViewIsSteady = nil
+	must.Eq(t, "", sole(here))
+}
--- a/ingress/continuation.go
+++ b/ingress/continuation.go
@@ -94,6 +94,10 @@
 		return nil
 	}
 	finding := s.Streams.Find(x.r.Context(), x.streamKeys()[0], x.mayRunIn)
+	if origin, sole := s.soleOrigin(x, finding); sole {
+		s.Metrics.CountStreamSearch(x.service, "sole_version")
+		return x.adoptOrigin(origin)
+	}
 	rejection := &request.NotRun{Reason: request.ReasonUnknownStream}
 	switch f := finding.(type) {
 	case streams.Found:
@@ -113,6 +117,25 @@
 	return rejection
 }
 
+// soleOrigin returns the only origin that the stream can have if no record of it was found.
+// Records may all be lost, but a service whose engines have one version leaves no doubt.
+func (s *Server) soleOrigin(x *exchange, finding streams.Finding) (streams.Origin, bool) {
+	switch finding.(type) {
+	case streams.Found, streams.Contested:
+		return streams.Origin{}, false
+	}
+	service := ""
+	for _, b := range x.route.Backends {
+		if b.Weight > 0 && service != "" {
+			return streams.Origin{}, false
+		}
+		if b.Weight > 0 {
+			service = b.Service
+		}
+	}
+	return s.Dispatcher.SoleVersion(service, x.mayRunIn)
+}
+
 // mayContinue reports whether another attempt can complete the answer. After its first event,
 // that requires the stream's origin and the ID of its last event.
 func (x *exchange) mayContinue() bool {
--- a/ingress/continuation_test.go
+++ b/ingress/continuation_test.go
@@ -428,3 +428,18 @@
 	result := resume(t, gateways[1], "never-seen", first.Body)
 	must.True(t, result.GuaranteesNotRun(), must.Sprint(result.Status))
 }
+
+// TestStreamWithoutARecordContinuesAtTheSoleVersion guards against resumptions that are rejected
+// after all gateways have lost their records although one version alone serves.
+func TestStreamWithoutARecordContinuesAtTheSoleVersion(t *testing.T) {
+	g := newGateway(t, "g1", "lagos")
+	g.declare()
+	g.server.Dispatcher.ViewIsSteady = func() bool { return true }
+	g.server.Dispatcher.RegionOf = map[string]string{"a": "lagos"}
+	g.startVersion(t, "model", "a", "v1")
+	begun := platformtest.StreamText("v1", 2)
+	mustComplete(t, begun, resume(t, g, "lost-with-its-gateway", begun))
+	g.startVersion(t, "model", "a", "v2")
+	result := resume(t, g, "another", begun)
+	must.True(t, result.GuaranteesNotRun(), must.Sprint(result.Status))
+}
