ingress: log how an answer showed its end

Cause: in the incident of broken-off answers framed as complete, the gateway logged 'answered' and nothing that tells an answer without framing from a chunked one that ended after half an event. No logic changes.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -37,6 +37,7 @@
 // before x.answerStarted is set, the caller has received nothing and another attempt is
 // possible.
 func (s *Server) relayAnswer(x *exchange, resp *http.Response, source answerSource) error {
+	x.framing, x.trailingBytes = framingOf(resp), 0
 	if isEventStream(resp) {
 		return s.relayEvents(x, resp, source)
 	}
@@ -144,6 +145,7 @@
 			if trailerErr := x.checkTrailer(resp); trailerErr != nil {
 				return trailerErr
 			}
+			x.trailingBytes = len(splitter.remainder())
 			complete = append(complete, splitter.remainder()...)
 		}
 		if len(complete) > 0 || err == io.EOF {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -200,7 +200,7 @@
 		s.countOutcome(x, "answered")
 		s.Metrics.RecordFirstByte(x.service, x.firstByteAfter, 0)
 		s.Metrics.RecordPredictionError(x.service, x.firstByteAfter-ticket.ExpectedWait)
-		s.Log.Info("answered", x.logFields(zap.String("engine", ticket.Engine), zap.Duration("expected", ticket.ExpectedWait), zap.Duration("first", x.firstByteAfter), zap.Duration("longest_pause", x.longestPause), zap.Duration("took", s.Clock().Sub(x.startedAt)))...)
+		s.Log.Info("answered", x.logFields(zap.String("engine", ticket.Engine), zap.Duration("expected", ticket.ExpectedWait), zap.Duration("first", x.firstByteAfter), zap.Duration("longest_pause", x.longestPause), zap.Stringer("framing", x.framing), zap.Int("trailing_bytes", x.trailingBytes), zap.Duration("took", s.Clock().Sub(x.startedAt)))...)
 		return false
 	}
 	s.Log.Warn("attempt failed", x.logFields(zap.String("engine", ticket.Engine), zap.String("outcome", outcome.String()),
--- a/ingress/receive.go
+++ b/ingress/receive.go
@@ -42,8 +42,10 @@
 	deadline       time.Time
 	handedOver     bool // by another gateway; the request runs in the local region
 	triedRegions   []string
-	answerStarted  bool // the answer's head was sent to the caller
-	chunked        bool // the answer's head stated no length
+	answerStarted  bool    // the answer's head was sent to the caller
+	chunked        bool    // the answer's head stated no length
+	framing        framing // of the last answer that arrived
+	trailingBytes  int     // after the last complete event of a stream that has ended
 	progress       progress
 	origin         *streams.Origin // of the stream that further attempts continue; nil before its first event
 	firstByteAfter time.Duration   // from the send until the answer began
