ingress: failing tests of answers that are cut short without framing

Callers see answers framed as complete that their engines broke off. Cause: not fixed here. The stand-in engine now writes answers with neither a length nor chunks (streams too), cut at the head, after an event, inside one, after one of two line ends, by a crash and by a reset, and chunked streams that end properly inside an event.

--- /dev/null
+++ b/ingress/framing_test.go
@@ -0,0 +1,185 @@
+package ingress_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/linenscale/linenscale/platform/platformtest"
+)
+
+// answerKind is one kind of answer in the tests of framing.
+type answerKind struct {
+	name, path string
+	stream     bool
+	padding    int // length of the filler in a plain answer
+}
+
+var answerKinds = []answerKind{
+	{"stream", "/chat/1", true, 0},
+	{"resumable-stream", "/review/1", true, 0},
+	{"plain", "/unsafe/1", false, 200},
+	{"long-plain", "/unsafe/1", false, 300 << 10}, // longer than a gateway buffers
+}
+
+// framingEnv is a gateway that serves one kind of answer, either itself or through a gateway of
+// another region.
+type framingEnv struct {
+	kind    answerKind
+	gateway *gateway
+	engines []*platformtest.Engine
+}
+
+// newFramingEnv starts three engines, whose events have the given line end.
+func newFramingEnv(t *testing.T, kind answerKind, handedOver bool, lineEnd string) framingEnv {
+	t.Helper()
+	lagos, kano := newRegions(t)
+	env := framingEnv{kind: kind, gateway: lagos}
+	serving, dataCentre := lagos, "a"
+	if handedOver {
+		serving, dataCentre = kano, "b"
+	}
+	service := "portal"
+	if kind.stream {
+		service = "model"
+	}
+	for range 3 {
+		env.engines = append(env.engines, serving.startEngine(t, platformtest.EngineOptions{Service: service, DataCentre: dataCentre, Events: streamEvents, LineEnd: lineEnd, Padding: kind.padding}))
+	}
+	return env
+}
+
+func (env framingEnv) do(t *testing.T) platformtest.Result {
+	t.Helper()
+	return do(t, env.gateway, platformtest.Request{Path: env.kind.path, IsPrompt: env.kind.stream, Deadline: 5 * time.Second})
+}
+
+// wholeBody returns the body of the whole answer.
+func (env framingEnv) wholeBody(r platformtest.Result, lineEnd string) string {
+	if env.kind.stream {
+		return strings.ReplaceAll(platformtest.StreamText(platformtest.DefaultVersion, streamEvents), "\n", lineEnd)
+	}
+	return platformtest.PaddedResponseBody(r.Engine, r.ID, env.kind.padding)
+}
+
+// forEachFraming runs a test for each kind of answer, relayed directly and over a hand-over.
+func forEachFraming(t *testing.T, test func(t *testing.T, kind answerKind, handedOver bool)) {
+	t.Helper()
+	for _, kind := range answerKinds {
+		for _, handedOver := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/handed-over=%t", kind.name, handedOver), func(t *testing.T) { test(t, kind, handedOver) })
+		}
+	}
+}
+
+// TestCutAnswersAreNotFramedAsComplete guards against an answer whose connection ended early and
+// that reaches its caller with a length or properly terminated chunks.
+func TestCutAnswersAreNotFramedAsComplete(t *testing.T) {
+	forEachFraming(t, func(t *testing.T, kind answerKind, handedOver bool) {
+		for _, fault := range []platformtest.Fault{
+			platformtest.FaultNoLengthHead, platformtest.FaultNoLengthEvent, platformtest.FaultNoLengthInside, platformtest.FaultNoLengthLine,
+			platformtest.FaultNoLengthCrash, platformtest.FaultNoLengthReset, platformtest.FaultTerminatedInside,
+		} {
+			if fault == platformtest.FaultTerminatedInside && !kind.stream {
+				continue
+			}
+			env := newFramingEnv(t, kind, handedOver, "\n")
+			injectFault(env.engines, fault, -1)
+			result := env.do(t)
+			if result.Status == http.StatusOK {
+				must.False(t, result.FramedAsComplete(), must.Sprint(fault, result.Body))
+				must.StrHasPrefix(t, result.Body, env.wholeBody(result, "\n"))
+			}
+		}
+	})
+}
+
+// TestStreamsKnownToBeCutBreakOffVisibly guards against streams that are known to be cut short,
+// because they end inside an event or because their engine has crashed, and that reach callers
+// as if they had ended as the engine meant.
+func TestStreamsKnownToBeCutBreakOffVisibly(t *testing.T) {
+	forEachFraming(t, func(t *testing.T, kind answerKind, handedOver bool) {
+		if !kind.stream {
+			t.Skip("nothing in the bytes of a plain answer shows its end")
+		}
+		for _, fault := range []platformtest.Fault{
+			platformtest.FaultNoLengthHead, platformtest.FaultNoLengthInside, platformtest.FaultNoLengthLine,
+			platformtest.FaultNoLengthCrash, platformtest.FaultNoLengthReset, platformtest.FaultTerminatedInside,
+		} {
+			env := newFramingEnv(t, kind, handedOver, "\n")
+			injectFault(env.engines, fault, -1)
+			result := env.do(t)
+			must.False(t, result.Status == http.StatusOK && result.Complete, must.Sprint(fault, result.Body))
+		}
+	})
+}
+
+// TestStreamsKnownToBeCutAreContinued guards against a resumable stream that ends where its first
+// engine cut it, although another engine could have gone on.
+func TestStreamsKnownToBeCutAreContinued(t *testing.T) {
+	for _, handedOver := range []bool{false, true} {
+		for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+			for _, fault := range []platformtest.Fault{
+				platformtest.FaultTruncate, platformtest.FaultNoLengthHead, platformtest.FaultNoLengthInside, platformtest.FaultNoLengthLine,
+				platformtest.FaultNoLengthCrash, platformtest.FaultNoLengthReset, platformtest.FaultTerminatedInside,
+			} {
+				t.Run(fmt.Sprintf("%s/%q/handed-over=%t", fault, lineEnd, handedOver), func(t *testing.T) {
+					env := newFramingEnv(t, answerKinds[1], handedOver, lineEnd)
+					injectFault(env.engines, fault, 1)
+					result := env.do(t)
+					must.Eq(t, http.StatusOK, result.Status)
+					must.True(t, result.Complete)
+					must.Eq(t, env.wholeBody(result, lineEnd), result.Body)
+				})
+			}
+		}
+	}
+}
+
+// TestCrashUnderAnUnframedAnswerIsRetried guards against a plain answer that its crashed engine cut
+// short and that a caller gets in place of another engine's whole one.
+func TestCrashUnderAnUnframedAnswerIsRetried(t *testing.T) {
+	env := newFramingEnv(t, answerKind{name: "repeatable", path: "/safe/1", padding: 200}, false, "\n")
+	injectFault(env.engines, platformtest.FaultNoLengthCrash, 1)
+	result := env.do(t)
+	must.Eq(t, http.StatusOK, result.Status)
+	must.True(t, result.FramedAsComplete())
+	must.Eq(t, env.wholeBody(result, "\n"), result.Body)
+}
+
+// TestWholeAnswersArriveWhole guards against whole answers that are taken for broken ones: without
+// framing, or with other line ends than LF.
+func TestWholeAnswersArriveWhole(t *testing.T) {
+	forEachFraming(t, func(t *testing.T, kind answerKind, handedOver bool) {
+		for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+			for _, fault := range []platformtest.Fault{platformtest.FaultNone, platformtest.FaultNoLength} {
+				env := newFramingEnv(t, kind, handedOver, lineEnd)
+				injectFault(env.engines, fault, -1)
+				result := env.do(t)
+				must.Eq(t, http.StatusOK, result.Status)
+				must.True(t, result.Complete)
+				must.Eq(t, env.wholeBody(result, lineEnd), result.Body)
+				must.Eq(t, fault == platformtest.FaultNoLength, result.Unframed, must.Sprint("callers get the framing that the engine's answer had"))
+				_, arrived := countRuns(env.engines, result.ID)
+				must.Eq(t, 1, arrived)
+			}
+		}
+	})
+}
+
+// TestDrainingEngineEndsAfterAnUnframedAnswer guards against a whole answer that is taken for a cut
+// one because its engine, which was draining, has ended since.
+func TestDrainingEngineEndsAfterAnUnframedAnswer(t *testing.T) {
+	env := newFramingEnv(t, answerKinds[2], false, "\n")
+	for _, e := range env.engines {
+		e.SetServerLeaving()
+		e.SetFaults(platformtest.NewFaultPlan(platformtest.FaultNoLengthCrash, -1))
+	}
+	result := env.do(t)
+	must.Eq(t, http.StatusOK, result.Status)
+	must.True(t, result.Unframed)
+}
