ingress: an answer without framing isn't given one

Cause: a gateway took the end of a connection for the end of an answer. relayEvents appended whatever followed the last event at io.EOF and ended the chunked answer; relayAnswer stated the length that had arrived; a hand-over gave an answer a framing that its engine's never had. Change: an answer with neither a length nor chunks goes on without either, and ends with the caller's connection; over a hand-over a header marks it, while the answer between the two gateways stays framed, so that the loss of one shows. A stream that ends inside an event is broken off whatever its framing, for LF, CRLF and CR. After an answer without framing its engine is asked for a connection; one that refuses it and wasn't draining has crashed. What is known to be cut short is continued or retried where the route allows, and else breaks off by an unfinished chunk or a reset. An end that nothing confirms is the outcome 'unconfirmed', which clears no crash record and teaches no speed. Conclusion: the gateway states no more about an answer's end than it knows.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -51,14 +51,29 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Clock()
-	e, known := d.enginesByHash[hashString(suspect.Incarnation)]
-	if (known && e.Phase != registry.Ready) || d.isDraining(hashString(suspect.Incarnation), now) {
+	if d.isShuttingDown(suspect.Incarnation, now) {
 		d.crashDetector.RemoveSuspect(suspect.Incarnation) // it was shutting down
 		return
 	}
 	d.engineCrashed(suspect.Incarnation, "connection refused", now)
 }
 
+// isShuttingDown reports whether an engine has announced that it will end. The lock is held.
+func (d *Dispatcher) isShuttingDown(incarnation string, now time.Time) bool {
+	hash := hashString(incarnation)
+	e, known := d.enginesByHash[hash]
+	return (known && e.Phase != registry.Ready) || d.isDraining(hash, now)
+}
+
+// EngineShuttingDown reports whether the ticket's engine has announced that it will end, so that
+// its end is no crash.
+func (t *Ticket) EngineShuttingDown() bool {
+	d := t.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.isShuttingDown(t.engine.Incarnation(), d.Clock())
+}
+
 // resolveSuspects decides for each suspect engine, by its state in the registry, whether
 // it crashed or shut down. The lock is held.
 func (d *Dispatcher) resolveSuspects(now time.Time) {
--- a/dispatch/rollouts.go
+++ b/dispatch/rollouts.go
@@ -119,7 +119,7 @@
 		return
 	}
 	switch outcome {
-	case Answered:
+	case Answered, Unconfirmed:
 		counts.RecordEnd(!t.served, now.Sub(t.sentAt))
 	case Failed, Broken:
 		counts.RecordEnd(true, 0)
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -141,11 +141,12 @@
 	Abandoned           // the caller disconnected, which says nothing about the engine
 	Broken              // the connection ended before the answer did
 	Unsent              // nothing was sent: the engine stopped accepting requests
+	Unconfirmed         // answered, but nothing showed whether the answer is complete
 )
 
 // String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string {
-	return [...]string{"answered", "failed", "unreached", "shed", "misdirected", "abandoned", "broken", "unsent"}[o]
+	return [...]string{"answered", "failed", "unreached", "shed", "misdirected", "abandoned", "broken", "unsent", "unconfirmed"}[o]
 }
 
 const (
@@ -172,11 +173,13 @@
 	}
 	t.countOutcome(outcome, now)
 	switch outcome {
-	case Answered:
+	case Answered, Unconfirmed:
 		t.pool.recordOutcome(e, t.route, false, now)
 		e.connectFailures = 0
 		e.lastHeard = now
-		t.recordCompletion(now)
+		if outcome == Answered { // an answer that was cut short would make the engine seem fast
+			t.recordCompletion(now)
+		}
 	case Failed:
 		// An answer that was due while this process was suspended is not the engine's
 		// failure.
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -23,22 +23,26 @@
 // buffered completely before any of it is sent, so that a truncated one can be retried.
 const maxBufferedAnswer = 256 << 10
 
-// answerSource is where an answer comes from. The functions are called while it arrives; both
+// answerSource is where an answer comes from. The functions are called while it arrives; all
 // are nil for an answer of another gateway.
 type answerSource struct {
-	origin    *streams.Origin // of a stream that the answer begins; nil if not known
-	firstByte func()          // the first bytes of the body have arrived
+	fromGateway bool            // the answer was relayed by another gateway
+	origin      *streams.Origin // of a stream that the answer begins; nil if not known
+	firstByte   func()          // the first bytes of the body have arrived
 	// lastByte is called before an answer is sent to the caller that has arrived completely.
 	// It isn't called for one that is relayed in parts.
 	lastByte func()
+	// crashed reports whether the engine has crashed. It is called when an answer without
+	// framing has ended.
+	crashed func() bool
 }
 
 // relayAnswer sends an engine's or another gateway's answer to the caller. If it fails
 // before x.answerStarted is set, the caller has received nothing and another attempt is
 // possible.
 func (s *Server) relayAnswer(x *exchange, resp *http.Response, source answerSource) error {
-	x.framing, x.trailingBytes = framingOf(resp), 0
-	if isEventStream(resp) {
+	x.framing, x.trailingBytes, x.endUnconfirmed = framingOf(resp, source), 0, false
+	if isEventStream(resp) && resp.StatusCode < http.StatusMultipleChoices {
 		return s.relayEvents(x, resp, source)
 	}
 	if x.answerStarted {
@@ -49,19 +53,24 @@
 	err := head.read(resp.Body, resp.ContentLength, maxBufferedAnswer)
 	full := errors.Is(err, errBuffersFull)
 	if err != nil && !full {
-		return &truncatedAnswer{errors.Annotate(err, "answer")}
+		return &truncatedAnswer{cause: errors.Annotate(err, "answer")}
 	}
 	if source.firstByte != nil {
 		source.firstByte()
 	}
 	if full || len(head.data) == maxBufferedAnswer {
 		s.writeHead(x, resp, resp.ContentLength)
-		_, err := relay.Copy(x.w, io.MultiReader(bytes.NewReader(head.data), resp.Body), writeTimeout, nil)
-		return err
+		if _, err := relay.Copy(x.w, io.MultiReader(bytes.NewReader(head.data), resp.Body), writeTimeout, nil); err != nil {
+			return err
+		}
+		return x.confirmEnd(source)
 	}
 	if source.lastByte != nil {
 		source.lastByte()
 	}
+	if err := x.confirmEnd(source); err != nil {
+		return err
+	}
 	s.writeHead(x, resp, int64(len(head.data)))
 	return writeComplete(x.w, head.data)
 }
@@ -83,8 +92,13 @@
 	return nil
 }
 
-// truncatedAnswer is the error for a connection that ended before the answer did.
-type truncatedAnswer struct{ cause error }
+// truncatedAnswer is the error for an answer that ended before it was complete.
+type truncatedAnswer struct {
+	cause error
+	// byEngine is true if the connection to this gateway brought all that the engine had
+	// sent.
+	byEngine bool
+}
 
 // Error implements error.
 func (t *truncatedAnswer) Error() string { return t.cause.Error() }
@@ -111,8 +125,8 @@
 		header["Date"] = nil
 	}
 	header.Del("Content-Length")
-	x.chunked = length < 0
-	if !x.chunked {
+	x.setFraming(header, length)
+	if x.callerFraming == framedByLength {
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	x.setOriginHeader(header)
@@ -139,13 +153,12 @@
 		}
 		complete := splitter.push(chunk[:n])
 		if len(splitter.remainder()) > maxEventBytes {
-			return &truncatedAnswer{errors.Errorf("an event of the stream is longer than %d bytes", maxEventBytes)}
+			return &truncatedAnswer{cause: errors.Errorf("an event of the stream is longer than %d bytes", maxEventBytes)}
 		}
 		if err == io.EOF {
-			if trailerErr := x.checkTrailer(resp); trailerErr != nil {
-				return trailerErr
+			if endErr := x.checkStreamEnd(resp, &splitter, source); endErr != nil {
+				return endErr
 			}
-			x.trailingBytes = len(splitter.remainder())
 			complete = append(complete, splitter.remainder()...)
 		}
 		if len(complete) > 0 || err == io.EOF {
@@ -163,11 +176,33 @@
 			return nil
 		}
 		if err != nil {
-			return &truncatedAnswer{errors.Annotate(err, "stream")}
+			return &truncatedAnswer{cause: errors.Annotate(err, "stream")}
 		}
 	}
 }
 
+// checkStreamEnd returns an error if a stream whose body has ended was cut short.
+func (x *exchange) checkStreamEnd(resp *http.Response, splitter *eventSplitter, source answerSource) error {
+	if err := x.checkTrailer(resp); err != nil {
+		return err
+	}
+	x.trailingBytes = len(splitter.remainder())
+	if splitter.endsInsideEvent() {
+		return &truncatedAnswer{cause: errors.Errorf("the stream ended inside an event, framed by its %s, %d bytes after the last whole one", x.framing, x.trailingBytes), byEngine: true}
+	}
+	if x.framing != endsWithConnection {
+		return nil
+	}
+	if !splitter.begun && x.progress.lastEventID == "" {
+		return &truncatedAnswer{cause: errors.New("the connection ended before the first event"), byEngine: true}
+	}
+	if x.answerStarted && x.endPromised {
+		// The next attempt, after the last event, may bring an answer that shows its end.
+		return &truncatedAnswer{cause: errors.New("the stream was continued by an answer without framing, which doesn't show whether it is complete"), byEngine: true}
+	}
+	return x.confirmEnd(source)
+}
+
 // recordEvent updates the longest pause between events; now is when an event was relayed.
 func (x *exchange) recordEvent(now time.Time) {
 	if !x.lastEventAt.IsZero() {
@@ -182,51 +217,3 @@
 
 // maxEventBytes bounds an event of a stream, which is held until it is complete.
 const maxEventBytes = 256 << 10
-
-// eventSplitter splits a stream of server-sent events at event boundaries. The zero value
-// is ready for the start of a stream.
-type eventSplitter struct {
-	partial []byte
-	lastID  string
-}
-
-// eventTerminator is the blank line that ends an event.
-var eventTerminator = []byte("\n\n")
-
-// push appends data and returns all events that are complete now. The result is valid
-// until the next call.
-func (e *eventSplitter) push(data []byte) []byte {
-	e.partial = append(e.partial, data...)
-	end := bytes.LastIndex(e.partial, eventTerminator)
-	if end < 0 {
-		return nil
-	}
-	complete := bytes.Clone(e.partial[:end+len(eventTerminator)])
-	e.partial = append(e.partial[:0], e.partial[end+len(eventTerminator):]...)
-	e.recordLastID(complete)
-	return complete
-}
-
-// remainder returns the bytes after the last complete event. It is for the end of the
-// stream.
-func (e *eventSplitter) remainder() []byte { return e.partial }
-
-// idPrefix begins the line of an event that contains its ID.
-var idPrefix = []byte("id:")
-
-// recordLastID remembers the last event ID in complete.
-func (e *eventSplitter) recordLastID(complete []byte) {
-	for line := range bytes.Lines(complete) {
-		if id, ok := bytes.CutPrefix(line, idPrefix); ok {
-			e.lastID = string(bytes.TrimSpace(id))
-		}
-	}
-}
-
-// lastIDOr returns the last event ID of the stream, or previous if there was none.
-func (e *eventSplitter) lastIDOr(previous string) string {
-	if e.lastID == "" {
-		return previous
-	}
-	return e.lastID
-}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -156,6 +156,7 @@
 		origin:    ticketOrigin(ticket),
 		firstByte: func() { x.firstByteAfter = ticket.RecordFirstByte(succeeded) },
 		lastByte:  ticket.RecordLastByte,
+		crashed:   func() bool { return s.engineCrashed(x.r.Context(), ticket) },
 	})
 }
 
@@ -200,7 +201,7 @@
 		s.countOutcome(x, "answered")
 		s.Metrics.RecordFirstByte(x.service, x.firstByteAfter, 0)
 		s.Metrics.RecordPredictionError(x.service, x.firstByteAfter-ticket.ExpectedWait)
-		s.Log.Info("answered", x.logFields(zap.String("engine", ticket.Engine), zap.Duration("expected", ticket.ExpectedWait), zap.Duration("first", x.firstByteAfter), zap.Duration("longest_pause", x.longestPause), zap.Stringer("framing", x.framing), zap.Int("trailing_bytes", x.trailingBytes), zap.Duration("took", s.Clock().Sub(x.startedAt)))...)
+		s.Log.Info("answered", x.logFields(zap.String("engine", ticket.Engine), zap.Duration("expected", ticket.ExpectedWait), zap.Duration("first", x.firstByteAfter), zap.Duration("longest_pause", x.longestPause), zap.Stringer("framing", x.framing), zap.Int("trailing_bytes", x.trailingBytes), zap.Bool("end_confirmed", !x.endUnconfirmed), zap.Duration("took", s.Clock().Sub(x.startedAt)))...)
 		return false
 	}
 	s.Log.Warn("attempt failed", x.logFields(zap.String("engine", ticket.Engine), zap.String("outcome", outcome.String()),
@@ -220,6 +221,8 @@
 	var callerErr *relay.CallerError
 	var unusable *dispatch.EngineUnusable
 	switch {
+	case err == nil && x.endUnconfirmed:
+		return dispatch.Unconfirmed, false
 	case err == nil:
 		return dispatch.Answered, false
 	case errors.As(err, &unusable):
--- a/ingress/framing.go
+++ b/ingress/framing.go
@@ -1,8 +1,19 @@
-// This file defines how an answer shows where it ends.
+// This file defines how an answer shows where it ends, and what the gateway may state about the
+// end of an answer that doesn't.
 
 package ingress
 
-import "net/http"
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/juju/errors"
+
+	"github.com/linenscale/linenscale/dispatch"
+	"github.com/linenscale/linenscale/internal/duty"
+	"github.com/linenscale/linenscale/request"
+)
 
 // framing is how an answer shows where it ends.
 type framing uint8
@@ -10,8 +21,10 @@
 const (
 	framedByLength framing = iota
 	framedByChunks
-	// endsWithConnection marks an answer with neither a length nor chunks. Nothing but its
-	// bytes can show that it was cut short, unless the connection is reset.
+	// endsWithConnection marks an answer with neither a length nor chunks. Its end can't be told
+	// from an early end unless the bytes show it or the connection is reset. Callers get
+	// such an answer in the same way: a length or a last chunk would state a certainty that
+	// the gateway doesn't have.
 	endsWithConnection
 )
 
@@ -20,10 +33,12 @@
 	return [...]string{"length", "chunks", "connection"}[f]
 }
 
-// framingOf returns how an answer is framed on its connection to this gateway.
-func framingOf(resp *http.Response) framing {
+// framingOf returns how an answer was framed by the engine, also if another gateway relayed it.
+func framingOf(resp *http.Response, source answerSource) framing {
 	switch {
-	case resp.ContentLength >= 0 || resp.Request != nil && resp.Request.Method == http.MethodHead:
+	case source.fromGateway && resp.Header.Get(request.HeaderUnframed) != "":
+		return endsWithConnection
+	case resp.ContentLength >= 0 || (resp.Request != nil && resp.Request.Method == http.MethodHead):
 		return framedByLength
 	case len(resp.TransferEncoding) > 0 || resp.ProtoMajor > 1:
 		return framedByChunks
@@ -31,3 +46,58 @@
 		return endsWithConnection
 	}
 }
+
+// setFraming sets the headers that frame the answer for the caller; length is -1 if unknown. An
+// answer to another gateway is always framed, so that the loss of this gateway shows, and
+// states separately that its engine's answer was not.
+func (x *exchange) setFraming(header http.Header, length int64) {
+	header.Del(request.HeaderUnframed)
+	unframed := x.framing == endsWithConnection
+	if unframed && x.handedOver {
+		header.Set(request.HeaderUnframed, "true")
+	}
+	x.callerFraming, x.endPromised = framedByChunks, !unframed
+	switch {
+	case unframed && !x.handedOver:
+		x.callerFraming = endsWithConnection
+		header.Set("Transfer-Encoding", "identity") // makes net/http neither add chunks nor a length
+	case length >= 0:
+		x.callerFraming = framedByLength
+	case !x.r.ProtoAtLeast(1, 1):
+		x.callerFraming, x.endPromised = endsWithConnection, false // net/http sends no chunks to such callers
+	}
+}
+
+// confirmEnd checks the end of an answer without framing that has arrived up to the end of its
+// connection. The error is a *truncatedAnswer if the answer is known to be cut short.
+func (x *exchange) confirmEnd(source answerSource) error {
+	if x.framing != endsWithConnection {
+		return nil
+	}
+	x.endUnconfirmed = true
+	if source.crashed != nil && source.crashed() {
+		return &truncatedAnswer{cause: errors.New("the engine crashed at the end of an answer without framing"), byEngine: true}
+	}
+	return nil
+}
+
+// engineCrashed reports whether the engine of an answer that has just ended refuses
+// connections, and wasn't shutting down. It returns false if that can't be determined.
+func (s *Server) engineCrashed(ctx context.Context, ticket *dispatch.Ticket) bool {
+	duty.Pause(ctx, probePause) // a process that ends closes its connections and its listener in any order
+	return s.refusesConnection(ctx, ticket.Address) && !ticket.EngineShuttingDown()
+}
+
+// resetConnection ends an answer without framing so that it can't be taken for complete: the
+// caller's connection is reset. It reports whether it could.
+func resetConnection(w http.ResponseWriter) bool {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return false
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // makes Close reset the connection
+	}
+	conn.Close()
+	return true
+}
--- a/ingress/framing_test.go
+++ b/ingress/framing_test.go
@@ -183,3 +183,31 @@
 	must.Eq(t, http.StatusOK, result.Status)
 	must.True(t, result.Unframed)
 }
+
+// TestContinuationWithoutFramingIsNotFramedAsComplete guards against a stream that began with
+// chunks, was continued by an answer without framing, and ends as if that had been complete.
+func TestContinuationWithoutFramingIsNotFramedAsComplete(t *testing.T) {
+	for _, handedOver := range []bool{false, true} {
+		env := newFramingEnv(t, answerKinds[1], handedOver, "\n")
+		plan := platformtest.NewFaultPlan(platformtest.FaultTruncate, 1).Then(platformtest.NewFaultPlan(platformtest.FaultNoLengthEvent, -1))
+		for _, e := range env.engines {
+			e.SetFaults(plan)
+		}
+		result := env.do(t)
+		must.Eq(t, http.StatusOK, result.Status)
+		must.False(t, result.Complete, must.Sprint(result.Body))
+		must.StrHasPrefix(t, result.Body, env.wholeBody(result, "\n"))
+		_, arrived := countRuns(env.engines, result.ID)
+		must.Eq(t, 2, arrived)
+	}
+}
+
+// TestFailureWithAStreamsTypeIsRelayed guards against an engine's own failure that is taken for a
+// stream cut short.
+func TestFailureWithAStreamsTypeIsRelayed(t *testing.T) {
+	env := newFramingEnv(t, answerKinds[0], false, "\n")
+	injectFault(env.engines, platformtest.FaultError, -1)
+	result := env.do(t)
+	must.Eq(t, http.StatusInternalServerError, result.Status)
+	must.Eq(t, "engine fault", result.Body)
+}
--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -94,7 +94,7 @@
 	if err == nil {
 		s.remotePaths.recordAnswer(gateway, s.Clock())
 		defer resp.Body.Close()
-		err = s.relayAnswer(x, resp, answerSource{origin: remoteOrigin(resp)})
+		err = s.relayAnswer(x, resp, answerSource{fromGateway: true, origin: remoteOrigin(resp)})
 	}
 	if err == nil {
 		s.countOutcome(x, "answered_elsewhere")
@@ -116,6 +116,10 @@
 	if errors.As(err, &rejection) {
 		return false, rejection
 	}
+	var truncated *truncatedAnswer
+	if errors.As(err, &truncated) && truncated.byEngine {
+		return false, &request.OutcomeUnknown{Message: err.Error()}
+	}
 	var failure *relay.Failure
 	if errors.As(err, &failure) && failure.NotRun {
 		return true, &request.NotRun{Reason: request.ReasonNoEngine, Message: err.Error(), RetryAfter: regionRetryAfter}
--- a/ingress/receive.go
+++ b/ingress/receive.go
@@ -43,9 +43,11 @@
 	handedOver     bool // by another gateway; the request runs in the local region
 	triedRegions   []string
 	answerStarted  bool    // the answer's head was sent to the caller
-	chunked        bool    // the answer's head stated no length
 	framing        framing // of the last answer that arrived
+	callerFraming  framing // of the answer that the caller gets
+	endPromised    bool    // the answer's head states that its end will show whether it is complete
 	trailingBytes  int     // after the last complete event of a stream that has ended
+	endUnconfirmed bool    // the last answer ended with its connection, so it may be incomplete
 	progress       progress
 	origin         *streams.Origin // of the stream that further attempts continue; nil before its first event
 	firstByteAfter time.Duration   // from the send until the answer began
--- a/ingress/rejection.go
+++ b/ingress/rejection.go
@@ -81,7 +81,10 @@
 // gateway handed the request over, trailers tell it the outcome and how often the request
 // has been sent; they also show that this gateway works and only the engines failed.
 func (x *exchange) abortAnswer(outcome string) {
-	if !x.handedOver || !x.chunked {
+	if x.callerFraming == endsWithConnection && resetConnection(x.w) {
+		return
+	}
+	if !x.handedOver || x.callerFraming != framedByChunks {
 		panic(http.ErrAbortHandler)
 	}
 	trailer := x.w.Header()
--- a/request/handover.go
+++ b/request/handover.go
@@ -38,6 +38,11 @@
 // HeaderOutcome.
 const HeaderReason = "Linenscale-Reason"
 
+// HeaderUnframed is "true" on the answer to a hand-over if the engine's answer has neither a
+// length nor chunks. The answer to the hand-over is framed; its end shows only that all bytes
+// of the engine's answer have arrived, not that the engine's answer was complete.
+const HeaderUnframed = "Linenscale-Unframed"
+
 // MaxHandovers bounds how many times one request is handed over.
 const MaxHandovers = 1
 
