ingress: an empty rest without framing isn't the end of a stream

A caller that resumed a stream got an empty answer as its end, although the engine had broken off right after the head. Cause: the check for streams without any event left out resumptions, as nothing may be left of those; without framing the two can't be told apart. Change: a stream without framing and without any event is taken for broken off, also when it resumes one, so another engine is asked. The engine of an answer without framing is asked for a connection 5 ms after its end instead of 30, which plain answers waited for. TestEmptyRestWithoutFramingIsNotTakenForTheEnd fails without the change. Conclusion: what nobody knows isn't passed on as an end.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -193,7 +193,7 @@
 	if x.framing != endsWithConnection {
 		return nil
 	}
-	if !splitter.begun && x.progress.lastEventID == "" {
+	if !splitter.begun {
 		return &truncatedAnswer{cause: errors.New("the connection ended before the first event"), byEngine: true}
 	}
 	if x.answerStarted && x.endPromised {
--- a/ingress/framing.go
+++ b/ingress/framing.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -81,10 +82,15 @@
 	return nil
 }
 
+// endProbeDelay is the time from the end of an answer until its engine is asked for a
+// connection. A process that ends closes its connections and its listener in any order, but
+// within a few milliseconds.
+const endProbeDelay = 5 * time.Millisecond
+
 // engineCrashed reports whether the engine of an answer that has just ended refuses
 // connections, and wasn't shutting down. It returns false if that can't be determined.
 func (s *Server) engineCrashed(ctx context.Context, ticket *dispatch.Ticket) bool {
-	duty.Pause(ctx, probePause) // a process that ends closes its connections and its listener in any order
+	duty.Pause(ctx, endProbeDelay)
 	return s.refusesConnection(ctx, ticket.Address) && !ticket.EngineShuttingDown()
 }
 
--- a/ingress/framing_test.go
+++ b/ingress/framing_test.go
@@ -202,6 +202,19 @@
 	}
 }
 
+// TestEmptyRestWithoutFramingIsNotTakenForTheEnd guards against a caller that resumes a stream and
+// gets an empty answer as its end, although the engine broke off right after the head.
+func TestEmptyRestWithoutFramingIsNotTakenForTheEnd(t *testing.T) {
+	env := newFramingEnv(t, answerKinds[1], false, "\n")
+	first := do(t, env.gateway, platformtest.Request{Path: env.kind.path, IsPrompt: true, BreakAfter: 9, Deadline: 5 * time.Second})
+	injectFault(env.engines, platformtest.FaultNoLengthHead, 1)
+	result := do(t, env.gateway, platformtest.Request{Path: env.kind.path, IsPrompt: true, Resumes: first.ID, LastEvent: "9", Deadline: 5 * time.Second})
+	must.Eq(t, http.StatusOK, result.Status)
+	must.True(t, result.FramedAsComplete())
+	must.StrHasSuffix(t, result.Body, env.wholeBody(result, "\n"))
+	must.StrContains(t, result.Body, platformtest.EventText(10))
+}
+
 // TestFailureWithAStreamsTypeIsRelayed guards against an engine's own failure that is taken for a
 // stream cut short.
 func TestFailureWithAStreamsTypeIsRelayed(t *testing.T) {
