ingress: log the shared parts of a request's prompt

Cause: in the incident of engines that crash one after the other, no log line names the parts that the requests on the crashed engines had in common. No logic changes.

--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,6 +44,20 @@
 	return n
 }
 
+// maxLoggedParts bounds the IDs that SharedIDs returns.
+const maxLoggedParts = 8
+
+// SharedIDs returns the IDs of the first shared blocks, separated by commas, for logs.
+func (p Prompt) SharedIDs() string {
+	var ids []string
+	for _, block := range p.sharedBlocks() {
+		if len(ids) < maxLoggedParts {
+			ids = append(ids, block.ID)
+		}
+	}
+	return strings.Join(ids, ",")
+}
+
 // AffinityKey returns the key by which gateways agree on an engine: the ID of the deepest
 // shared block, which implies all before it; "" if no block is shared.
 func (p Prompt) AffinityKey() string {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -75,7 +75,7 @@
 	}
 	p.triedEngines = append(p.triedEngines, ticket.Engine)
 	s.Log.Info("engine chosen", x.logFields(zap.String("engine", ticket.Engine), zap.String("engine_version", ticket.Version), zap.String("address", ticket.Address), zap.String("resumes", x.meta.Resumes), zap.String("last_event", p.lastEventID), x.originField(),
-		zap.Int("attempt", p.sends+p.unreachable+1), zap.String("why", ticket.Explanation), zap.String("part", x.meta.Prompt.AffinityKey()), zap.Bool("cold", ticket.Cold), zap.String("copy_from", ticket.TransferFrom), zap.Duration("remaining", s.remaining(x)), zap.Stringer("fingerprint", x.fingerprint), zap.String("limit", ticket.Limit()))...)
+		zap.Int("attempt", p.sends+p.unreachable+1), zap.String("why", ticket.Explanation), zap.String("part", x.meta.Prompt.AffinityKey()), zap.String("parts", x.meta.Prompt.SharedIDs()), zap.Bool("cold", ticket.Cold), zap.String("copy_from", ticket.TransferFrom), zap.Duration("remaining", s.remaining(x)), zap.Stringer("fingerprint", x.fingerprint), zap.String("limit", ticket.Limit()))...)
 	s.countContinuation(x)
 	x.announceSend()
 	err = s.send(x, p, ticket)
@@ -205,7 +205,7 @@
 		return false
 	}
 	s.Log.Warn("attempt failed", x.logFields(zap.String("engine", ticket.Engine), zap.String("outcome", outcome.String()),
-		zap.Bool("not_run", notRun), zap.Int("sends", p.sends), zap.String("last_event", p.lastEventID), zap.Stringer("fingerprint", x.fingerprint), telemetry.ErrorField(err))...)
+		zap.Bool("not_run", notRun), zap.Int("sends", p.sends), zap.String("last_event", p.lastEventID), zap.String("parts", x.meta.Prompt.SharedIDs()), zap.Stringer("fingerprint", x.fingerprint), telemetry.ErrorField(err))...)
 	if outcome == dispatch.Abandoned {
 		return false
 	}
