--- a/ingress/quarantine_test.go
+++ b/ingress/quarantine_test.go
@@ -19,6 +19,9 @@
 // crashingPrompt is the body of the request that crashes the engines of a cluster.
 const crashingPrompt = "query of death"
 
+// crashingPart is the part of prompts that crashes the engines of a cluster.
+const crashingPart = "dead"
+
 // cluster is three gateways in two regions that exchange reports, and model engines that
 // crash on one request.
 type cluster struct {
@@ -62,7 +65,7 @@
 func (c *cluster) start(ctx context.Context, t *testing.T, group *pool.Pool, region string) {
 	t.Helper()
 	dataCentre := map[string]string{"lagos": "a", "kano": "b"}[region]
-	e, err := platformtest.StartEngine(ctx, group, "127.0.0.1:0", platformtest.EngineOptions{Service: "model", DataCentre: dataCentre, CrashOn: crashingPrompt, Pause: 10 * time.Millisecond})
+	e, err := platformtest.StartEngine(ctx, group, "127.0.0.1:0", platformtest.EngineOptions{Service: "model", DataCentre: dataCentre, CrashOn: crashingPrompt, CrashOnPart: crashingPart, Pause: 10 * time.Millisecond})
 	must.NoError(t, err)
 	c.engines = append(c.engines, e)
 	for _, g := range c.gateways {
@@ -131,3 +134,46 @@
 	result := do(t, c.gateways[0], platformtest.Request{Path: "/chat/1", IsPrompt: true, Body: "another", Deadline: 5 * time.Second})
 	must.Eq(t, streamBody(5), result.Body, must.Sprint("other requests are served"))
 }
+
+// TestPartThatCrashesEnginesStopsReachingThem guards against a part of prompts that crashes one
+// engine after the other under requests that are all different.
+func TestPartThatCrashesEnginesStopsReachingThem(t *testing.T) {
+	const engines, maxSends = 10, 3
+	c := newCluster(t, engines)
+	crashed := func() int {
+		n := 0
+		for _, e := range c.engines {
+			select {
+			case <-e.Crashed():
+				n++
+			default:
+			}
+		}
+		return n
+	}
+	sound := func(i int) platformtest.Result {
+		return do(t, c.gateways[i%3], platformtest.Request{Path: "/chat/1", IsPrompt: true, Body: fmt.Sprint("sound ", i), PromptBlocks: fmt.Sprintf("f:400,%d:50", i), Deadline: 5 * time.Second})
+	}
+	crashing := func(i int) platformtest.Result {
+		return do(t, c.gateways[i%3], platformtest.Request{Path: "/chat/1", IsPrompt: true, Body: fmt.Sprint("crashing ", i), PromptBlocks: fmt.Sprintf("f:400,%s:200,c%d:50", crashingPart, i), Deadline: 5 * time.Second})
+	}
+	for i := range 20 {
+		if crashed() >= 5 {
+			break
+		}
+		crashing(i)
+		sound(i)
+		c.exchangeReports()
+	}
+	before := crashed()
+	for i := range 20 {
+		result := crashing(100 + i)
+		must.NotEq(t, http.StatusOK, result.Status)
+		if result.GuaranteesNotRun() {
+			must.Positive(t, result.RetryAfter)
+		}
+		c.exchangeReports()
+	}
+	must.LessEq(t, before+maxSends, crashed())
+	must.Eq(t, streamBody(5), sound(100).Body, must.Sprint("sound requests with the same first part are served"))
+}
