quarantine, dispatch: a part of prompts that crashes engines is quarantined

Callers saw engine after engine end under requests with one part in common (BUDGET), and with them everything else that ran there. Cause: what was judged, a whole request by its caller, target and body, is larger than what fails. No two requests with the part are alike, so each was a first one; all that a gateway does against failing engines carries the part on to the next one. Change: crashes are counted per shared part of prompts, service and model, by all gateways together. Against a part count crashes under requests whose answers had not begun, each sent after the one before had crashed (three; or five with two such), while answers without the part began and most engines that crashed near had run it. An answer that began on a part and an engine that lived on clear it of all earlier crashes, wherever it was seen; crashes of a quarantined part no longer count against others, and parts that were always together are told apart by requests that have only one. A quarantined part is rejected at once as not run; after ten minutes or more one gateway of a region tries it. Conclusion: the unit that is judged is the unit that fails.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -36,7 +36,7 @@
 // held.
 func (t *Ticket) recordBroken(now time.Time) {
 	d, e := t.dispatcher, t.engine
-	if !d.crashDetector.RecordBreak(e.Incarnation(), t.fingerprint, now) {
+	if !d.crashDetector.RecordBreak(e.Incarnation(), t.brokenRun(now), now) {
 		return
 	}
 	select {
@@ -102,19 +102,20 @@
 // engineCrashed records that an engine has ended, and counts the crash against the
 // requests whose connections to it broke. The lock is held.
 func (d *Dispatcher) engineCrashed(incarnation, evidence string, now time.Time) {
-	requests := d.crashDetector.RemoveSuspect(incarnation)
-	if len(requests) == 0 {
+	runs := d.crashDetector.RemoveSuspect(incarnation)
+	if len(runs) == 0 {
 		return
 	}
-	d.Log.Warn("engine crashed", zap.String("engine", incarnation), zap.String("sign", evidence), zap.Int("requests", len(requests)),
-		zap.String("fingerprints", formatFingerprints(requests)))
+	d.Log.Warn("engine crashed", zap.String("engine", incarnation), zap.String("sign", evidence), zap.Int("requests", len(runs)),
+		zap.String("fingerprints", formatFingerprints(runs)))
 	if d.Metrics != nil {
-		d.Metrics.CountEngineCrash(len(requests))
+		d.Metrics.CountEngineCrash(len(runs))
 	}
-	for _, f := range requests {
-		if d.quarantine.RecordCrash(f, incarnation, now) {
-			d.logQuarantined(f, "this gateway")
+	for _, run := range runs {
+		if d.quarantine.RecordCrash(run.fingerprint, incarnation, now) {
+			d.logQuarantined(run.fingerprint, "this gateway")
 		}
+		d.parts.RecordCrash(run.run, incarnation, run.brokeAt, now)
 	}
 }
 
@@ -122,18 +123,18 @@
 	d.Log.Warn("request quarantined", zap.Stringer("fingerprint", f), zap.String("last_crash_seen_by", source))
 }
 
-// checkQuarantine rejects a request that is quarantined because engines crashed while
-// they ran it. The lock is held.
-func (d *Dispatcher) checkQuarantine(req Request, now time.Time) error {
-	err := d.quarantine.Check(req.Fingerprint, now)
+// checkQuarantine rejects a request that is quarantined, or has a part in its prompt that is,
+// because engines crashed while they ran it. trials lists the parts whose quarantine has ended and
+// that the request tries. The lock is held.
+func (d *Dispatcher) checkQuarantine(req Request, now time.Time) (trials []quarantine.Fingerprint, err error) {
 	var rejection *quarantine.RejectedError
-	if !errors.As(err, &rejection) {
-		return nil
-	}
-	return &request.NotRun{
-		Reason: request.ReasonQuarantined, RetryAfter: rejection.RetryAfter,
-		Message: rejection.Error() + ", " + strconv.Itoa(rejection.Crashes) + " of them; fingerprint " + req.Fingerprint.String(),
+	if errors.As(d.quarantine.Check(req.Fingerprint, now), &rejection) {
+		return nil, &request.NotRun{
+			Reason: request.ReasonQuarantined, RetryAfter: rejection.RetryAfter,
+			Message: rejection.Error() + ", " + strconv.Itoa(rejection.Crashes) + " of them; fingerprint " + req.Fingerprint.String(),
+		}
 	}
+	return d.checkParts(req, now)
 }
 
 // mergeLocalCrashes applies the crashes that another gateway of the region reports. The
@@ -142,6 +143,7 @@
 	for _, f := range d.quarantine.ReceiveLocal(m.Report.Crashes, now) {
 		d.logQuarantined(f, m.From)
 	}
+	d.logQuarantinedParts(d.parts.ReceiveLocal(m.Report.Parts, now), m.From)
 }
 
 // mergeRemoteCrashes applies the crashes that another region reports. The lock is held.
@@ -149,12 +151,13 @@
 	for _, f := range d.quarantine.ReceiveRemote(r.Crashes, now) {
 		d.logQuarantined(f, r.Region)
 	}
+	d.logQuarantinedParts(d.parts.ReceiveRemote(r.Parts, now), r.Region)
 }
 
-func formatFingerprints(requests []quarantine.Fingerprint) string {
+func formatFingerprints(runs []brokenRun) string {
 	var names []string
-	for _, f := range requests[:min(len(requests), maxLoggedFingerprints)] {
-		names = append(names, f.String())
+	for _, run := range runs[:min(len(runs), maxLoggedFingerprints)] {
+		names = append(names, run.fingerprint.String())
 	}
 	return strings.Join(names, ",")
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -81,15 +81,17 @@
 	// reported are the engines that the next report may have to contain: those that this
 	// gateway has used lately, or that others say drain.
 	reported       map[*engine]struct{}
-	accountNames   map[uint32]string         // account names by hash
-	sentBlocks     []sentBlock               // recently sent prompt blocks, for the next reports
-	lastCleanup    time.Time                 // when expired entries were last removed
-	crashDetector  *quarantine.CrashDetector // distinguishes crashes from broken connections
+	accountNames   map[uint32]string                    // account names by hash
+	sentBlocks     []sentBlock                          // recently sent prompt blocks, for the next reports
+	lastCleanup    time.Time                            // when expired entries were last removed
+	crashDetector  *quarantine.CrashDetector[brokenRun] // distinguishes crashes from broken connections
 	suspectEngines chan SuspectEngine
 	// quarantine holds the requests that were running when engines crashed.
 	quarantine *quarantine.Table
-	limits     *ratelimit.Table // limits announced by engines
-	pushback   *pushback.Table  // backoff and draining announced by engines
+	parts      *quarantine.Parts // the parts of prompts that were running when engines crashed
+	begunRuns  []*Ticket         // whose answers have begun, until their parts are cleared
+	limits     *ratelimit.Table  // limits announced by engines
+	pushback   *pushback.Table   // backoff and draining announced by engines
 }
 
 // New returns a dispatcher without services. They come with the first ledger state.
@@ -98,7 +100,7 @@
 	d := &Dispatcher{
 		Deps: deps, catalog: catalog.NewTable(catalog.Catalog{}), pools: make(map[string]*pool), reported: make(map[*engine]struct{}),
 		evacuationEnded: make(map[string]time.Time), reportingGateways: 1, remotes: make(map[string]*remoteRegion), enginesByHash: make(map[uint64]*engine), accountNames: make(map[uint32]string),
-		crashDetector: quarantine.NewCrashDetector(), suspectEngines: make(chan SuspectEngine, maxSuspectEngines), quarantine: quarantine.New(), limits: ratelimit.New(deps.Name), pushback: pushback.New(),
+		crashDetector: quarantine.NewCrashDetector[brokenRun](), suspectEngines: make(chan SuspectEngine, maxSuspectEngines), quarantine: quarantine.New(), parts: quarantine.NewParts(), limits: ratelimit.New(deps.Name), pushback: pushback.New(),
 	}
 	d.aggregator = rollup.New(rollup.Deps{Self: self, Hosts: deps.Peers, IsSignificant: d.isSignificantLoad, Clock: deps.Clock})
 	return d
@@ -163,8 +165,10 @@
 	if cleanup {
 		d.forgetRemoteBlocks(now)
 		d.quarantine.Expire(now)
+		d.parts.Expire(now)
 		d.forgetRemovedEngines(now)
 	}
+	d.clearBegunParts(now)
 	d.resolveSuspects(now)
 	d.updateGateways(now)
 	for _, p := range d.pools {
@@ -236,7 +240,8 @@
 	if !ok {
 		return nil, &request.NotRun{Reason: request.ReasonNoEngine, Message: "service " + req.Service + " is not declared", RetryAfter: noEngineRetryAfter}
 	}
-	if err := d.checkQuarantine(req, now); err != nil {
+	trials, err := d.checkQuarantine(req, now)
+	if err != nil {
 		return nil, err
 	}
 	chosen, expected := d.choose(p, req, now)
@@ -246,5 +251,8 @@
 	if err := req.checkAdmission(expected); err != nil {
 		return nil, err
 	}
-	return d.issueTicket(p, chosen, req, expected, now), nil
+	ticket := d.issueTicket(p, chosen, req, expected, now)
+	ticket.partTrials = trials
+	d.parts.BeginTrials(trials)
+	return ticket, nil
 }
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -112,7 +112,7 @@
 		d.Log.Error("region report not sent: encoding failed", telemetry.ErrorField(err))
 		return rollup.Message{}, false
 	}
-	return rollup.Message{From: d.Name, Remote: []rollup.RegionReport{{Region: d.Region, Digests: body, Accounts: d.regionUsage(now), Crashes: d.quarantine.OutgoingRemote(now), Versions: d.servingVersions(now)}}}, true
+	return rollup.Message{From: d.Name, Remote: []rollup.RegionReport{{Region: d.Region, Digests: body, Accounts: d.regionUsage(now), Crashes: d.quarantine.OutgoingRemote(now), Parts: d.parts.OutgoingRemote(now), Versions: d.servingVersions(now)}}}, true
 }
 
 func (d *Dispatcher) digest(p *pool, now time.Time) Digest {
@@ -204,7 +204,7 @@
 	if !ok {
 		return Placement{Region: d.Region, LocalCost: -1}
 	}
-	if err := d.checkQuarantine(req, now); err != nil {
+	if _, err := d.checkQuarantine(req, now); err != nil {
 		return Placement{Region: d.Region, LocalCost: -1, Refusal: err}
 	}
 	home := d.homeRegion(p, req, now)
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -36,6 +36,11 @@
 	route        string
 	// fingerprint is equal for all repeats of the request.
 	fingerprint quarantine.Fingerprint
+	// prompt is the prompt of the request, to find parts of prompts that crash engines.
+	prompt     quarantine.Prompt
+	partTrials []quarantine.Fingerprint // quarantined parts that the request tries
+	begunAt    time.Time                // when the engine began an answer that isn't its own failure; zero before
+	done       bool
 	// limit is the state of the engine's rate limit; nil if it has none.
 	limit *ratelimit.Status
 	// trial marks the one request that tests whether the engine accepts requests after a
@@ -57,7 +62,7 @@
 	e.use()
 	t := &Ticket{
 		Engine: e.ID, Version: e.Version, Address: e.Address, Explanation: s.String(), Cold: d.isCold(p, e, now), ExpectedWait: s.wait,
-		dispatcher: d, pool: p, engine: e, sentAt: now, load: Load{Requests: 1}, route: req.Route, outputTokens: req.Prompt.OutputTokens, queued: s.load.Requests >= e.Slots, fingerprint: req.Fingerprint, continues: req.Origin != nil,
+		dispatcher: d, pool: p, engine: e, sentAt: now, load: Load{Requests: 1}, route: req.Route, outputTokens: req.Prompt.OutputTokens, queued: s.load.Requests >= e.Slots, fingerprint: req.Fingerprint, prompt: req.quarantinePrompt(), continues: req.Origin != nil,
 	}
 	if p.rollout != nil {
 		t.startedRollout, t.canary = p.rollout.ID, p.excludesVersion(e)
@@ -103,6 +108,7 @@
 	t.load.Unread = 0
 	if served {
 		t.firstEventAt, t.served = now, true
+		t.recordBegun(now)
 		t.recordFirstEvent(now)
 		if counts := t.pool.countsFor(t.engine, t.route); counts != nil && t.startedRollout == t.pool.rollout.ID {
 			counts.RecordFirst(now.Sub(t.sentAt))
@@ -167,6 +173,7 @@
 	now := d.Clock()
 	e := t.engine
 	t.releaseLoad()
+	t.endPrompt(outcome, now)
 	d.quarantine.End(t.fingerprint, outcome == Answered, now)
 	if t.trial {
 		d.pushback.End(e.hash)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -38,7 +38,7 @@
 	mu            sync.Mutex
 	pools         map[string]*pool
 	quarantine    *quarantine.Table
-	crashDetector *quarantine.CrashDetector
+	crashDetector *quarantine.CrashDetector[quarantine.Fingerprint]
 	limits        *ratelimit.Table // rate limits that engines announce
 	pushback      *pushback.Table  // backoff and draining that engines announce to this host
 	limitSharers  []string         // declared hosts of this region, among which limits are divided
@@ -63,7 +63,7 @@
 		pools:          make(map[string]*pool),
 
 		quarantine:    quarantine.New(),
-		crashDetector: quarantine.NewCrashDetector(),
+		crashDetector: quarantine.NewCrashDetector[quarantine.Fingerprint](),
 		limits:        ratelimit.New(host),
 		pushback:      pushback.New(),
 	}
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -28,41 +28,43 @@
 // crashes.
 //
 // It isn't safe for concurrent use.
-type CrashDetector struct {
-	suspects map[string]*suspect // by incarnation of the engine
+type CrashDetector[R any] struct {
+	suspects map[string]*suspect[R] // by incarnation of the engine
 }
 
 // suspect is an engine that may have crashed.
-type suspect struct {
+type suspect[R any] struct {
 	lastBreak time.Time // when the last connection broke
-	requests  []Fingerprint
+	requests  []R
 }
 
-// NewCrashDetector returns a detector without suspects.
-func NewCrashDetector() *CrashDetector { return &CrashDetector{suspects: make(map[string]*suspect)} }
+// NewCrashDetector returns a detector without suspects, which records an R for each request.
+func NewCrashDetector[R any]() *CrashDetector[R] {
+	return &CrashDetector[R]{suspects: make(map[string]*suspect[R])}
+}
 
 // RecordBreak records that the connection of a request to an engine broke. It reports whether
 // the engine wasn't suspected before, so that the caller should probe it.
-func (d *CrashDetector) RecordBreak(engine string, f Fingerprint, now time.Time) (first bool) {
+func (d *CrashDetector[R]) RecordBreak(engine string, request R, now time.Time) (first bool) {
 	d.expire(now)
 	s, ok := d.suspects[engine]
 	if !ok {
 		if len(d.suspects) >= maxSuspects {
 			return false
 		}
-		s = &suspect{}
+		s = &suspect[R]{}
 		d.suspects[engine] = s
 	}
 	s.lastBreak = now
 	if len(s.requests) < maxRequestsPerSuspect {
-		s.requests = append(s.requests, f)
+		s.requests = append(s.requests, request)
 	}
 	return !ok
 }
 
 // RecordAnswer records that an engine answered a request sent at the given time. If all
 // connections broke before that, the engine didn't crash and is no longer suspected.
-func (d *CrashDetector) RecordAnswer(engine string, sent time.Time) {
+func (d *CrashDetector[R]) RecordAnswer(engine string, sent time.Time) {
 	if s, ok := d.suspects[engine]; ok && s.lastBreak.Before(sent) {
 		delete(d.suspects, engine)
 	}
@@ -70,7 +72,7 @@
 
 // RemoveSuspect removes an engine from the suspects, because it has crashed or was shutting
 // down. It returns the requests whose connections to it broke, once.
-func (d *CrashDetector) RemoveSuspect(engine string) []Fingerprint {
+func (d *CrashDetector[R]) RemoveSuspect(engine string) []R {
 	s, ok := d.suspects[engine]
 	if !ok {
 		return nil
@@ -80,11 +82,11 @@
 }
 
 // Suspects lists the suspected engines.
-func (d *CrashDetector) Suspects() []string { return slices.Collect(maps.Keys(d.suspects)) }
+func (d *CrashDetector[R]) Suspects() []string { return slices.Collect(maps.Keys(d.suspects)) }
 
 // expire removes the suspects that neither crashed nor answered in time: they are still
 // registered, but get no request that would show whether they are alive.
-func (d *CrashDetector) expire(now time.Time) {
+func (d *CrashDetector[R]) expire(now time.Time) {
 	for engine, s := range d.suspects {
 		if now.Sub(s.lastBreak) > suspicionTTL {
 			delete(d.suspects, engine)
--- a/rollup/report.go
+++ b/rollup/report.go
@@ -31,6 +31,8 @@
 	Draining []uint64 `cbor:"8,keyasint,omitempty"`
 	// Engines that have asked gateways to back off, until that time is over.
 	BackingOff []Backoff `cbor:"9,keyasint,omitempty"`
+	// Recent changes of the crash records of parts of prompts.
+	Parts []quarantine.PartReport `cbor:"10,keyasint,omitempty"`
 }
 
 // Backoff is an engine that asks for backoff, with the number of gateways that it asked.
@@ -87,6 +89,8 @@
 	Crashes []quarantine.CrashReport `cbor:"5,keyasint,omitempty"`
 	// The software versions of the region's engines.
 	Versions []VersionCount `cbor:"6,keyasint,omitempty"`
+	// The crash records of parts of prompts that the region's gateways report.
+	Parts []quarantine.PartReport `cbor:"7,keyasint,omitempty"`
 }
 
 // VersionCount is the number of a region's engines that serve one service at one software
@@ -128,7 +132,8 @@
 	// crashes keeps the greatest age reported for each crash: a report that is forwarded
 	// appears younger than it is.
 	crashes map[crashKey]quarantine.CrashReport
-	limits  map[uint64]ratelimit.LimitReport // by engine, the youngest report
+	parts   map[partKey]quarantine.PartReport // likewise
+	limits  map[uint64]ratelimit.LimitReport  // by engine, the youngest report
 }
 
 // maxCrashes bounds the crash reports in one sum to about 4 KB, those of twelve engines
@@ -151,8 +156,15 @@
 	engine  uint32
 }
 
+// partKey identifies one event that concerns a part of prompts.
+type partKey struct {
+	part   quarantine.Fingerprint
+	event  quarantine.PartEvent
+	engine uint32
+}
+
 func newSum() *sum {
-	return &sum{make(map[uint64]EngineLoad), make(map[SentBlock]bool), make(map[uint64]bool), make(map[uint64]bool), make(map[uint64]bool), make(map[uint64]int), make(map[uint32]AccountUsage), make(map[crashKey]quarantine.CrashReport), make(map[uint64]ratelimit.LimitReport)}
+	return &sum{make(map[uint64]EngineLoad), make(map[SentBlock]bool), make(map[uint64]bool), make(map[uint64]bool), make(map[uint64]bool), make(map[uint64]int), make(map[uint32]AccountUsage), make(map[crashKey]quarantine.CrashReport), make(map[partKey]quarantine.PartReport), make(map[uint64]ratelimit.LimitReport)}
 }
 
 // add adds the report factor times; -1 subtracts it.
@@ -196,6 +208,12 @@
 			s.crashes[key] = crash
 		}
 	}
+	for _, part := range r.Parts {
+		key := partKey{part.Part, part.Event, part.Engine}
+		if known, ok := s.parts[key]; !ok || part.AgeMillis > known.AgeMillis {
+			s.parts[key] = part
+		}
+	}
 	for _, limit := range r.Limits {
 		if known, ok := s.limits[limit.Engine]; !ok || limit.Age < known.Age {
 			s.limits[limit.Engine] = limit
@@ -231,6 +249,11 @@
 			r.Crashes = append(r.Crashes, crash)
 		}
 	}
+	for _, part := range s.parts {
+		if len(r.Parts) < maxCrashes {
+			r.Parts = append(r.Parts, part)
+		}
+	}
 	for _, limit := range s.limits {
 		if len(r.Limits) < maxLimits {
 			r.Limits = append(r.Limits, limit)
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -36,6 +36,7 @@
 	trafficBytes    metric.Int64Counter
 	continuations   metric.Int64Counter
 	streamSearches  metric.Int64Counter
+	partQuarantines metric.Int64Counter
 	accountLabels   labelSet // the accounts that have counters of their own
 	engineLabels    labelSet // the engines that have counters of their own
 }
@@ -50,7 +51,7 @@
 	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
 	meter := provider.Meter("linenscale")
 	m := &Metrics{provider: provider, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
-	var errs [16]error
+	var errs [17]error
 	m.requests, errs[0] = meter.Int64Counter("linenscale_requests", metric.WithDescription("requests that have ended, by service and outcome"))
 	m.attempts, errs[1] = meter.Int64Counter("linenscale_attempts", metric.WithDescription("attempts sent to engines and entry hosts, by service and outcome"))
 	m.firstByte, errs[2] = meter.Float64Histogram("linenscale_first_byte_seconds", metric.WithDescription("time to the first byte of an answer"), metric.WithUnit("s"))
@@ -67,6 +68,7 @@
 	m.trafficBytes, errs[13] = meter.Int64Counter("linenscale_traffic", metric.WithDescription("bytes exchanged with other hosts, by kind and distance"), metric.WithUnit("By"))
 	m.continuations, errs[14] = meter.Int64Counter("linenscale_stream_continuations", metric.WithDescription("attempts that continue a stream, by service and by who resumes it"))
 	m.streamSearches, errs[15] = meter.Int64Counter("linenscale_stream_searches", metric.WithDescription("searches for the origin of a stream that a caller resumes, by service and outcome"))
+	m.partQuarantines, errs[16] = meter.Int64Counter("linenscale_quarantined_parts", metric.WithDescription("parts of prompts that this host has quarantined because engines crashed under them, or learned to be"))
 	for _, err := range errs {
 		if err != nil {
 			return nil, errors.Annotate(err, "metrics")
@@ -139,6 +141,11 @@
 	m.crashedRequests.Add(context.Background(), int64(requests))
 }
 
+// CountQuarantinedParts counts parts of prompts that have become quarantined.
+func (m *Metrics) CountQuarantinedParts(parts int) {
+	m.partQuarantines.Add(context.Background(), int64(parts))
+}
+
 // CountLimitEvent counts an event of an engine that announces a rate limit.
 func (m *Metrics) CountLimitEvent(engine, event string) {
 	m.limitEvents.Add(context.Background(), 1, metric.WithAttributes(attribute.String("engine", m.engineLabels.label(engine)), attribute.String("event", event)))
