soak: requests that are all different and share a part that crashes engines

Change: from its fourth second on the soak sends requests with one part that crashes each engine that begins to answer them. It checks that at most three reach engines later than 6 s after the fifth crash, from undisturbed gateways, and that sound requests with the same first part begin at least half as often as before.

--- a/soak/check.go
+++ b/soak/check.go
@@ -61,6 +61,8 @@
 	Resumptions                           int // requests that took up a stream
 	ResumptionsCounted, ResumptionsGoneOn int // at undisturbed gateways, see checkResumptions
 	begun, resumed                        []streamStart
+	sound                                 []streamStart          // requests without the part that crashes engines
+	PartCrashes                           int                    // runs of requests with that part
 	Backoffs                              int                    // backoffs that engines asked for
 	disturbances                          map[string][]time.Time // by IP address: when a host's process was started or got a signal
 }
@@ -182,6 +184,7 @@
 	c.mu.Unlock()
 	c.checkAccounts(engines)
 	c.checkPoison(engines)
+	c.checkCrashingPart(engines)
 	c.checkEngineLimit()
 	c.checkPushback(engines)
 	c.checkResumptions()
--- a/soak/run.go
+++ b/soak/run.go
@@ -26,6 +26,7 @@
 	Version            int64 // the newest accepted version
 	SmallAccountRuns   int   // requests of the small account that ran
 	CrashedEngines     int   // engines that the poison request crashed
+	PartCrashes        int   // engines that crashed under a part of prompts
 	LimitedEnginePeak  int   // most requests within limitWindow at the rate-limited engine, while calm
 	Resumptions        int   // requests that took up a stream
 	ResumptionsCounted int   // of these, those at undisturbed gateways while engines of their version were live
@@ -37,7 +38,7 @@
 // String returns a summary line, the counts of faults and answers, and the problems.
 func (r Report) String() string {
 	var out strings.Builder
-	fmt.Fprintf(&out, "seed %d: %d checks, version %d, %d requests of the small account, %d engines crashed by a request, %d at the engine that takes few, %d rests asked for, %d streams taken up (%d of %d undisturbed ones went on), %d problems\n", r.Seed, r.Checks, r.Version, r.SmallAccountRuns, r.CrashedEngines, r.LimitedEnginePeak, r.Backoffs, r.Resumptions, r.ResumptionsGoneOn, r.ResumptionsCounted, len(r.Problems))
+	fmt.Fprintf(&out, "seed %d: %d checks, version %d, %d requests of the small account, %d engines crashed by a request and %d by a part, %d at the engine that takes few, %d rests asked for, %d streams taken up (%d of %d undisturbed ones went on), %d problems\n", r.Seed, r.Checks, r.Version, r.SmallAccountRuns, r.CrashedEngines, r.PartCrashes, r.LimitedEnginePeak, r.Backoffs, r.Resumptions, r.ResumptionsGoneOn, r.ResumptionsCounted, len(r.Problems))
 	for _, counts := range []map[string]int{r.Faults, r.Answers} {
 		for _, name := range slices.Sorted(maps.Keys(counts)) {
 			fmt.Fprintf(&out, "  %-22s %d\n", name, counts[name])
@@ -122,6 +123,7 @@
 	w.readAllControlHosts()
 	w.Checker.CheckEngines()
 	report.SmallAccountRuns, report.CrashedEngines, report.LimitedEnginePeak, report.Backoffs = w.Checker.SmallAccountRuns, w.Checker.PoisonRuns, w.Checker.LimitedEnginePeak, w.Checker.Backoffs
+	report.PartCrashes = w.Checker.PartCrashes
 	report.Resumptions, report.ResumptionsCounted, report.ResumptionsGoneOn = w.Checker.Resumptions, w.Checker.ResumptionsCounted, w.Checker.ResumptionsGoneOn
 	report.Answers, report.Checks, report.Version, report.Problems = w.Checker.Answers, w.Checker.Checks, w.Checker.NewestVersion(), w.Checker.Problems()
 	return report, nil
@@ -138,6 +140,7 @@
 		work.Go(func() { w.exceedAllowance(ctx, h) })
 	}
 	work.Go(func() { w.sendPoison(ctx, rand.New(rand.NewPCG(w.Seed, 17))) })
+	work.Go(func() { w.sendCrashingPart(ctx, rand.New(rand.NewPCG(w.Seed, 29))) })
 	work.Go(func() { w.injectPushback(changing, rand.New(rand.NewPCG(w.Seed, 23))) })
 	work.Go(func() { w.runOperator(changing) })
 	work.Go(func() { w.readDeclarations(ctx) })
@@ -148,7 +151,7 @@
 func (w *World) sendRequests(ctx context.Context, h *Host, k requestKind, r *rand.Rand) {
 	var caller platformtest.Caller
 	for ctx.Err() == nil {
-		request := platformtest.Request{Host: "soak", Path: "/" + k.name + "/1", Header: platformtest.HeaderWithKeys(memberKey), IsPrompt: k.model, PromptBlocks: fmt.Sprintf("a:400,b%d:600,c:50", r.IntN(5)), Deadline: 3 * time.Second}
+		request := platformtest.Request{Host: "soak", Path: "/" + k.name + "/1", Header: platformtest.HeaderWithKeys(memberKey), IsPrompt: k.model, PromptBlocks: fmt.Sprintf("%s:400,b%d:600,c:50", firstPart, r.IntN(5)), Deadline: 3 * time.Second}
 		if k.resumable && r.IntN(breakOneIn) == 0 {
 			request.BreakAfter = 1 + r.IntN(streamEvents-1)
 		}
@@ -156,6 +159,9 @@
 		if err == nil {
 			w.Checker.CheckAnswer(k, h.Name, result)
 		}
+		if err == nil && k.model {
+			w.Checker.RecordSoundRequest(h, result)
+		}
 		if err == nil && k.resumable {
 			w.Checker.RecordNewStream(h, result)
 			if result.Status == http.StatusOK && !result.Complete {
--- a/soak/streams.go
+++ b/soak/streams.go
@@ -139,7 +139,7 @@
 }
 
 func newStreamStart(at *Host, r platformtest.Result) streamStart {
-	return streamStart{at.listenIP, r.StartTime, r.StartTime.Add(r.Duration), r.Status == http.StatusOK && r.Body != ""}
+	return streamStart{at.listenIP, r.StartTime, r.StartTime.Add(r.Duration), hasBegun(r)}
 }
 
 // checkResumptions checks that streams go on where new ones begin: of the resumptions at gateways
--- a/soak/world.go
+++ b/soak/world.go
@@ -236,7 +236,7 @@
 	ctx, cancel := context.WithCancel(w.ctx)
 	group := pool.New()
 	e, err := platformtest.StartEngine(ctx, group, address(w.listenNets[region].IP(engineIP), 0), platformtest.EngineOptions{
-		Service: service, DataCentre: fmt.Sprintf("dc%d", region), Heartbeat: heartbeat, Pause: 15 * time.Millisecond, CrashOn: poisonBody, Version: w.nextVersion(), Events: streamEvents,
+		Service: service, DataCentre: fmt.Sprintf("dc%d", region), Heartbeat: heartbeat, Pause: 15 * time.Millisecond, CrashOn: poisonBody, CrashOnPart: crashingPart, Version: w.nextVersion(), Events: streamEvents,
 	})
 	if err != nil {
 		cancel()
