--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 
 	"github.com/linenscale/linenscale/catalog"
@@ -12,6 +15,7 @@
 	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/registry"
 	"github.com/linenscale/linenscale/retry"
+	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/roster"
 )
 
@@ -93,3 +97,39 @@
 		})
 	}
 }
+
+// BenchmarkPartBytes measures what the reports about parts of prompts cost each gateway on average,
+// in bytes a second that it sends: while a part crashes engines, and once it is quarantined.
+func BenchmarkPartBytes(b *testing.B) {
+	for _, gateways := range []int{3, 20, 100, 330} { // in each of two regions
+		b.Run(fmt.Sprint(gateways, " gateways"), func(b *testing.B) {
+			for b.Loop() {
+				s := newCrashSim(b, 1, gateways, 24)
+				bytes := 0
+				s.onMessage = func(m rollup.Message, recipients int) {
+					with := encodedLen(b, m)
+					m.Report.Parts, m.Remote = nil, slices.Clone(m.Remote)
+					for i := range m.Remote {
+						m.Remote[i].Parts = nil
+					}
+					bytes += recipients * (with - encodedLen(b, m))
+				}
+				load := simLoad{func(int) []string { return []string{"first", "crashing"} }, soundParts}
+				const seconds = 3
+				s.run(load, seconds*time.Second)
+				b.ReportMetric(float64(bytes)/seconds/float64(2*gateways), "crashing-bytes/s")
+				bytes = 0
+				s.run(simLoad{nil, soundParts}, seconds*time.Second)
+				b.ReportMetric(float64(bytes)/seconds/float64(2*gateways), "quarantined-bytes/s")
+				b.ReportMetric(float64(len(s.crashes)), "crashes")
+			}
+		})
+	}
+}
+
+func encodedLen(b *testing.B, m rollup.Message) int {
+	b.Helper()
+	data, err := cbor.Marshal(m)
+	must.NoError(b, err)
+	return len(data)
+}
--- a/dispatch/crashing_parts_test.go
+++ b/dispatch/crashing_parts_test.go
@@ -40,7 +40,7 @@
 // part in their prompts.
 type crashSim struct {
 	*testEnv
-	t           *testing.T
+	t           testing.TB
 	random      *rand.Rand
 	begin       time.Time
 	partitioned bool // the regions can't reach each other
@@ -53,6 +53,8 @@
 	crashedBy map[string][]time.Duration // the crashes by part
 	suspected []simSuspect
 	requests  int
+	// onMessage is called for each message that a gateway sends, if not nil.
+	onMessage func(m rollup.Message, recipients int)
 }
 
 // simEngine is one incarnation of an engine.
@@ -91,7 +93,7 @@
 }
 
 // newCrashSim returns a simulation with a seed, and with that many gateways and engines in each of two regions.
-func newCrashSim(t *testing.T, seed uint64, gateways, engines int) *crashSim {
+func newCrashSim(t testing.TB, seed uint64, gateways, engines int) *crashSim {
 	t.Helper()
 	env := newTestEnv(gateways, 0)
 	for i := range gateways {
@@ -256,6 +258,9 @@
 func (s *crashSim) exchange() {
 	for i, from := range s.gateways {
 		for _, out := range from.Outgoing() {
+			if s.onMessage != nil {
+				s.onMessage(out.Message, len(out.To))
+			}
 			for j, to := range s.gateways {
 				if (!s.partitioned || s.hosts[i].Region == s.hosts[j].Region) && slices.Contains(out.To, s.hosts[j].Peer) {
 					to.Receive(out.Message)
--- a/dispatch/parts.go
+++ b/dispatch/parts.go
@@ -49,7 +49,7 @@
 func (t *Ticket) endPrompt(outcome Outcome, now time.Time) {
 	t.done = true
 	t.dispatcher.parts.EndTrials(t.partTrials)
-	if !t.begunAt.IsZero() && outcome == Answered {
+	if !t.begunAt.IsZero() && (outcome == Answered || outcome == Unconfirmed) {
 		t.dispatcher.parts.RecordBegun(t.prompt, t.begunAt, now)
 	}
 }
@@ -67,7 +67,9 @@
 			d.parts.RecordBegun(t.prompt, t.begunAt, now)
 		}
 	}
-	d.begunRuns = d.begunRuns[settled:]
+	if d.begunRuns = d.begunRuns[settled:]; len(d.begunRuns) == 0 {
+		d.begunRuns = nil // releases the tickets before
+	}
 }
 
 // checkParts rejects a request with a quarantined part in its prompt. The lock is held.
--- a/quarantine/part_reports.go
+++ b/quarantine/part_reports.go
@@ -33,9 +33,11 @@
 	// maxPartReports is the number of reports, some 400 bytes, at which a message gets no
 	// further changes.
 	maxPartReports = 24
-	// maxRepeatedCrashes bounds the crashes in the repeated report of a quarantined part, of
-	// which each message contains one, in rotation.
+	// maxRepeatedCrashes bounds the crashes in the repeated report of a quarantined part. One in
+	// repeatInterval messages contains one such report, in rotation, for gateways that have just
+	// started or were partitioned.
 	maxRepeatedCrashes = minCrashes
+	repeatInterval     = 5
 )
 
 // OutgoingLocal returns the reports for the next message to the gateways of this region.
@@ -56,7 +58,8 @@
 		out = append(out, t.reports(part, maxCrashesPerPart, now)...)
 		return false
 	})
-	if len(t.quarantined) > 0 {
+	q.messages++
+	if len(t.quarantined) > 0 && q.messages%repeatInterval == 0 {
 		parts := slices.Sorted(maps.Keys(t.quarantined))
 		t.nextRepeat++
 		out = append(out, t.reports(parts[t.nextRepeat%len(parts)], maxRepeatedCrashes, now)...)
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -186,8 +186,8 @@
 	return n
 }
 
-// areEnough reports whether the crashes suffice to quarantine a part.
-func areEnough(crashes []partCrash) bool {
+// suffice reports whether the crashes are enough to quarantine a part.
+func suffice(crashes []partCrash) bool {
 	separate := separateCrashes(crashes)
 	return separate >= minSeparateCrashes || (len(crashes) >= minCrashes && separate >= minSeparateOfOthers)
 }
@@ -275,16 +275,16 @@
 // failed alike.
 func (t *Parts) isCause(part Fingerprint, e *partEntry, engines Fingerprint, now time.Time) bool {
 	crashes := e.counting()
-	if !areEnough(crashes) {
+	if !suffice(crashes) {
 		return false
 	}
-	crashes = slices.DeleteFunc(crashes, func(c partCrash) bool { return !t.isUsualNear(e, c.at) })
+	crashes = slices.DeleteFunc(crashes, func(c partCrash) bool { return !t.ranOnMostNearby(e, c.at) })
 	if now.Sub(e.begunAt) < begunTTL || now.Sub(t.lastBegun(part, now)) < begunTTL {
 		// Answers on the part are usual. They may have begun since the latest crashes without
 		// this gateway knowing yet.
 		crashes = slices.DeleteFunc(crashes, func(c partCrash) bool { return now.Sub(c.at) < beginReportTime })
 	}
-	if !areEnough(crashes) {
+	if !suffice(crashes) {
 		return false
 	}
 	first, last := crashes[0].at, crashes[len(crashes)-1].at
@@ -293,9 +293,9 @@
 	})
 }
 
-// isUsualNear reports whether enough of the engines that crashed at nearly the given time ran the
-// part. Those that crashed under a quarantined part don't count.
-func (t *Parts) isUsualNear(e *partEntry, at time.Time) bool {
+// ranOnMostNearby reports whether the part ran on enough of the engines that crashed at nearly the
+// given time. Those that crashed under a quarantined part don't count.
+func (t *Parts) ranOnMostNearby(e *partEntry, at time.Time) bool {
 	counts := func(engine uint32, other time.Time) bool {
 		return engine != 0 && other.Sub(at).Abs() <= nearbyTime && !t.isAttributed(engine)
 	}
@@ -334,7 +334,7 @@
 		}
 		return false
 	})
-	return len(rest) < len(crashes) && !areEnough(rest)
+	return len(rest) < len(crashes) && !suffice(rest)
 }
 
 // quarantine quarantines a part. The caller then calls attributeAll.
@@ -481,7 +481,7 @@
 			c.cleared, changed = true, true
 		}
 	}
-	if changed && !e.quarantinedAt.IsZero() && !areEnough(e.counting()) {
+	if changed && !e.quarantinedAt.IsZero() && !suffice(e.counting()) {
 		e.quarantinedAt = time.Time{}
 		delete(t.quarantined, part)
 	}
--- a/quarantine/reports.go
+++ b/quarantine/reports.go
@@ -43,6 +43,7 @@
 // is to be sent.
 type queue struct {
 	sends     int
+	messages  int // built so far
 	pending   []Fingerprint
 	remaining map[Fingerprint]int
 }
