ingress: a stopping gateway doesn't close idle connections at once

Cause: SetKeepAlivesEnabled(false) at the begin of the stop closes all idle connections, and net/http takes one for idle until it has noted the first bytes of its next request. Change: until Shutdown, answers carry 'Connection: close' and idle connections stay open; a request whose connection this gateway has closed isn't sent to an engine.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -130,6 +130,7 @@
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	x.setOriginHeader(header)
+	s.announceClose(header)
 	header.Del(request.HeaderSends)
 	if x.handedOver {
 		header.Set(request.HeaderSends, strconv.Itoa(x.progress.sends+1))
--- a/ingress/disconnect.go
+++ b/ingress/disconnect.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"syscall"
 
+	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -20,8 +21,9 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// callerDisconnected reports whether the caller has already closed its connection. An
-// overloaded gateway reads requests of callers that have long since retried elsewhere.
+// callerDisconnected reports whether the caller has already closed its connection, or this
+// gateway has: a server that shuts down closes idle connections, and a request may arrive on
+// one at that moment. An overloaded gateway reads requests of callers that have long since retried elsewhere.
 // net/http notices this only some time after it has read the request, when an engine may
 // have received it. If the state can't be determined, the result is false.
 func callerDisconnected(r *http.Request) bool {
@@ -31,7 +33,7 @@
 	}
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return false
+		return errors.Is(err, net.ErrClosed)
 	}
 	closed := false
 	err = raw.Control(func(fd uintptr) {
@@ -39,5 +41,5 @@
 		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		closed = n == 0 && err == nil
 	})
-	return err == nil && closed
+	return closed || errors.Is(err, net.ErrClosed)
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -168,9 +168,8 @@
 	s.Streams.HandOff()
 	stopCtx, cancel := context.WithTimeout(context.Background(), s.StopTimeout)
 	defer cancel()
-	for _, server := range servers {
-		server.SetKeepAlivesEnabled(false)
-	}
+	// Until Shutdown, answers tell callers to close their connections. The server must not close
+	// idle ones by itself: a request that arrives at that moment would be lost.
 	time.Sleep(min(drainDelay, s.StopTimeout/2))
 	group := pool.New()
 	for _, server := range servers {
@@ -184,6 +183,13 @@
 	group.Wait()
 }
 
+// announceClose makes an answer tell the caller to close its connection if the gateway is stopping.
+func (s *Server) announceClose(header http.Header) {
+	if s.Stopping() {
+		header.Set("Connection", "close")
+	}
+}
+
 func (s *Server) newHTTPServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
--- a/ingress/rejection.go
+++ b/ingress/rejection.go
@@ -73,6 +73,7 @@
 		out.Set(request.HeaderReason, reason)
 		out.Set(request.HeaderSends, strconv.Itoa(x.progress.sends))
 	}
+	s.announceClose(out)
 	out.Set("Content-Length", strconv.Itoa(0))
 	x.w.WriteHeader(status)
 }
