ingress: the loss of a gateway isn't taken for the end of an answer without framing

A caller got a stream without framing that ended after 9 of 12 events like a whole one. Cause: its gateway was killed while it relayed the stream. The kernel closed the connection with FIN, which ends an answer without framing. Change: the caller's connection is set to be reset on close (SO_LINGER 0) when the head of such an answer is written, and back when the answer has ended. TestLostGatewayIsNotTakenForTheEnd failed before (no error at the end) and passes. Conclusion: an answer without framing ends cleanly only if its gateway ended it.

--- a/ingress/framing.go
+++ b/ingress/framing.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -67,6 +66,9 @@
 	case !x.r.ProtoAtLeast(1, 1):
 		x.callerFraming, x.endPromised = endsWithConnection, false // net/http sends no chunks to such callers
 	}
+	if x.callerFraming == endsWithConnection {
+		x.resetOnClose()
+	}
 }
 
 // confirmEnd checks the end of an answer without framing that has arrived up to the end of its
@@ -94,6 +96,25 @@
 	return s.refusesConnection(ctx, ticket.Address) && !ticket.EngineShuttingDown()
 }
 
+// lingerer is a connection whose handling of unsent data on Close can be set, as *net.TCPConn.
+type lingerer interface{ SetLinger(seconds int) error }
+
+// resetOnClose makes the end of the caller's connection a reset, until closeCleanly is called. It is
+// for an answer without framing: if this process is killed, the kernel closes the connection,
+// and a plain close would look like the end of the answer.
+func (x *exchange) resetOnClose() {
+	if conn, ok := x.r.Context().Value(connKey{}).(lingerer); ok {
+		_ = conn.SetLinger(0)
+	}
+}
+
+// closeCleanly undoes resetOnClose at the end of an answer.
+func (x *exchange) closeCleanly() {
+	if conn, ok := x.r.Context().Value(connKey{}).(lingerer); ok && x.callerFraming == endsWithConnection {
+		_ = conn.SetLinger(-1)
+	}
+}
+
 // resetConnection ends an answer without framing so that it can't be taken for complete: the
 // caller's connection is reset. It reports whether it could.
 func resetConnection(w http.ResponseWriter) bool {
@@ -101,8 +122,8 @@
 	if err != nil {
 		return false
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // makes Close reset the connection
+	if conn, ok := conn.(lingerer); ok {
+		_ = conn.SetLinger(0)
 	}
 	conn.Close()
 	return true
--- a/ingress/framing_test.go
+++ b/ingress/framing_test.go
@@ -1,13 +1,18 @@
 package ingress_test
 
 import (
+	"bufio"
+	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/linenscale/linenscale/platform/platformtest"
 )
@@ -224,3 +229,53 @@
 	must.Eq(t, http.StatusInternalServerError, result.Status)
 	must.Eq(t, "engine fault", result.Body)
 }
+
+// capturingListener keeps the connections that it accepts.
+type capturingListener struct {
+	net.Listener
+	accepted chan net.Conn
+}
+
+// Accept implements net.Listener.
+func (l capturingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted <- conn
+	}
+	return conn, err
+}
+
+// TestLostGatewayIsNotTakenForTheEnd guards against an answer without framing that ends like a whole
+// one because its gateway's process was killed. The test closes the gateway's side of the
+// connection, as the kernel does then.
+func TestLostGatewayIsNotTakenForTheEnd(t *testing.T) {
+	g := newGateway(t, "g1", "lagos")
+	g.declare()
+	e := g.startEngine(t, platformtest.EngineOptions{Service: "model", DataCentre: "a", Events: 100, Pause: 5 * time.Millisecond})
+	e.SetFaults(platformtest.NewFaultPlan(platformtest.FaultNoLength, -1))
+	var listeners []net.Listener
+	for range 2 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		listeners = append(listeners, l)
+	}
+	callers := capturingListener{listeners[0], make(chan net.Conn, 1)}
+	ctx, stop := context.WithCancel(context.Background())
+	group := pool.New()
+	defer group.Wait()
+	defer stop()
+	group.Go(func() { _ = g.server.Run(ctx, callers, listeners[1]) })
+	conn, err := net.Dial("tcp", callers.Addr().String())
+	must.NoError(t, err)
+	defer conn.Close()
+	must.NoError(t, platformtest.WriteHead(conn, http.MethodPost, "/chat/1", "r", "X-Linenscale-Model: m\r\nContent-Length: 0"))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	must.Eq(t, int64(-1), resp.ContentLength)
+	_, err = io.ReadFull(resp.Body, make([]byte, len(platformtest.EventText(1))))
+	must.NoError(t, err)
+	(<-callers.accepted).Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	must.Error(t, err)
+}
--- a/ingress/receive.go
+++ b/ingress/receive.go
@@ -78,7 +78,9 @@
 	}
 	if err != nil {
 		s.writeRejection(x, request.AsRefusal(err))
+		return
 	}
+	x.closeCleanly()
 }
 
 // receive decodes the headers, matches the route, checks the account and reads the body.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,6 +34,7 @@
 	{35145, "as 22, after five seconds without a request: six gateways admitted 48 in the first half second, 14 to 27 each in the window of 132"},
 	{7, "as 5000, in each of two runs: 137 and 138 requests"},
 	{38000, "a gateway received a handed-over request, sent it to two engines and was killed before it reported that: the request reached three engines"},
+	{57303, "a gateway was killed while it relayed a stream without framing, and the kernel closed its connection like at the end of the answer"},
 	{38019, "fault of the soak: it panicked because a connection was accepted while the run ended"},
 }
 
