quarantine: parts are compared only with answers and crashes of the same engines

Requests of a service were rejected because all its engines had crashed while those of another one answered, once a part of the latter was quarantined. Cause: the search for parts that were always together with a cause took all parts, compared them with the answers of the cause's engines, and took the record of all engines that crashed for a part. Change: only parts that share crashes with the cause are looked at, and the record of engines is told from parts by its fingerprint. Evidence: found by reading; TestOutageOfOtherEnginesQuarantinesNothing failed (3 instead of 1 quarantined) and passes. Conclusion: a verdict stays with the engines that crash.

--- a/quarantine/part_reports.go
+++ b/quarantine/part_reports.go
@@ -137,7 +137,7 @@
 		return t.clear(r.Part, at), false
 	case PartQuarantined:
 		e := t.entryFor(r.Part, now)
-		if !e.quarantinedAt.IsZero() || !at.After(e.begunAt) || e.count() == 0 {
+		if !isPart(r.Part) || !e.quarantinedAt.IsZero() || !at.After(e.begunAt) || e.count() == 0 {
 			return false, false
 		}
 		t.quarantine(r.Part, e, at)
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -26,13 +27,21 @@
 	if len(ids) == 0 {
 		return Prompt{}
 	}
-	p := Prompt{engines: FingerprintOf("", service, model, "", nil)}
+	p := Prompt{engines: FingerprintOf("", service, model, "", nil) | enginesBit}
 	for _, id := range ids[:min(len(ids), maxParts)] {
-		p.shared = append(p.shared, FingerprintOf("part", service, model, id, nil))
+		p.shared = append(p.shared, max(enginesBit<<1, FingerprintOf("part", service, model, id, nil)&^enginesBit))
 	}
 	return p
 }
 
+// enginesBit tells the fingerprints of engines from those of parts. The table records the crashes of
+// all engines of a service and model like those of a part, so that gateways report them to each
+// other, but never quarantines that.
+const enginesBit Fingerprint = 1
+
+// isPart reports whether a fingerprint is that of a part.
+func isPart(f Fingerprint) bool { return f&enginesBit == 0 }
+
 // IsEmpty reports whether the prompt has no shared parts.
 func (p Prompt) IsEmpty() bool { return len(p.shared) == 0 }
 
@@ -172,6 +181,17 @@
 	return slices.ContainsFunc(e.crashes, func(c partCrash) bool { return c.engine == engine && !c.cleared })
 }
 
+// sharesCrashes reports whether two engines crashed under both parts.
+func (e *partEntry) sharesCrashes(other *partEntry) bool {
+	n := 0
+	for _, c := range e.crashes {
+		if !c.cleared && other.hasCrash(c.engine) {
+			n++
+		}
+	}
+	return n >= minSeparateOfOthers
+}
+
 // separateCrashes returns the largest number of crashes, given in order of time, of which each
 // run was sent after the one before had crashed.
 func separateCrashes(crashes []partCrash) int {
@@ -256,8 +276,9 @@
 	if len(causes) == 0 {
 		return
 	}
+	found := slices.Collect(maps.Values(causes))
 	for part, e := range t.entries {
-		if part != p.engines && e.quarantinedAt.IsZero() && t.isCause(part, e, p.engines, now) {
+		if isPart(part) && e.quarantinedAt.IsZero() && slices.ContainsFunc(found, e.sharesCrashes) && t.isCause(part, e, p.engines, now) {
 			causes[part] = e
 		}
 	}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -142,6 +142,24 @@
 	}
 }
 
+// TestOutageOfOtherEnginesQuarantinesNothing guards against a part that is quarantined because all
+// engines of its service crashed while those of another one answered, and against a cause that is let
+// through because these crashes seem to explain it.
+func TestOutageOfOtherEnginesQuarantinesNothing(t *testing.T) {
+	table := quarantine.NewParts()
+	other := quarantine.NewPrompt("other", "m", []string{"system"})
+	for i := 1; i <= 3; i++ {
+		at := start.Add(time.Duration(i) * time.Second)
+		table.RecordCrash(quarantine.Run{Prompt: other, Sent: at.Add(-50 * time.Millisecond)}, fmt.Sprint("other", i), at.Add(500*time.Millisecond), at)
+		crashParts(table, fmt.Sprint(i), time.Duration(i)*time.Second, "dead")
+		begin(table, time.Duration(i)*time.Second+100*time.Millisecond, "sound")
+	}
+	must.Eq(t, 0, rejectedPart(table, 4*time.Second, "dead"))
+	must.Eq(t, 1, table.QuarantinedCount())
+	_, err := table.Check(other, start.Add(4*time.Second), never)
+	must.NoError(t, err)
+}
+
 // quarantinedTable returns a table in which the part dead is quarantined.
 func quarantinedTable() *quarantine.Parts {
 	table := quarantine.NewParts()
