dispatch, dispatchbench: interfaces of the parts for hard load

Cause: priorities, limits of pauses and the tokens of an event are declared and don't reach the decisions; the parts that use them need the same fields and one site to test on. Conclusion: no decision changes.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -63,8 +63,9 @@
 
 // ModelSpec describes the engines of a service that run language models.
 type ModelSpec struct {
-	Slots       int `json:"slots"`       // maximum requests in one batch
-	CacheTokens int `json:"cacheTokens"` // KV cache capacity, shared by running requests and cached prefix blocks
+	Slots       int `json:"slots"`                 // maximum requests in one batch
+	CacheTokens int `json:"cacheTokens"`           // KV cache capacity, shared by running requests and cached prefix blocks
+	EventTokens int `json:"eventTokens,omitempty"` // tokens that one event of a stream holds; 0 if not stated
 	// TokenBytes is the KV cache memory of one token, and LinkRate the bandwidth of the
 	// link between two engines in bits per second. Both are 0 if engines can't transfer
 	// KV cache to each other.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -222,6 +222,11 @@
 	// Target is the time within which the answer should begin. With 0, the request is
 	// admitted whatever its wait.
 	Target time.Duration
+	// MaxPause is the longest acceptable time between two events of the answer; 0 for any.
+	MaxPause time.Duration
+	// Priority ranks the request among those of its service; 0 is the most urgent.
+	Priority int
+	Account  string // client account of the caller; "" for none
 	// Permitted reports whether the request may run in a region; nil permits all.
 	Permitted func(region string) bool
 	// Fingerprint is equal for all repeats of the request.
--- a/ingress/receive.go
+++ b/ingress/receive.go
@@ -212,7 +212,8 @@
 	}
 	return dispatch.Request{
 		ID: x.meta.ID, Route: x.route.Name, Service: x.service, Prompt: x.meta.Prompt, Deadline: x.deadline, Tried: triedEngines,
-		Target: target, Permitted: x.mayRunIn, Fingerprint: x.fingerprint, Origin: x.origin,
+		Target: target, MaxPause: x.route.MaxPause, Priority: x.account.PriorityOn(x.route), Account: x.account.Name,
+		Permitted: x.mayRunIn, Fingerprint: x.fingerprint, Origin: x.origin,
 	}
 }
 
--- a/internal/dispatchbench/exchange.go
+++ b/internal/dispatchbench/exchange.go
@@ -72,13 +72,13 @@
 // dispatchRequest returns the request in the form that package dispatch expects.
 func (s *Simulation) dispatchRequest(x *exchange) dispatch.Request {
 	a := x.arrival
-	p := dispatch.Prompt{Model: "m", InputTokens: a.tokensIn, OutputTokens: a.tokensOut}
+	p := dispatch.Prompt{Model: "m", InputTokens: a.tokensIn, OutputTokens: a.outputHint}
 	for _, b := range a.blocks {
 		p.Blocks = append(p.Blocks, dispatch.Block{ID: b.id, Tokens: b.tokens})
 	}
 	return dispatch.Request{
 		ID: a.id, Service: serviceName, Prompt: p, Deadline: s.start.Add(x.deadline), Tried: x.tried,
-		Target: a.kind.Target, Permitted: func(region string) bool { return s.permitted(a, region) },
+		Target: a.kind.Target, MaxPause: a.kind.MaxPause, Priority: a.kind.Priority, Permitted: func(region string) bool { return s.permitted(a, region) },
 	}
 }
 
--- a/internal/dispatchbench/result.go
+++ b/internal/dispatchbench/result.go
@@ -25,10 +25,23 @@
 	P50, P99        time.Duration // time to the first event
 	SendsPerRequest float64       // engines that a request was sent to, on average
 	Score           float64       // weighted sum of the shares, less the prices
+	Kinds           []KindResult  // in the order of Options.Kinds
 	// LimitedEngines are the results of the engines that announced rate limits.
 	LimitedEngines []LimitedEngine
 }
 
+// KindResult is the result of the requests of one kind.
+type KindResult struct {
+	Name                                                     string
+	Requests, Rejected, Failed, Late, PausedTooLong, Expired int // Expired is how many of the failed ones had begun, and passed their deadline
+	EarnedShare                                              float64
+}
+
+// Served returns the share of the requests that were answered, late ones included.
+func (k KindResult) Served() float64 {
+	return 1 - float64(k.Rejected+k.Failed)/float64(max(1, k.Requests))
+}
+
 // LimitedEngine is the result of one engine's rate limit. Excess is by how many requests
 // the worst window exceeded the bound; it is negative if none did. UsedShare is the share
 // of the requests allowed by the limit that the engine got.
@@ -60,16 +73,31 @@
 	regions, kinds, windows := map[string]*valueSum{}, map[string]*valueSum{}, map[int]*valueSum{}
 	shared, reread, remote := 0, 0, 0
 	var firstEvents []time.Duration
+	byKind := map[string]*KindResult{}
+	for _, k := range s.Kinds {
+		byKind[k.Name] = &KindResult{Name: k.Name}
+	}
 	for _, a := range s.arrivals {
 		value := a.kind.Value * a.valueFactor
 		earned := 0.0
+		kind := byKind[a.kind.Name]
+		kind.Requests++
 		switch {
 		case !a.answered && a.rejections > callerRetries:
 			r.Rejected++
+			kind.Rejected++
 		case !a.answered:
 			r.Failed++
+			kind.Failed++
+			if a.firstEvent > 0 {
+				kind.Expired++
+			}
 		case a.firstEvent-a.at > a.kind.Target || a.pausedTooLong:
 			r.Late++
+			kind.Late++
+			if a.pausedTooLong {
+				kind.PausedTooLong++
+			}
 			earned = value * a.kind.LateValue / a.kind.Value
 		default:
 			earned = value
@@ -89,6 +117,11 @@
 		add(valueSumOf(kinds, a.kind.Name), earned, value)
 		add(valueSumOf(windows, int(a.at/windowLength)), earned, value)
 	}
+	for _, k := range s.Kinds {
+		kind := *byKind[k.Name]
+		kind.EarnedShare = valueSumOf(kinds, k.Name).share()
+		r.Kinds = append(r.Kinds, kind)
+	}
 	r.Earned = total.earned
 	r.EarnedShare, r.WorstRegion, r.WorstKind = total.share(), sortedShares(regions)[0], sortedShares(kinds)[0]
 	windowShares := sortedShares(windows)
--- a/internal/dispatchbench/simulation.go
+++ b/internal/dispatchbench/simulation.go
@@ -35,6 +35,7 @@
 	Engine   EngineModel
 	ColdTime time.Duration // how long a restarted engine is cold
 	ColdRate float64       // requests per second that a cold engine may get
+	Speeds   []float64     // of the engines, in turn, relative to Engine; empty if all are alike
 	Strategy Strategy
 	Faults   func(s *Simulation) // schedules crashes and rate limits; may be nil
 }
@@ -113,7 +114,7 @@
 		}
 	}
 	c := catalog.Catalog{Version: 1, Services: []catalog.Service{{
-		Name: serviceName, ColdTime: o.ColdTime, ColdRate: o.ColdRate, Model: &catalog.ModelSpec{Slots: o.Engine.Slots, CacheTokens: o.Engine.MemoryTokens},
+		Name: serviceName, ColdTime: o.ColdTime, ColdRate: o.ColdRate, Model: &catalog.ModelSpec{Slots: o.Engine.Slots, CacheTokens: o.Engine.MemoryTokens, EventTokens: o.Engine.EventTokens},
 	}}}
 	for _, h := range s.hosts {
 		g := &gateway{host: h, inFlight: make(map[string]int)}
@@ -151,7 +152,7 @@
 // startEngine starts an engine. A cold one accepts only few requests at first.
 func (s *Simulation) startEngine(region, address string, cold bool) {
 	s.incarnations++
-	e := &engine{EngineModel: s.Engine, clock: s.clock, id: fmt.Sprintf("e%04d", s.incarnations), address: address, region: region, speed: 1, cache: newBlockCache()}
+	e := &engine{EngineModel: s.Engine, clock: s.clock, id: fmt.Sprintf("e%04d", s.incarnations), address: address, region: region, speed: s.speedOf(address), cache: newBlockCache()}
 	heartbeat := registry.Engine{ID: e.id, Service: serviceName, Address: address, DataCentre: region, Slots: s.Engine.Slots, Sequence: 1}
 	delay := time.Duration(0)
 	if cold {
@@ -163,6 +164,14 @@
 	s.clock.After(delay, func() { s.registries[region].Heartbeat(heartbeat) })
 }
 
+// speedOf returns the speed of the engine at an address, which keeps it after a restart.
+func (s *Simulation) speedOf(address string) float64 {
+	if len(s.Speeds) == 0 {
+		return 1
+	}
+	return s.Speeds[dispatch.Rank("speed", address)%uint64(len(s.Speeds))]
+}
+
 // tickInterval is how often gateways apply changes of the registry, as in package daemon.
 const tickInterval = 200 * time.Millisecond
 
--- a/internal/dispatchbench/traffic.go
+++ b/internal/dispatchbench/traffic.go
@@ -26,6 +26,9 @@
 	Homes                     []string // regions where it may run; empty for all
 	Resumable                 bool     // a broken stream may be resumed at another engine
 	InputTokens, OutputTokens lognormal
+	// HintError is the standard deviation of the logarithm of the caller's estimate of
+	// OutputTokens, which is right in the median.
+	HintError float64
 	// SharedBlocks precede the block that is the request's own.
 	SharedBlocks []sharedBlock
 }
@@ -61,6 +64,7 @@
 	blocks      []block
 	tokensIn    int
 	tokensOut   int
+	outputHint  int     // the caller's estimate of tokensOut
 	valueFactor float64 // value relative to the kind's: longer requests are worth more
 
 	firstEvent, end time.Duration // when the caller received the first event and the end
@@ -104,6 +108,10 @@
 	a.blocks = append(a.blocks, block{a.id, ownTokens})
 	a.tokensIn += ownTokens
 	a.tokensOut = kind.OutputTokens.draw(t.random)
+	a.outputHint = a.tokensOut
+	if kind.HintError > 0 {
+		a.outputHint = max(1, int(float64(a.tokensOut)*math.Exp(kind.HintError*t.random.NormFloat64())))
+	}
 	mean := kind.InputTokens.mean + 10*kind.OutputTokens.mean
 	for _, shared := range kind.SharedBlocks {
 		mean += shared.tokens.mean
