ingress: an older ledger state can't replace a newer one

Cause: a gateway answered 404 for a route that had been acknowledged 4.5 s before. States come from several control hosts on goroutines of their own; ApplyState compared indexes, indexed the routes and stored the table without a lock, so that a large older state that took longer was stored last, and nothing fetched again until the next change.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -70,6 +71,7 @@
 // Server is the HTTP server of one gateway. Create it with New.
 type Server struct {
 	Deps
+	applying sync.Mutex // held while a state is applied
 	catalog  atomic.Pointer[catalogSnapshot]
 	buffers  bufferBudget
 	inFlight atomic.Int64
@@ -95,8 +97,11 @@
 }
 
 // ApplyState applies a state of the ledger. It ignores a state that is not newer than the
-// current one.
+// current one. Control hosts provide states concurrently, and a large one takes long to
+// index, so an older state could otherwise replace one that arrived meanwhile.
 func (s *Server) ApplyState(state ledger.State) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
 	current := s.catalog.Load()
 	if current != nil && current.index >= state.Index {
 		return
