rollup: reports of speeds, demand and very long prompts

Cause: three parts need what all gateways of a region see of engines and callers; each would add fields to the same sums. Change: EngineSpeed, RouteDemand and ServiceWork add up like loads do, at most 512 engines in one sum; catalog.Table finds the routes of a service; the simulated site has routes. Conclusion: no decision changes.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -119,15 +119,19 @@
 type Table struct {
 	catalog           Catalog
 	routesByHost      map[string][]Route // longest prefix first
+	routesByService   map[string][]Route // in the catalog's order
 	serviceByName     map[string]Service
 	accountIndexByKey map[KeyDigest]int // index into catalog.Accounts
 }
 
 // NewTable indexes a catalog.
 func NewTable(c Catalog) *Table {
-	t := &Table{catalog: c, routesByHost: make(map[string][]Route), serviceByName: make(map[string]Service, len(c.Services)), accountIndexByKey: make(map[KeyDigest]int)}
+	t := &Table{catalog: c, routesByHost: make(map[string][]Route), routesByService: make(map[string][]Route), serviceByName: make(map[string]Service, len(c.Services)), accountIndexByKey: make(map[KeyDigest]int)}
 	for _, r := range c.Routes {
 		t.routesByHost[r.Host] = append(t.routesByHost[r.Host], r)
+		for _, b := range r.Backends {
+			t.routesByService[b.Service] = append(t.routesByService[b.Service], r)
+		}
 	}
 	for _, routes := range t.routesByHost {
 		slices.SortFunc(routes, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -158,6 +162,10 @@
 	return s, ok
 }
 
+// RoutesOf returns the routes whose requests may go to a service, in the catalog's order. The
+// caller must not modify them.
+func (t *Table) RoutesOf(service string) []Route { return t.routesByService[service] }
+
 // Match returns the route of a request: among the routes of the host, the one with the
 // longest prefix of path.
 func (t *Table) Match(host, path string) (Route, bool) {
--- a/internal/dispatchbench/exchange.go
+++ b/internal/dispatchbench/exchange.go
@@ -77,7 +77,7 @@
 		p.Blocks = append(p.Blocks, dispatch.Block{ID: b.id, Tokens: b.tokens})
 	}
 	return dispatch.Request{
-		ID: a.id, Service: serviceName, Prompt: p, Deadline: s.start.Add(x.deadline), Tried: x.tried,
+		ID: a.id, Route: a.kind.Name, Service: serviceName, Prompt: p, Deadline: s.start.Add(x.deadline), Tried: x.tried,
 		Target: a.kind.Target, MaxPause: a.kind.MaxPause, Priority: a.kind.Priority, Permitted: func(region string) bool { return s.permitted(a, region) },
 	}
 }
--- a/internal/dispatchbench/simulation.go
+++ b/internal/dispatchbench/simulation.go
@@ -113,7 +113,7 @@
 			s.startEngine(region.Name, fmt.Sprintf("%s:%d", region.Name, i), false)
 		}
 	}
-	c := catalog.Catalog{Version: 1, Services: []catalog.Service{{
+	c := catalog.Catalog{Version: 1, Routes: s.routes(), Services: []catalog.Service{{
 		Name: serviceName, ColdTime: o.ColdTime, ColdRate: o.ColdRate, Model: &catalog.ModelSpec{Slots: o.Engine.Slots, CacheTokens: o.Engine.MemoryTokens, EventTokens: o.Engine.EventTokens},
 	}}}
 	for _, h := range s.hosts {
@@ -129,6 +129,18 @@
 	return s
 }
 
+// routes returns a route for each kind of request.
+func (s *Simulation) routes() []catalog.Route {
+	var out []catalog.Route
+	for _, k := range s.Kinds {
+		out = append(out, catalog.Route{
+			Name: k.Name, Kind: catalog.KindStream, Target: k.Target, MaxPause: k.MaxPause, Priority: k.Priority, Homes: k.Homes, Resumable: k.Resumable,
+			Backends: []catalog.Backend{{Service: serviceName, Weight: 1}},
+		})
+	}
+	return out
+}
+
 // fixedRoundTrip returns the round trip between regions.
 func fixedRoundTrip(string) (time.Duration, bool) { return 2 * remoteDelay, true }
 
--- a/rollup/aggregator.go
+++ b/rollup/aggregator.go
@@ -313,6 +313,9 @@
 type PeerTotals struct {
 	Loads     map[uint64]EngineLoad   // by the hash of the engine's incarnation
 	Accounts  map[uint32]AccountUsage // by the hash of the account's name
+	Speeds    map[uint64]EngineSpeed  // by the hash of the engine's incarnation
+	Demand    map[uint32]RouteDemand  // by RouteDemand.Route
+	LongReads map[uint32]ServiceWork  // by the hash of the service's name
 	Reporting int                     // gateways whose reports are included
 	Listed    int                     // other gateways in the list of gateways
 }
@@ -320,7 +323,7 @@
 // PeerTotals returns the sum of what the other gateways of the region do.
 func (a *Aggregator) PeerTotals() PeerTotals {
 	s, gateways := a.sumOthers()
-	return PeerTotals{Loads: s.loads, Accounts: s.accounts, Reporting: gateways, Listed: a.topology.size() - 1}
+	return PeerTotals{Loads: s.loads, Accounts: s.accounts, Speeds: s.speeds, Demand: s.demand, LongReads: s.longReads, Reporting: gateways, Listed: a.topology.size() - 1}
 }
 
 // sumOthers sums the latest valid reports of the other gateways, and counts the gateways
@@ -365,6 +368,10 @@
 				_, included := s.loads[l.Engine]
 				return !included // too little to be significant
 			})
+			own.Speeds = slices.DeleteFunc(slices.Clone(own.Speeds), func(e EngineSpeed) bool {
+				_, included := s.speeds[e.Engine]
+				return !included // more than maxSpeeds
+			})
 			s.add(own, -1)
 		}
 	}
--- /dev/null
+++ b/rollup/hardload.go
@@ -0,0 +1,99 @@
+// This file defines the reports about speeds and demand, which add up over gateways.
+
+package rollup
+
+import (
+	"cmp"
+	"slices"
+)
+
+// EngineSpeed is what gateways have lately seen of one engine's speed. It is evidence, not an
+// estimate: that of several gateways adds up.
+type EngineSpeed struct {
+	_      struct{} `cbor:",toarray"`
+	Engine uint64   // hash of its incarnation
+	// LogSum and Weight are the sums of the logarithms of the observed speeds, relative to the
+	// service's mean, and of the weights of the observations, both in hundredths.
+	LogSum, Weight int
+	// TokenMicros and Tokens are the time that streams took for their tokens after the first
+	// event, in microseconds, and those tokens.
+	TokenMicros, Tokens int
+}
+
+// RouteDemand is what callers lately asked for on one route of one service.
+type RouteDemand struct {
+	_      struct{} `cbor:",toarray"`
+	Route  uint32   // hash of the route's and the service's name
+	Tokens int      // prompt tokens per second that engines would have to read
+	// Requests and Rejected are in hundredths per second, a caller's retries included.
+	Requests, Rejected int
+}
+
+// ServiceWork is work of one service.
+type ServiceWork struct {
+	_       struct{} `cbor:",toarray"`
+	Service uint32   // hash of its name
+	Tokens  int      // prompt tokens per second
+}
+
+// maxSpeeds bounds the engines in one sum to about 10 KB. In larger regions the speeds of
+// those with the most evidence are sent, which are the busiest.
+const maxSpeeds = 512
+
+func (e EngineSpeed) plus(o EngineSpeed, factor int) EngineSpeed {
+	e.LogSum += factor * o.LogSum
+	e.Weight += factor * o.Weight
+	e.TokenMicros += factor * o.TokenMicros
+	e.Tokens += factor * o.Tokens
+	return e
+}
+
+func (d RouteDemand) plus(o RouteDemand, factor int) RouteDemand {
+	d.Tokens += factor * o.Tokens
+	d.Requests += factor * o.Requests
+	d.Rejected += factor * o.Rejected
+	return d
+}
+
+func (w ServiceWork) plus(o ServiceWork, factor int) ServiceWork {
+	w.Tokens += factor * o.Tokens
+	return w
+}
+
+// addLoadReports adds the reports of this file factor times.
+func (s *sum) addLoadReports(r Report, factor int) {
+	for _, e := range r.Speeds {
+		known := s.speeds[e.Engine]
+		known.Engine = e.Engine
+		s.speeds[e.Engine] = known.plus(e, factor)
+	}
+	for _, demand := range r.Demand {
+		known := s.demand[demand.Route]
+		known.Route = demand.Route
+		s.demand[demand.Route] = known.plus(demand, factor)
+	}
+	for _, work := range r.LongReads {
+		known := s.longReads[work.Service]
+		known.Service = work.Service
+		s.longReads[work.Service] = known.plus(work, factor)
+	}
+}
+
+// putLoadReports sets the reports of this file in r.
+func (s *sum) putLoadReports(r *Report) {
+	for _, e := range s.speeds {
+		r.Speeds = append(r.Speeds, e)
+	}
+	if len(r.Speeds) > maxSpeeds {
+		slices.SortFunc(r.Speeds, func(a, b EngineSpeed) int {
+			return cmp.Or(cmp.Compare(b.Weight, a.Weight), compareHash(a.Engine, b.Engine))
+		})
+		r.Speeds = r.Speeds[:maxSpeeds]
+	}
+	for _, demand := range s.demand {
+		r.Demand = append(r.Demand, demand)
+	}
+	for _, work := range s.longReads {
+		r.LongReads = append(r.LongReads, work)
+	}
+}
--- a/rollup/report.go
+++ b/rollup/report.go
@@ -33,6 +33,12 @@
 	BackingOff []Backoff `cbor:"9,keyasint,omitempty"`
 	// Recent changes of the crash records of parts of prompts.
 	Parts []quarantine.PartReport `cbor:"10,keyasint,omitempty"`
+	// How fast engines have lately been.
+	Speeds []EngineSpeed `cbor:"11,keyasint,omitempty"`
+	// What callers ask for, by route.
+	Demand []RouteDemand `cbor:"12,keyasint,omitempty"`
+	// The work of very long prompts, by service.
+	LongReads []ServiceWork `cbor:"13,keyasint,omitempty"`
 }
 
 // Backoff is an engine that asks for backoff, with the number of gateways that it asked.
@@ -91,6 +97,8 @@
 	Versions []VersionCount `cbor:"6,keyasint,omitempty"`
 	// The crash records of parts of prompts that the region's gateways report.
 	Parts []quarantine.PartReport `cbor:"7,keyasint,omitempty"`
+	// What the region's callers ask for, by route.
+	Demand []RouteDemand `cbor:"8,keyasint,omitempty"`
 }
 
 // VersionCount is the number of a region's engines that serve one service at one software
@@ -118,7 +126,9 @@
 
 // additiveFields returns the report with only those fields that can be summed and
 // subtracted; the others are events.
-func (r Report) additiveFields() Report { return Report{Engines: r.Engines, Accounts: r.Accounts} }
+func (r Report) additiveFields() Report {
+	return Report{Engines: r.Engines, Accounts: r.Accounts, Speeds: r.Speeds, Demand: r.Demand, LongReads: r.LongReads}
+}
 
 // sum accumulates reports.
 type sum struct {
@@ -134,6 +144,10 @@
 	crashes map[crashKey]quarantine.CrashReport
 	parts   map[partKey]quarantine.PartReport // likewise
 	limits  map[uint64]ratelimit.LimitReport  // by engine, the youngest report
+
+	speeds    map[uint64]EngineSpeed
+	demand    map[uint32]RouteDemand
+	longReads map[uint32]ServiceWork
 }
 
 // maxCrashes bounds the crash reports in one sum to about 4 KB, those of twelve engines
@@ -164,7 +178,11 @@
 }
 
 func newSum() *sum {
-	return &sum{make(map[uint64]EngineLoad), make(map[SentBlock]bool), make(map[uint64]bool), make(map[uint64]bool), make(map[uint64]bool), make(map[uint64]int), make(map[uint32]AccountUsage), make(map[crashKey]quarantine.CrashReport), make(map[partKey]quarantine.PartReport), make(map[uint64]ratelimit.LimitReport)}
+	return &sum{
+		loads: make(map[uint64]EngineLoad), blocks: make(map[SentBlock]bool), unreachable: make(map[uint64]bool), replaced: make(map[uint64]bool), draining: make(map[uint64]bool),
+		backingOff: make(map[uint64]int), accounts: make(map[uint32]AccountUsage), crashes: make(map[crashKey]quarantine.CrashReport), parts: make(map[partKey]quarantine.PartReport),
+		limits: make(map[uint64]ratelimit.LimitReport), speeds: make(map[uint64]EngineSpeed), demand: make(map[uint32]RouteDemand), longReads: make(map[uint32]ServiceWork),
+	}
 }
 
 // add adds the report factor times; -1 subtracts it.
@@ -187,6 +205,7 @@
 		u.RequestedRate += factor * a.RequestedRate
 		s.accounts[a.Account] = u
 	}
+	s.addLoadReports(r, factor)
 	for _, block := range r.SentBlocks {
 		s.blocks[block] = true
 	}
@@ -259,6 +278,7 @@
 			r.Limits = append(r.Limits, limit)
 		}
 	}
+	s.putLoadReports(&r)
 	slices.SortFunc(r.Engines, func(a, b EngineLoad) int { return compareHash(a.Engine, b.Engine) })
 	return r
 }
