rollup: demand states the shared prompt tokens

Cause: where a route's prompts are cached matters only if much of them is shared, which a region's gateways must judge alike. Change: RouteDemand.Shared; nothing sends it yet. Conclusion: no decision changes.

--- a/rollup/hardload.go
+++ b/rollup/hardload.go
@@ -25,6 +25,7 @@
 	_      struct{} `cbor:",toarray"`
 	Route  uint32   // hash of the route's and the service's name
 	Tokens int      // prompt tokens per second that engines would have to read
+	Shared int      // shared prompt tokens per second, whether engines have cached them or not
 	// Requests and Rejected are in hundredths per second, a caller's retries included.
 	Requests, Rejected int
 }
@@ -50,6 +51,7 @@
 
 func (d RouteDemand) plus(o RouteDemand, factor int) RouteDemand {
 	d.Tokens += factor * o.Tokens
+	d.Shared += factor * o.Shared
 	d.Requests += factor * o.Requests
 	d.Rejected += factor * o.Rejected
 	return d
