regionplan: shares of each region's demand are planned

Cause: each request compared one local engine with a mean remote one; at a region's peak four fifths of its requests stayed while other regions were nearly idle, and all gateways reacted to the same report. Change: package regionplan; gateways report their callers' demand by route; while some region's callers ask for more than half of what its engines can read, the plan places requests, by what their prompts share.

--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -45,7 +45,7 @@
 
 // report returns this gateway's own report. The lock is held.
 func (d *Dispatcher) report(now time.Time) rollup.Report {
-	r := rollup.Report{SentBlocks: d.recentSentBlocks(now), Accounts: d.ownUsage(now), Crashes: d.quarantine.OutgoingLocal(now), Parts: d.parts.OutgoingLocal(now), Limits: d.limits.Outgoing(now)}
+	r := rollup.Report{SentBlocks: d.recentSentBlocks(now), Accounts: d.ownUsage(now), Crashes: d.quarantine.OutgoingLocal(now), Parts: d.parts.OutgoingLocal(now), Limits: d.limits.Outgoing(now), Demand: d.ownDemand(now)}
 	for e := range d.reported {
 		if !d.addToReport(&r, e, now) {
 			delete(d.reported, e)
@@ -186,6 +186,7 @@
 		}
 	}
 	d.reportingGateways = 1 + others.Reporting
+	d.peerDemand = others.Demand
 	d.applyLocalUsage(others)
 }
 
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -10,6 +10,7 @@
 
 	"github.com/linenscale/linenscale/catalog"
 	"github.com/linenscale/linenscale/pace"
+	"github.com/linenscale/linenscale/regionplan"
 	"github.com/linenscale/linenscale/registry"
 	"github.com/linenscale/linenscale/retry"
 )
@@ -85,6 +86,8 @@
 	failureBaselines map[string]*failureBaseline // by route
 	readyEngines     int                         // that accept requests and aren't cold
 	rollout          *poolRollout                // the service's latest; nil if it never had one
+	plan             regionplan.Plan             // where the requests of all regions run, as of the last refresh
+	cachedShare      shareAverage                // of the shared tokens of prompts, that engines had cached
 }
 
 func newPool(s catalog.Service, budget retry.Policy) *pool {
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -112,7 +112,7 @@
 		d.Log.Error("region report not sent: encoding failed", telemetry.ErrorField(err))
 		return rollup.Message{}, false
 	}
-	return rollup.Message{From: d.Name, Remote: []rollup.RegionReport{{Region: d.Region, Digests: body, Accounts: d.regionUsage(now), Crashes: d.quarantine.OutgoingRemote(now), Parts: d.parts.OutgoingRemote(now), Versions: d.servingVersions(now)}}}, true
+	return rollup.Message{From: d.Name, Remote: []rollup.RegionReport{{Region: d.Region, Digests: body, Accounts: d.regionUsage(now), Crashes: d.quarantine.OutgoingRemote(now), Parts: d.parts.OutgoingRemote(now), Versions: d.servingVersions(now), Demand: d.regionDemandReport(now)}}}, true
 }
 
 func (d *Dispatcher) digest(p *pool, now time.Time) Digest {
@@ -177,6 +177,7 @@
 	}
 	remote.applyDigests(digests, d.roundTrip(r.Region), now.Add(-r.Age))
 	remote.applyVersions(r.Versions)
+	remote.applyDemand(r.Demand)
 	d.applyRemoteUsage(r.Region, r.Accounts, now.Add(-r.Age))
 }
 
@@ -187,9 +188,10 @@
 	Cost      time.Duration // expected cost in Region
 	Queue     time.Duration // expected queueing time in Region
 	// Refusal is the rejection if the request isn't admitted even in Region; else nil.
-	Refusal error
-	IsHome  bool // Region is the home region of the prompt's shared blocks
-	IsTrial bool // the request runs here only to measure this region's engines again
+	Refusal   error
+	IsHome    bool // Region is the home region of the prompt's shared blocks
+	IsPlanned bool // Region is where the plan of regions places the request
+	IsTrial   bool // the request runs here only to measure this region's engines again
 }
 
 // ChooseRegion returns the region with the lowest expected cost for a request, including
@@ -217,6 +219,9 @@
 		}
 	}
 	best.Cost = best.LocalCost
+	if planned, ok := d.placeByPlan(p, req, best, reachable, now); ok {
+		return planned
+	}
 	local := best
 	for _, region := range reachable {
 		s, ok := d.estimateRemote(region, p, req, region == home, now)
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/streams"
 )
 
@@ -14,9 +15,10 @@
 type remoteRegion struct {
 	reportedAt time.Time // when its last report arrived in this region
 	digests    map[string]Digest
-	versions   map[streams.Origin]int  // engines that serve, by service and version; nil if not reported
-	inFlight   []*RemoteRequest        // sent there, and not in its last report yet
-	cached     map[string]cachedBlocks // by service: prompt blocks sent there
+	versions   map[streams.Origin]int        // engines that serve, by service and version; nil if not reported
+	demand     map[uint32]rollup.RouteDemand // of its callers, by route
+	inFlight   []*RemoteRequest              // sent there, and not in its last report yet
+	cached     map[string]cachedBlocks       // by service: prompt blocks sent there
 }
 
 // RemoteRequest is a request handed over to another region. It counts as load of that
@@ -73,6 +75,14 @@
 	r.inFlight = slices.DeleteFunc(r.inFlight, func(a *RemoteRequest) bool { return now.Sub(a.sentAt) > roundTrip })
 }
 
+// applyDemand replaces the demand of the region's callers.
+func (r *remoteRegion) applyDemand(demand []rollup.RouteDemand) {
+	r.demand = make(map[uint32]rollup.RouteDemand, len(demand))
+	for _, route := range demand {
+		r.demand[route.Route] = route
+	}
+}
+
 // isFresh reports whether the region's report is recent enough to use.
 func (r *remoteRegion) isFresh(now time.Time) bool { return now.Sub(r.reportedAt) <= digestTTL }
 
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -75,6 +75,9 @@
 		t.readTokens = float64(s.load.Unread + t.load.Unread)
 		t.load.Reserved = req.Prompt.InputTokens + req.Prompt.OutputTokens
 		e.readRate.add(float64(t.load.Unread), now)
+		if shared := req.Prompt.sharedTokens(); shared > 0 {
+			p.cachedShare.add(min(1, float64(s.cached)/float64(shared)), 1)
+		}
 		p.recordPrompt(e, req.Prompt, now)
 		d.recordSentBlock(req.Prompt, e, now)
 	}
--- a/ingress/region.go
+++ b/ingress/region.go
@@ -21,7 +21,11 @@
 	if !local {
 		x.triedRegions = append(x.triedRegions, s.Self.Region)
 	}
+	s.Dispatcher.CountArrival(x.dispatchRequest(nil))
 	err := s.tryRegions(x, local)
+	if lacksCapacity(err) {
+		s.Dispatcher.CountRejection(x.dispatchRequest(nil))
+	}
 	var rejection *request.NotRun
 	if x.progress.mayHaveRun && errors.As(err, &rejection) {
 		// An engine of one region may have run it, so the caller must not get the rejection of
@@ -108,6 +112,6 @@
 		// The state of the other regions is unknown: choose a random one.
 		choice.Region = reachable[s.Random()%uint64(len(reachable))]
 	}
-	s.Log.Info("region chosen", x.logFields(zap.String("region", choice.Region), zap.Duration("here", choice.LocalCost), zap.Duration("there", choice.Cost), zap.Duration("queue", choice.Queue), zap.Bool("home", choice.IsHome), zap.Bool("trial", choice.IsTrial))...)
+	s.Log.Info("region chosen", x.logFields(zap.String("region", choice.Region), zap.Duration("here", choice.LocalCost), zap.Duration("there", choice.Cost), zap.Duration("queue", choice.Queue), zap.Bool("home", choice.IsHome), zap.Bool("planned", choice.IsPlanned), zap.Bool("trial", choice.IsTrial))...)
 	return choice.Region, true, choice.Refusal
 }
--- a/internal/dispatchbench/exchange.go
+++ b/internal/dispatchbench/exchange.go
@@ -36,7 +36,9 @@
 // handleArrival processes a request that reaches a gateway of the caller's region.
 func (s *Simulation) handleArrival(a *arrival) {
 	x := &exchange{arrival: a, deadline: a.at + a.kind.Deadline}
-	s.chooseRegion(x, s.randomGateway(a.region))
+	g := s.randomGateway(a.region)
+	g.dispatcher.CountArrival(s.dispatchRequest(x))
+	s.chooseRegion(x, g)
 	s.clock.After(x.deadline-s.elapsed(), func() {
 		if x.active != nil && !a.answered {
 			x.engine.cancel(x.active)
@@ -179,6 +181,8 @@
 	}
 	wait := min(rejection.RetryAfter, remaining/3)
 	s.clock.After(wait+2*callerDelay, func() {
-		s.chooseRegion(&exchange{arrival: x.arrival, deadline: x.deadline}, s.randomGateway(x.arrival.region))
+		again, g := &exchange{arrival: x.arrival, deadline: x.deadline}, s.randomGateway(x.arrival.region)
+		g.dispatcher.CountArrival(s.dispatchRequest(again))
+		s.chooseRegion(again, g)
 	})
 }
