--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -135,7 +135,7 @@
 			continue
 		}
 		planned := p.plan.IsNeeded()
-		p.plan = regionplan.New(d.planRegions(p, now), d.planFlows(p.service.Name, demands))
+		p.plan = p.plan.Next(d.planRegions(p, now), d.planFlows(p.service.Name, demands))
 		if needed := p.plan.IsNeeded(); needed != planned {
 			d.Log.Info("plan of regions changed", zap.String("service", p.service.Name), zap.Bool("needed", needed), zap.Stringer("plan", p.plan))
 		}
@@ -143,22 +143,21 @@
 }
 
 // planRegions returns the regions whose engines a plan may use. The capacity is in prompt
-// tokens per second, if the engines did nothing but read. All engines are taken for as fast
-// as those of the region that reads fastest: others seem slower mostly because they are busy,
-// and a plan by such differences would swing with the load that it moves.
+// tokens per second, if the engines did nothing but read. All engines are taken for equally
+// fast: a region's engines seem slower the busier they are, and a plan by such differences
+// would swing with the load that it moves. The median of what the regions estimate excludes
+// one that is wrong.
 func (d *Dispatcher) planRegions(p *pool, now time.Time) []regionplan.Region {
 	engines := map[string]int{d.Region: p.readyEngines}
-	perToken := p.throughput.current().ReadPerToken
+	readTimes := []time.Duration{p.throughput.current().ReadPerToken}
 	for name, remote := range d.remotes {
-		digest, ok := remote.digests[p.service.Name]
-		if !ok || !remote.isFresh(now) {
-			continue
-		}
-		engines[name] = digest.Engines
-		if t := digest.Throughput.ReadPerToken; t > 0 && (perToken <= 0 || t < perToken) {
-			perToken = t
+		if digest, ok := remote.digests[p.service.Name]; ok && remote.isFresh(now) {
+			engines[name] = digest.Engines
+			readTimes = append(readTimes, digest.Throughput.ReadPerToken)
 		}
 	}
+	slices.Sort(readTimes)
+	perToken := readTimes[len(readTimes)/2]
 	if perToken <= 0 {
 		return nil
 	}
--- a/regionplan/plan.go
+++ b/regionplan/plan.go
@@ -18,6 +18,9 @@
 	// callers. At half of it, streams take twice as long as on idle engines; beyond that each
 	// further percent delays them more and more, and a round trip costs callers less.
 	Comfortable = 0.5
+	// stillNeeded is the share of Comfortable at which a plan ends. The demand of two successive
+	// seconds differs by less than a fifth where nothing has changed.
+	stillNeeded = 0.8
 	// quanta is how many steps of equal size the largest flow is moved in. Shares are exact to
 	// one of them.
 	quanta = 64
@@ -65,14 +68,23 @@
 
 // New returns the plan for the regions and flows. Flows that may run in none of the regions
 // are left out.
-func New(regions []Region, flows []Flow) Plan {
+func New(regions []Region, flows []Flow) Plan { return Plan{}.Next(regions, flows) }
+
+// Next returns the plan that follows on p. A plan that was needed stays so until all regions
+// are clearly below what is comfortable, so that requests don't change their regions to and
+// fro at that load.
+func (p Plan) Next(regions []Region, flows []Flow) Plan {
 	s := newPlacement(regions, flows)
-	needed := s.homeIsOverused()
+	limit := Comfortable
+	if p.needed {
+		limit *= stillNeeded
+	}
+	needed := s.homeIsUsed(limit)
 	s.place()
 	s.level()
-	p := s.plan()
-	p.needed = needed
-	return p
+	next := s.plan()
+	next.needed = needed
+	return next
 }
 
 // Shares returns where the flow of a route's requests from the callers of a region runs, by
@@ -214,15 +226,15 @@
 	}
 }
 
-// homeIsOverused reports whether the callers of some region ask for more than is comfortable
-// there.
-func (s *placement) homeIsOverused() bool {
+// homeIsUsed reports whether the callers of some region ask for more than a share of its
+// capacity.
+func (s *placement) homeIsUsed(share float64) bool {
 	asked := make(map[string]float64)
 	for _, f := range s.flows {
 		asked[f.Source] += f.Work
 	}
 	for _, r := range s.regions {
-		if asked[r.Name] > Comfortable*r.Capacity {
+		if asked[r.Name] > share*r.Capacity {
 			return true
 		}
 	}
