--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -51,10 +51,10 @@
 
 func (d *Dispatcher) demandOf(req Request) *routeDemand {
 	key := hashRoute(req.Route, req.Service)
-	demand, ok := d.demand[key]
+	demand, ok := d.routeDemand[key]
 	if !ok {
 		demand = &routeDemand{}
-		d.demand[key] = demand
+		d.routeDemand[key] = demand
 	}
 	return demand
 }
@@ -82,17 +82,17 @@
 	return a.sum / a.weight
 }
 
-// minReportedTokens is the demand below which a route isn't reported: less than one short
+// minReportedDemand is the demand below which a route isn't reported: less than one short
 // prompt a minute.
-const minReportedTokens = 10
+const minReportedDemand = 10
 
 // ownDemand returns the demand of this gateway's callers, and forgets routes without any.
 func (d *Dispatcher) ownDemand(now time.Time) []rollup.RouteDemand {
 	var out []rollup.RouteDemand
-	for key, demand := range d.demand {
+	for key, demand := range d.routeDemand {
 		r := rollup.RouteDemand{Route: key, Tokens: int(demand.tokens.perSecond(now)), Shared: int(demand.shared.perSecond(now)), Requests: int(100 * demand.requests.perSecond(now)), Rejected: int(100 * demand.rejected.perSecond(now))}
-		if r.Tokens < minReportedTokens && r.Requests == 0 && r.Rejected == 0 {
-			delete(d.demand, key)
+		if r.Tokens < minReportedDemand && r.Requests == 0 && r.Rejected == 0 {
+			delete(d.routeDemand, key)
 			continue
 		}
 		out = append(out, r)
@@ -127,7 +127,7 @@
 	demands := map[string]map[uint32]rollup.RouteDemand{d.Region: d.regionDemand(now)}
 	for region, remote := range d.remotes {
 		if remote.isFresh(now) {
-			demands[region] = remote.demand
+			demands[region] = remote.routeDemand
 		}
 	}
 	for _, p := range d.pools {
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -177,7 +177,7 @@
 	}
 	remote.applyDigests(digests, d.roundTrip(r.Region), now.Add(-r.Age))
 	remote.applyVersions(r.Versions)
-	remote.applyDemand(r.Demand)
+	remote.applyRouteDemand(r.Demand)
 	d.applyRemoteUsage(r.Region, r.Accounts, now.Add(-r.Age))
 }
 
