regionplan: findings of the review

Cause: leveling stopped where the least used region had few engines; work counted where its callers are, even if it may not run there; 1,700 routes cost seconds and filled datagrams; wrong token counts of callers reached all regions; prompts changed their region when a plan began, by another hash. Change: classes of alike requests instead of routes, at most 256 in a report; the plan and the home region use one hash; demand is clamped; only known cached tokens count; what a gateway has sent isn't taken for what each has.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -164,7 +164,7 @@
 // takes none from the others.
 func (d *Dispatcher) preferredEngine(p *pool, req Request, now time.Time) *engine {
 	key := req.Prompt.AffinityKey()
-	if key == "" || (!p.plan.IsNeeded() && d.homeRegion(p, req, now) != d.Region) {
+	if key == "" || d.homeRegion(p, req, now) != d.Region {
 		return nil
 	}
 	hash := hashString(key)
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -71,6 +71,7 @@
 	wait         time.Duration // until the answer begins
 	cost         time.Duration // wait plus all penalties
 	cached       int
+	known        int     // part of cached that isn't assumed
 	transferred  int     // part of cached that the engine transfers first
 	source       *engine // where it transfers them from
 	preferred    bool
@@ -109,7 +110,7 @@
 // network round trip to the engine's region, 0 for this one.
 func estimate(in costInputs, req Request, roundTrip time.Duration) score {
 	p := req.Prompt
-	s := score{cached: in.cached, preferred: in.preferred, load: in.load}
+	s := score{cached: in.cached, known: in.cached, preferred: in.preferred, load: in.load}
 	queuedPerSlot := float64(in.load.Requests+1-in.slots) / float64(max(1, in.slots))
 	s.queue = time.Duration(max(0, queuedPerSlot) * float64(in.throughput.SlotTime))
 	if in.cacheTokens == 0 {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -87,13 +87,13 @@
 	crashDetector  *quarantine.CrashDetector[brokenRun] // distinguishes crashes from broken connections
 	suspectEngines chan SuspectEngine
 	// quarantine holds the requests that were running when engines crashed.
-	quarantine  *quarantine.Table
-	parts       *quarantine.Parts             // the parts of prompts that were running when engines crashed
-	begunRuns   []*Ticket                     // whose answers have begun, until their parts are cleared
-	routeDemand map[uint32]*routeDemand       // of this gateway's callers, by route
-	peerDemand  map[uint32]rollup.RouteDemand // of the region's other gateways' callers
-	limits      *ratelimit.Table              // limits announced by engines
-	pushback    *pushback.Table               // backoff and draining announced by engines
+	quarantine   *quarantine.Table
+	parts        *quarantine.Parts             // the parts of prompts that were running when engines crashed
+	begunRuns    []*Ticket                     // whose answers have begun, until their parts are cleared
+	callerDemand map[uint32]*callerDemand      // of this gateway's callers, by class
+	peerDemand   map[uint32]rollup.RouteDemand // of the region's other gateways' callers, by class
+	limits       *ratelimit.Table              // limits announced by engines
+	pushback     *pushback.Table               // backoff and draining announced by engines
 }
 
 // New returns a dispatcher without services. They come with the first ledger state.
@@ -101,7 +101,7 @@
 	self := roster.Host{Name: deps.Name, Role: roster.RoleGateway, Region: deps.Region, DataCentre: deps.DataCentre}
 	d := &Dispatcher{
 		Deps: deps, catalog: catalog.NewTable(catalog.Catalog{}), pools: make(map[string]*pool), reported: make(map[*engine]struct{}),
-		evacuationEnded: make(map[string]time.Time), reportingGateways: 1, remotes: make(map[string]*remoteRegion), enginesByHash: make(map[uint64]*engine), routeDemand: make(map[uint32]*routeDemand), accountNames: make(map[uint32]string),
+		evacuationEnded: make(map[string]time.Time), reportingGateways: 1, remotes: make(map[string]*remoteRegion), enginesByHash: make(map[uint64]*engine), callerDemand: make(map[uint32]*callerDemand), accountNames: make(map[uint32]string),
 		crashDetector: quarantine.NewCrashDetector[brokenRun](), suspectEngines: make(chan SuspectEngine, maxSuspectEngines), quarantine: quarantine.New(), parts: quarantine.NewParts(), limits: ratelimit.New(deps.Name), pushback: pushback.New(),
 	}
 	d.aggregator = rollup.New(rollup.Deps{Self: self, Hosts: deps.Peers, IsSignificant: d.isSignificantLoad, Clock: deps.Clock})
@@ -128,6 +128,7 @@
 			d.pools[s.Name] = p
 		}
 		p.service = s
+		p.applyRoutes(table.RoutesOf(s.Name))
 		r, ordered := state.Rollouts[s.Name]
 		p.applyRollout(r, ordered)
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -1,27 +1,50 @@
-// This file plans which share of the requests of each route runs in which region. Package
+// This file plans which share of the requests of each class runs in which region. Package
 // regionplan defines the plan; this file defines what is measured for it, and when it applies.
 
 package dispatch
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/linenscale/linenscale/catalog"
 	"github.com/linenscale/linenscale/regionplan"
 	"github.com/linenscale/linenscale/rollup"
 )
 
-// routeDemand is what this gateway's callers lately asked for on one route of one service.
-type routeDemand struct {
-	tokens, shared, requests, rejected decayingRate
+// demandClass is the requests of one service that are alike for the decisions of gateways:
+// those of all routes with the same homes, priority and target. Catalogs have thousands of
+// routes and few classes.
+type demandClass struct {
+	id    uint32
+	route catalog.Route // one of the class
 }
 
-// hashRoute returns the hash that stands for a route of a service in messages.
-func hashRoute(route, service string) uint32 {
-	return uint32(xxhash.Sum64String(route + "\x00" + service))
+// classID returns the number that stands for the class of a route's requests in messages.
+func classID(route catalog.Route, service string) uint32 {
+	homes := slices.Sorted(slices.Values(route.Homes))
+	return uint32(hashString(fmt.Sprintf("%s\x00%s\x00%d\x00%d", service, strings.Join(homes, ","), route.Priority, route.Target)))
+}
+
+// applyRoutes finds the classes of the service's requests.
+func (p *pool) applyRoutes(routes []catalog.Route) {
+	p.classes, p.classByRoute = nil, make(map[string]uint32, len(routes))
+	for _, route := range routes {
+		id := classID(route, p.service.Name)
+		p.classByRoute[route.Name] = id
+		if !slices.ContainsFunc(p.classes, func(c demandClass) bool { return c.id == id }) {
+			p.classes = append(p.classes, demandClass{id, route})
+		}
+	}
+}
+
+// callerDemand is what this gateway's callers lately asked for in one class.
+type callerDemand struct {
+	tokens, shared, requests decayingRate
 }
 
 // CountArrival counts a caller's request, before its region is chosen, as demand of this
@@ -29,39 +52,27 @@
 func (d *Dispatcher) CountArrival(req Request) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.Clock()
 	p, ok := d.pools[req.Service]
-	if !ok || p.service.Model == nil {
+	if !ok {
 		return
 	}
-	demand := d.demandOf(req)
-	demand.requests.add(1, now)
-	demand.tokens.add(p.expectedUnread(req.Prompt), now)
-	demand.shared.add(float64(req.Prompt.sharedTokens()), now)
-}
-
-// CountRejection counts a request whose caller was rejected for lack of capacity.
-func (d *Dispatcher) CountRejection(req Request) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if p, ok := d.pools[req.Service]; ok && p.service.Model != nil {
-		d.demandOf(req).rejected.add(1, d.Clock())
+	class, ok := p.classByRoute[req.Route]
+	if !ok {
+		return
 	}
-}
-
-func (d *Dispatcher) demandOf(req Request) *routeDemand {
-	key := hashRoute(req.Route, req.Service)
-	demand, ok := d.routeDemand[key]
+	demand, ok := d.callerDemand[class]
 	if !ok {
-		demand = &routeDemand{}
-		d.routeDemand[key] = demand
+		demand = &callerDemand{}
+		d.callerDemand[class] = demand
+	}
+	now := d.Clock()
+	demand.requests.add(1, now)
+	if p.service.Model != nil {
+		prompt := min(max(0, req.Prompt.InputTokens), p.service.Model.CacheTokens)
+		shared := min(max(0, req.Prompt.sharedTokens()), prompt)
+		demand.tokens.add(float64(prompt)-p.cachedShare.value()*float64(shared), now)
+		demand.shared.add(float64(shared), now)
 	}
-	return demand
-}
-
-// expectedUnread returns the prompt tokens that an engine probably has to read.
-func (p *pool) expectedUnread(prompt Prompt) float64 {
-	return float64(prompt.InputTokens) - p.cachedShare.value()*float64(prompt.sharedTokens())
 }
 
 // shareAverage is an exponential average of shares. The zero value has none and is 0.
@@ -71,8 +82,8 @@
 // count.
 const shareDecay = 0.99
 
-func (a *shareAverage) add(share, weight float64) {
-	a.sum, a.weight = shareDecay*a.sum+share*weight, shareDecay*a.weight+weight
+func (a *shareAverage) add(share float64) {
+	a.sum, a.weight = shareDecay*a.sum+share, shareDecay*a.weight+1
 }
 
 func (a *shareAverage) value() float64 {
@@ -82,17 +93,14 @@
 	return a.sum / a.weight
 }
 
-// minReportedDemand is the demand below which a route isn't reported: less than one short
-// prompt a minute.
-const minReportedDemand = 10
-
-// ownDemand returns the demand of this gateway's callers, and forgets routes without any.
+// ownDemand returns the demand of this gateway's callers, and forgets classes without any. The
+// lock is held.
 func (d *Dispatcher) ownDemand(now time.Time) []rollup.RouteDemand {
 	var out []rollup.RouteDemand
-	for key, demand := range d.routeDemand {
-		r := rollup.RouteDemand{Route: key, Tokens: int(demand.tokens.perSecond(now)), Shared: int(demand.shared.perSecond(now)), Requests: int(100 * demand.requests.perSecond(now)), Rejected: int(100 * demand.rejected.perSecond(now))}
-		if r.Tokens < minReportedDemand && r.Requests == 0 && r.Rejected == 0 {
-			delete(d.routeDemand, key)
+	for class, demand := range d.callerDemand {
+		r := rollup.RouteDemand{Route: class, Tokens: int(demand.tokens.perSecond(now)), Shared: int(demand.shared.perSecond(now)), Requests: int(100 * demand.requests.perSecond(now))}
+		if r.Requests == 0 {
+			delete(d.callerDemand, class)
 			continue
 		}
 		out = append(out, r)
@@ -100,92 +108,103 @@
 	return out
 }
 
-// regionDemand returns the demand of all callers of this region, by route.
+// regionDemand returns the demand of all callers of this region, by class. The lock is held.
 func (d *Dispatcher) regionDemand(now time.Time) map[uint32]rollup.RouteDemand {
 	sums := make(map[uint32]rollup.RouteDemand)
-	for key, others := range d.peerDemand {
-		sums[key] = others
+	for class, others := range d.peerDemand {
+		sums[class] = others
 	}
 	for _, own := range d.ownDemand(now) {
 		sum := sums[own.Route]
-		sums[own.Route] = rollup.RouteDemand{Route: own.Route, Tokens: sum.Tokens + own.Tokens, Shared: sum.Shared + own.Shared, Requests: sum.Requests + own.Requests, Rejected: sum.Rejected + own.Rejected}
+		sums[own.Route] = rollup.RouteDemand{Route: own.Route, Tokens: sum.Tokens + own.Tokens, Shared: sum.Shared + own.Shared, Requests: sum.Requests + own.Requests}
 	}
 	return sums
 }
 
-// regionDemandReport is regionDemand for the report to other regions.
+// regionDemandReport is regionDemand for the report to other regions. The lock is held.
 func (d *Dispatcher) regionDemandReport(now time.Time) []rollup.RouteDemand {
 	var out []rollup.RouteDemand
 	for _, demand := range d.regionDemand(now) {
 		out = append(out, demand)
 	}
-	return out
+	return rollup.LimitDemand(out)
 }
 
 // updatePlans computes the plan of each service with a model. The lock is held.
 func (d *Dispatcher) updatePlans(now time.Time) {
+	if len(d.remotes) == 0 {
+		return
+	}
 	demands := map[string]map[uint32]rollup.RouteDemand{d.Region: d.regionDemand(now)}
 	for region, remote := range d.remotes {
 		if remote.isFresh(now) {
-			demands[region] = remote.routeDemand
+			demands[region] = remote.callerDemand
 		}
 	}
 	for _, p := range d.pools {
-		if p.service.Model == nil || len(d.remotes) == 0 {
+		if p.service.Model == nil {
 			continue
 		}
-		planned := p.plan.IsNeeded()
-		p.plan = p.plan.Next(d.planRegions(p, now), d.planFlows(p.service.Name, demands))
-		if needed := p.plan.IsNeeded(); needed != planned {
+		before := p.plan
+		p.plan = before.Next(d.planRegions(p, now), p.planFlows(demands))
+		if needed := p.plan.IsNeeded(); needed != before.IsNeeded() {
 			d.Log.Info("plan of regions changed", zap.String("service", p.service.Name), zap.Bool("needed", needed), zap.Stringer("plan", p.plan))
 		}
 	}
 }
 
-// planRegions returns the regions whose engines a plan may use. The capacity is in prompt
-// tokens per second, if the engines did nothing but read. All engines are taken for equally
-// fast: a region's engines seem slower the busier they are, and a plan by such differences
-// would swing with the load that it moves. The median of what the regions estimate excludes
-// one that is wrong.
+// planRegions returns the regions whose engines a plan may use, or none before the first
+// answers. The capacity is in prompt tokens per second, if the engines did nothing but read.
+// All engines are taken for equally fast: a region's engines seem slower the busier they are,
+// and a plan by such differences would swing with the load that it moves. The median of what
+// the regions estimate excludes one that is wrong. The lock is held.
 func (d *Dispatcher) planRegions(p *pool, now time.Time) []regionplan.Region {
-	engines := map[string]int{d.Region: p.readyEngines}
-	readTimes := []time.Duration{p.throughput.current().ReadPerToken}
-	for name, remote := range d.remotes {
+	engines := make(map[string]int)
+	var readTimes []time.Duration
+	add := func(region string, n int, t Throughput) {
+		if n > 0 {
+			engines[region] = n
+			if t.ReadPerToken > 0 {
+				readTimes = append(readTimes, t.ReadPerToken)
+			}
+		}
+	}
+	add(d.Region, p.readyEngines, p.throughput.current())
+	for region, remote := range d.remotes {
 		if digest, ok := remote.digests[p.service.Name]; ok && remote.isFresh(now) {
-			engines[name] = digest.Engines
-			readTimes = append(readTimes, digest.Throughput.ReadPerToken)
+			add(region, digest.Engines, digest.Throughput)
 		}
 	}
-	slices.Sort(readTimes)
-	perToken := readTimes[len(readTimes)/2]
-	if perToken <= 0 {
+	if len(readTimes) == 0 {
 		return nil
 	}
+	slices.Sort(readTimes)
+	perToken := readTimes[len(readTimes)/2]
 	var out []regionplan.Region
-	for name, n := range engines {
-		out = append(out, regionplan.Region{Name: name, Capacity: float64(n) * float64(time.Second) / float64(perToken)})
+	for region, n := range engines {
+		out = append(out, regionplan.Region{Name: region, Capacity: float64(n) * float64(time.Second) / float64(perToken)})
 	}
 	return out
 }
 
-// minSharedShare is the share of a route's work, if all shared prompt blocks were read, from
-// which on it matters where they are cached.
-const minSharedShare = 0.4
+// minSharedShare is the share of its prompts' tokens that a class must share with other
+// requests for it to matter where they are cached: reading a third less outweighs a round trip
+// for prompts that take long to read, and others hardly notice where they run.
+const minSharedShare = 1.0 / 3
 
-// planFlows returns the demand on a service's routes, by the region of the callers.
-func (d *Dispatcher) planFlows(service string, demands map[string]map[uint32]rollup.RouteDemand) []regionplan.Flow {
+// planFlows returns the demand for the service, by the region of the callers.
+func (p *pool) planFlows(demands map[string]map[uint32]rollup.RouteDemand) []regionplan.Flow {
 	var out []regionplan.Flow
-	for _, route := range d.catalog.RoutesOf(service) {
-		key := hashRoute(route.Name, service)
-		tokens, shared := 0, 0
+	for _, class := range p.classes {
+		var tokens, shared float64
 		for _, demand := range demands {
-			tokens += demand[key].Tokens
-			shared += demand[key].Shared
+			tokens += float64(demand[class.id].Tokens)
+			shared += float64(demand[class.id].Shared)
 		}
-		cached := float64(shared) > minSharedShare*float64(tokens)
+		cached := shared > minSharedShare*(tokens+p.cachedShare.value()*shared)
 		for region, demand := range demands {
-			if tokens := demand[key].Tokens; tokens > 0 {
-				out = append(out, regionplan.Flow{Source: region, Route: route.Name, Work: float64(tokens), Permitted: route.PermitsRegion, Cached: cached})
+			if tokens := demand[class.id].Tokens; tokens > 0 {
+				out = append(out, regionplan.Flow{Source: region, Class: class.id, Work: float64(tokens), Permitted: class.route.PermitsRegion, Cached: cached})
 			}
 		}
 	}
@@ -193,27 +212,36 @@
 }
 
 // plannedRegion returns the region where the plan places a request of this region's callers;
-// "" if nothing is planned for it. usable reports whether a region can be chosen now.
+// "" if nothing is planned for it. usable reports whether a region can be chosen now. The lock
+// is held.
 func (d *Dispatcher) plannedRegion(p *pool, req Request, usable func(region string) bool) string {
-	if !p.plan.IsNeeded() {
+	class, ok := p.classByRoute[req.Route]
+	if !ok || !p.plan.IsNeeded() {
 		return ""
 	}
 	key := req.Prompt.AffinityKey()
 	if key == "" {
 		key = req.ID
 	}
-	return regionplan.Pick(p.plan.Shares(d.Region, req.Route), hashString(key), usable)
+	return regionplan.Pick(p.plan.Shares(d.Region, class), func(region string) uint64 { return Rank(key, region) }, usable)
+}
+
+// hasRoomReport reports whether a region has engines for a request by a recent report. The lock
+// is held.
+func (d *Dispatcher) hasRoomReport(region string, p *pool, req Request, now time.Time) bool {
+	remote, ok := d.remotes[region]
+	return ok && remote.isFresh(now) && remote.digests[p.service.Name].Engines > 0 && !remote.lacksVersion(req.Origin)
 }
 
 // placeByPlan returns the placement that the plan gives a request. It returns false if nothing
 // is planned for the request, or if it wouldn't be admitted in the planned region. local is
-// its placement in this region.
+// its placement in this region. The lock is held.
 func (d *Dispatcher) placeByPlan(p *pool, req Request, local Placement, reachable []string, now time.Time) (Placement, bool) {
 	region := d.plannedRegion(p, req, func(region string) bool {
 		if region == d.Region {
 			return local.LocalCost >= 0 && local.Refusal == nil
 		}
-		return slices.Contains(reachable, region)
+		return slices.Contains(reachable, region) && d.hasRoomReport(region, p, req, now)
 	})
 	switch region {
 	case "":
@@ -223,15 +251,11 @@
 		local.IsPlanned = true
 		return local, true
 	}
-	remote, ok := d.remotes[region]
-	if !ok || !remote.isFresh(now) || remote.digests[p.service.Name].Engines == 0 || remote.lacksVersion(req.Origin) {
-		return Placement{}, false
-	}
-	in := remote.costInputs(req, p.throughput.current(), true, now)
-	in.usualError = p.throughput.usualError()
-	s := estimate(in, req, d.roundTrip(region))
-	if s.late {
+	// The plan already includes what all gateways send. Taking what this one has sent for what
+	// each has would make most planned regions seem full or empty by chance.
+	s, ok := d.estimateRemote(region, p, req, true, 1, now)
+	if !ok || s.late {
 		return Placement{}, false
 	}
-	return Placement{Region: region, LocalCost: local.LocalCost, Cost: s.cost + remoteCost, Queue: s.queue, IsHome: true, IsPlanned: true}, true
+	return Placement{Region: region, LocalCost: local.LocalCost, Cost: s.cost + remoteCost, Queue: s.queue, IsHome: local.IsHome, IsPlanned: true}, true
 }
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -74,6 +74,8 @@
 // within a second of its last report it gets none.
 func TestRegionWithoutReportsFallsOutOfPlan(t *testing.T) {
 	env, g := newPlanEnv(t)
+	_, planned := regionsOf(g, []string{"kano"})
+	must.Positive(t, planned)
 	env.advance(time.Second)
 	regions, _ := regionsOf(g, []string{"kano"})
 	must.Eq(t, 0, count(regions, "kano"))
@@ -83,7 +85,10 @@
 // can't be reached although its reports arrive.
 func TestPlannedRegionThatCantBeReached(t *testing.T) {
 	_, g := newPlanEnv(t)
-	regions, _ := regionsOf(g, nil)
+	before, _ := regionsOf(g, []string{"kano"})
+	must.Positive(t, count(before, "kano"))
+	regions, planned := regionsOf(g, nil)
+	must.Eq(t, 60, planned)
 	must.Eq(t, 0, count(regions, "kano"))
 }
 
@@ -91,6 +96,8 @@
 // planned region would reject a request, it goes where it is cheapest.
 func TestPlannedRegionThatIsFullIsNotUsed(t *testing.T) {
 	env, g := newPlanEnv(t)
+	before, _ := regionsOf(g, []string{"kano"})
+	must.Positive(t, count(before, "kano"))
 	g.Receive(loadReport("kano", 4, 400_000))
 	env.advance(10 * time.Millisecond)
 	for i := range 60 {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -87,6 +87,8 @@
 	readyEngines     int                         // that accept requests and aren't cold
 	rollout          *poolRollout                // the service's latest; nil if it never had one
 	plan             regionplan.Plan             // where the requests of all regions run, as of the last refresh
+	classes          []demandClass               // of the service's requests
+	classByRoute     map[string]uint32           // ID of the class of each route's requests
 	cachedShare      shareAverage                // of the shared tokens of prompts, that engines had cached
 }
 
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -177,7 +177,7 @@
 	}
 	remote.applyDigests(digests, d.roundTrip(r.Region), now.Add(-r.Age))
 	remote.applyVersions(r.Versions)
-	remote.applyRouteDemand(r.Demand)
+	remote.applyCallerDemand(r.Demand)
 	d.applyRemoteUsage(r.Region, r.Accounts, now.Add(-r.Age))
 }
 
@@ -224,7 +224,8 @@
 	}
 	local := best
 	for _, region := range reachable {
-		s, ok := d.estimateRemote(region, p, req, region == home, now)
+		// Assume that the other gateways of this region have sent as much as this one.
+		s, ok := d.estimateRemote(region, p, req, region == home, d.reportingGateways, now)
 		if cost := s.cost + remoteCost; ok && (best.Cost < 0 || cost < best.Cost) {
 			best = Placement{Region: region, LocalCost: best.LocalCost, Cost: cost, Queue: s.queue, Refusal: req.checkAdmission(s), IsHome: region == home}
 		}
@@ -241,16 +242,16 @@
 }
 
 // estimateRemote returns the cost estimate for a request in another region; false if
-// there is no recent report from the region or no usable engine there.
-func (d *Dispatcher) estimateRemote(region string, p *pool, req Request, isHome bool, now time.Time) (score, bool) {
+// there is no recent report from the region or no usable engine there. What this gateway has
+// sent there since counts as often as senders says.
+func (d *Dispatcher) estimateRemote(region string, p *pool, req Request, isHome bool, senders int, now time.Time) (score, bool) {
 	remote, ok := d.remotes[region]
 	if !ok || !remote.isFresh(now) || remote.digests[p.service.Name].Engines == 0 || remote.lacksVersion(req.Origin) {
 		return score{}, false
 	}
 	in := remote.costInputs(req, p.throughput.current(), isHome, now)
-	// Assume that the other gateways of this region have sent as much as this one.
 	inFlight := remote.inFlightLoad(p.service.Name)
-	inFlight.Requests, inFlight.Unread, inFlight.Reserved = inFlight.Requests*d.reportingGateways, inFlight.Unread*d.reportingGateways, inFlight.Reserved*d.reportingGateways
+	inFlight.Requests, inFlight.Unread, inFlight.Reserved = inFlight.Requests*senders, inFlight.Unread*senders, inFlight.Reserved*senders
 	in.load = in.load.plus(inFlight.dividedBy(remote.digests[p.service.Name].Engines))
 	in.usualError = p.throughput.usualError()
 	return estimate(in, req, d.roundTrip(region)), true
@@ -264,14 +265,19 @@
 	return defaultRoundTrip
 }
 
-// homeRegion returns the region where a prompt's shared blocks are cached: the one ranked
-// first, by rendezvous hashing weighted with the numbers of engines, of those where the
+// homeRegion returns the region where a prompt's shared blocks are cached: the planned one, or
+// the one ranked first, by rendezvous hashing weighted with the numbers of engines, of those where the
 // request may run; "" if the prompt has no shared blocks.
 func (d *Dispatcher) homeRegion(p *pool, req Request, now time.Time) string {
 	key := req.Prompt.AffinityKey()
 	if key == "" {
 		return ""
 	}
+	if planned := d.plannedRegion(p, req, func(region string) bool {
+		return (req.Permitted == nil || req.Permitted(region)) && (region == d.Region || d.hasRoomReport(region, p, req, now))
+	}); planned != "" {
+		return planned
+	}
 	home, highest := "", math.Inf(-1)
 	consider := func(region string, engines int) {
 		if engines == 0 || (req.Permitted != nil && !req.Permitted(region)) {
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -13,12 +13,12 @@
 
 // remoteRegion is the known state of another region.
 type remoteRegion struct {
-	reportedAt  time.Time // when its last report arrived in this region
-	digests     map[string]Digest
-	versions    map[streams.Origin]int        // engines that serve, by service and version; nil if not reported
-	routeDemand map[uint32]rollup.RouteDemand // of its callers, by route
-	inFlight    []*RemoteRequest              // sent there, and not in its last report yet
-	cached      map[string]cachedBlocks       // by service: prompt blocks sent there
+	reportedAt   time.Time // when its last report arrived in this region
+	digests      map[string]Digest
+	versions     map[streams.Origin]int        // engines that serve, by service and version; nil if not reported
+	callerDemand map[uint32]rollup.RouteDemand // of its callers, by class
+	inFlight     []*RemoteRequest              // sent there, and not in its last report yet
+	cached       map[string]cachedBlocks       // by service: prompt blocks sent there
 }
 
 // RemoteRequest is a request handed over to another region. It counts as load of that
@@ -75,11 +75,11 @@
 	r.inFlight = slices.DeleteFunc(r.inFlight, func(a *RemoteRequest) bool { return now.Sub(a.sentAt) > roundTrip })
 }
 
-// applyRouteDemand replaces the demand of the region's callers.
-func (r *remoteRegion) applyRouteDemand(demand []rollup.RouteDemand) {
-	r.routeDemand = make(map[uint32]rollup.RouteDemand, len(demand))
-	for _, route := range demand {
-		r.routeDemand[route.Route] = route
+// applyCallerDemand replaces the demand of the region's callers.
+func (r *remoteRegion) applyCallerDemand(demand []rollup.RouteDemand) {
+	r.callerDemand = make(map[uint32]rollup.RouteDemand, len(demand))
+	for _, class := range demand {
+		r.callerDemand[class.Route] = class
 	}
 }
 
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -76,7 +76,7 @@
 		t.load.Reserved = req.Prompt.InputTokens + req.Prompt.OutputTokens
 		e.readRate.add(float64(t.load.Unread), now)
 		if shared := req.Prompt.sharedTokens(); shared > 0 {
-			p.cachedShare.add(min(1, float64(s.cached)/float64(shared)), 1)
+			p.cachedShare.add(min(1, float64(s.known)/float64(shared)))
 		}
 		p.recordPrompt(e, req.Prompt, now)
 		d.recordSentBlock(req.Prompt, e, now)
--- a/ingress/region.go
+++ b/ingress/region.go
@@ -23,9 +23,6 @@
 	}
 	s.Dispatcher.CountArrival(x.dispatchRequest(nil))
 	err := s.tryRegions(x, local)
-	if lacksCapacity(err) {
-		s.Dispatcher.CountRejection(x.dispatchRequest(nil))
-	}
 	var rejection *request.NotRun
 	if x.progress.mayHaveRun && errors.As(err, &rejection) {
 		// An engine of one region may have run it, so the caller must not get the rejection of
--- a/regionplan/doc.go
+++ b/regionplan/doc.go
@@ -7,9 +7,10 @@
 // cache would be spread at random.
 //
 // A Plan says which share of each flow of requests runs in which region. A flow is the
-// requests of one route whose callers are in one region. The plan is a pure function of the
-// capacity of each region and the work of each flow, so that all gateways that receive the
-// same reports compute the same plan, without a coordinator. A region that isn't in the input,
+// requests of one class whose callers are in one region. The plan is a pure function of the
+// capacity of each region, the work of each flow, and whether one was needed before, so that
+// gateways that receive the same reports compute the same plan, without a coordinator; one that
+// starts may differ from the others while the load is between where a plan begins and ends. A region that isn't in the input,
 // because its reports stopped or it has no engines, gets nothing.
 //
 // Within the shares, requests are placed by the hash of what their prompts share. The same
--- a/regionplan/plan.go
+++ b/regionplan/plan.go
@@ -7,10 +7,6 @@
 	"math"
 	"slices"
 	"strings"
-
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/linenscale/linenscale/internal/rendezvous"
 )
 
 const (
@@ -18,15 +14,15 @@
 	// callers. At half of it, streams take twice as long as on idle engines; beyond that each
 	// further percent delays them more and more, and a round trip costs callers less.
 	Comfortable = 0.5
-	// stillNeeded is the share of Comfortable at which a plan ends. The demand of two successive
-	// seconds differs by less than a fifth where nothing has changed.
-	stillNeeded = 0.8
+	// endFactor is the share of Comfortable at which a plan ends. Requests would change their
+	// regions to and fro if it began and ended at the same load.
+	endFactor = 0.8
 	// quanta is how many steps of equal size the largest flow is moved in. Shares are exact to
 	// one of them.
 	quanta = 64
-	// muchMore is how many times as much as another region one must be used for cached flows to
-	// move. A third more work is about what reading prompts again costs.
-	muchMore = 1.33
+	// cachedMoveRatio is how many times as much as another region one must be used for cached
+	// flows to move. A third more work is about what reading prompts again costs.
+	cachedMoveRatio = 1.33
 	// maxMoves bounds the computation. Each move evens out two regions, and with twenty regions
 	// of ten flows a few hundred are needed.
 	maxMoves = 4096
@@ -39,10 +35,11 @@
 	Capacity float64
 }
 
-// Flow is the work that the callers of one region ask for on one route.
+// Flow is the work that the callers of one region ask for in one class of requests, which may
+// run in the same regions.
 type Flow struct {
 	Source    string // region of the callers
-	Route     string
+	Class     uint32
 	Work      float64 // per second
 	Permitted func(region string) bool
 	// Cached states that much of the work is avoided if requests with the same prompts go to
@@ -64,7 +61,10 @@
 	needed      bool
 }
 
-type flowKey struct{ source, route string }
+type flowKey struct {
+	source string
+	class  uint32
+}
 
 // New returns the plan for the regions and flows. Flows that may run in none of the regions
 // are left out.
@@ -74,22 +74,24 @@
 // are clearly below what is comfortable, so that requests don't change their regions to and
 // fro at that load.
 func (p Plan) Next(regions []Region, flows []Flow) Plan {
-	s := newPlacement(regions, flows)
 	limit := Comfortable
 	if p.needed {
-		limit *= stillNeeded
+		limit *= endFactor
 	}
-	needed := s.homeIsUsed(limit)
-	s.place()
-	s.level()
-	next := s.plan()
-	next.needed = needed
-	return next
+	atHome := newPlacement(regions, flows)
+	atHome.placeAtHome(false)
+	if !atHome.isUsed(limit) {
+		return Plan{utilization: atHome.utilizations()}
+	}
+	leveled := newPlacement(regions, flows)
+	leveled.placeAtHome(true)
+	leveled.level()
+	return leveled.plan()
 }
 
-// Shares returns where the flow of a route's requests from the callers of a region runs, by
-// region; nil if nothing is planned for it.
-func (p Plan) Shares(source, route string) []Share { return p.shares[flowKey{source, route}] }
+// Shares returns where the flow of a class from the callers of a region runs, by region; nil if
+// nothing is planned for it.
+func (p Plan) Shares(source string, class uint32) []Share { return p.shares[flowKey{source, class}] }
 
 // Utilization returns the share of a region's capacity that the plan uses.
 func (p Plan) Utilization(region string) float64 { return p.utilization[region] }
@@ -98,7 +100,7 @@
 // If none do, each request can run where that is cheapest for itself.
 func (p Plan) IsNeeded() bool { return p.needed }
 
-// String formats the plan for logs, like "a=0.52 b=0.48; from a: long a=0.60 b=0.40".
+// String formats the plan for logs, like "a=0.52 b=0.48; from a: 00a1b2c3 a=0.60 b=0.40".
 func (p Plan) String() string {
 	var out strings.Builder
 	for i, region := range slices.Sorted(maps.Keys(p.utilization)) {
@@ -108,10 +110,10 @@
 		fmt.Fprintf(&out, "%s=%.2f", region, p.utilization[region])
 	}
 	keys := slices.SortedFunc(maps.Keys(p.shares), func(a, b flowKey) int {
-		return cmp.Or(cmp.Compare(a.source, b.source), cmp.Compare(a.route, b.route))
+		return cmp.Or(cmp.Compare(a.source, b.source), cmp.Compare(a.class, b.class))
 	})
 	for _, key := range keys {
-		fmt.Fprintf(&out, "; from %s: %s", key.source, key.route)
+		fmt.Fprintf(&out, "; from %s: %08x", key.source, key.class)
 		for _, share := range p.shares[key] {
 			fmt.Fprintf(&out, " %s=%.2f", share.Region, share.Weight)
 		}
@@ -119,18 +121,19 @@
 	return out.String()
 }
 
-// Pick returns the region for a key, of the shares that are usable; "" if none is. Equal keys
-// get equal regions, and a change of the shares moves as few keys as possible (weighted
-// rendezvous hashing).
-func Pick(shares []Share, key uint64, usable func(region string) bool) string {
+// Pick returns the region for a request, of the shares that are usable; "" if none is. rank
+// returns a uniformly distributed hash of what the request shares with others and a region.
+// Equal ranks give equal regions, and a change of the shares moves as few requests as possible
+// (weighted rendezvous hashing).
+func Pick(shares []Share, rank func(region string) uint64, usable func(region string) bool) string {
 	picked, best := "", math.Inf(-1)
 	for _, s := range shares {
 		if s.Weight <= 0 || !usable(s.Region) {
 			continue
 		}
-		uniform := (float64(rendezvous.Rank(key, xxhash.Sum64String(s.Region))>>11) + 0.5) / (1 << 53)
-		if rank := -s.Weight / math.Log(uniform); rank > best {
-			picked, best = s.Region, rank
+		uniform := (float64(rank(s.Region)>>11) + 0.5) / (1 << 53)
+		if score := -s.Weight / math.Log(uniform); score > best {
+			picked, best = s.Region, score
 		}
 	}
 	return picked
@@ -146,118 +149,119 @@
 }
 
 func newPlacement(regions []Region, flows []Flow) *placement {
-	s := &placement{}
+	p := &placement{}
 	for _, r := range regions {
 		if r.Capacity > 0 {
-			s.regions = append(s.regions, r)
+			p.regions = append(p.regions, r)
 		}
 	}
-	slices.SortFunc(s.regions, func(a, b Region) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(p.regions, func(a, b Region) int { return cmp.Compare(a.Name, b.Name) })
 	largest := 0.0
 	for _, f := range flows {
-		if f.Work > 0 && slices.ContainsFunc(s.regions, func(r Region) bool { return f.Permitted(r.Name) }) {
-			s.flows = append(s.flows, f)
+		if f.Work > 0 && slices.ContainsFunc(p.regions, func(r Region) bool { return f.Permitted(r.Name) }) {
+			p.flows = append(p.flows, f)
 			largest = max(largest, f.Work)
 		}
 	}
-	slices.SortFunc(s.flows, func(a, b Flow) int {
-		return cmp.Or(cmp.Compare(a.Source, b.Source), cmp.Compare(a.Route, b.Route))
+	slices.SortFunc(p.flows, func(a, b Flow) int {
+		return cmp.Or(cmp.Compare(a.Source, b.Source), cmp.Compare(a.Class, b.Class))
 	})
-	s.quantum = largest / quanta
-	s.used = make([]float64, len(s.regions))
-	s.placed = make([][]float64, len(s.flows))
-	for i := range s.placed {
-		s.placed[i] = make([]float64, len(s.regions))
+	p.quantum = largest / quanta
+	p.used = make([]float64, len(p.regions))
+	p.placed = make([][]float64, len(p.flows))
+	for i := range p.placed {
+		p.placed[i] = make([]float64, len(p.regions))
 	}
-	return s
+	return p
 }
 
-func (s *placement) utilization(region int) float64 {
-	return s.used[region] / s.regions[region].Capacity
+func (p *placement) utilization(region int) float64 {
+	return p.used[region] / p.regions[region].Capacity
 }
 
 // move moves work of a flow between two regions; from is negative for work that isn't placed.
-func (s *placement) move(flow, from, to int, work float64) {
+func (p *placement) move(flow, from, to int, work float64) {
 	if from >= 0 {
-		s.placed[flow][from] -= work
-		s.used[from] -= work
+		p.placed[flow][from] -= work
+		p.used[from] -= work
 	}
-	s.placed[flow][to] += work
-	s.used[to] += work
+	p.placed[flow][to] += work
+	p.used[to] += work
 }
 
-// place places the flows before any is moved. A cached flow is spread over all its regions by
-// their capacity, whoever its callers are, so that its prompts have the same regions while the
-// peaks move. Others run in the region of their callers. Those that may not follow, in small
-// steps, each to the least used region.
-func (s *placement) place() {
+// placeAtHome places each flow in the region of its callers. Flows that may not run there, or
+// whose region has no engines, follow in small steps, each to the least used region. With
+// spreadCached, cached flows are spread over all their regions by capacity instead, whoever
+// their callers are, so that their prompts have the same regions while the peaks move.
+func (p *placement) placeAtHome(spreadCached bool) {
 	var elsewhere []int
-	for i, f := range s.flows {
-		if f.Cached {
-			s.spread(i)
+	for i, f := range p.flows {
+		if spreadCached && f.Cached {
+			p.spread(i)
 			continue
 		}
-		at := slices.IndexFunc(s.regions, func(r Region) bool { return r.Name == f.Source })
+		at := slices.IndexFunc(p.regions, func(r Region) bool { return r.Name == f.Source })
 		if at < 0 || !f.Permitted(f.Source) {
 			elsewhere = append(elsewhere, i)
 			continue
 		}
-		s.move(i, -1, at, f.Work)
+		p.move(i, -1, at, f.Work)
 	}
 	for _, i := range elsewhere {
-		for left := s.flows[i].Work; left > 0; left -= s.quantum {
-			s.move(i, -1, s.leastUsed(i, -1), min(left, s.quantum))
+		for left := p.flows[i].Work; left > 0; left -= p.quantum {
+			work := min(left, p.quantum)
+			p.move(i, -1, p.leastUsedWith(i, -1, work), work)
 		}
 	}
 }
 
 // spread places a flow in all its regions by their capacity.
-func (s *placement) spread(flow int) {
-	f, total := s.flows[flow], 0.0
-	for _, r := range s.regions {
+func (p *placement) spread(flow int) {
+	f, total := p.flows[flow], 0.0
+	for _, r := range p.regions {
 		if f.Permitted(r.Name) {
 			total += r.Capacity
 		}
 	}
-	for j, r := range s.regions {
+	for j, r := range p.regions {
 		if f.Permitted(r.Name) {
-			s.move(flow, -1, j, f.Work*r.Capacity/total)
+			p.move(flow, -1, j, f.Work*r.Capacity/total)
 		}
 	}
 }
 
-// homeIsUsed reports whether the callers of some region ask for more than a share of its
-// capacity.
-func (s *placement) homeIsUsed(share float64) bool {
-	asked := make(map[string]float64)
-	for _, f := range s.flows {
-		asked[f.Source] += f.Work
-	}
-	for _, r := range s.regions {
-		if asked[r.Name] > share*r.Capacity {
+// isUsed reports whether some region is used beyond a share of its capacity.
+func (p *placement) isUsed(share float64) bool {
+	for j := range p.regions {
+		if p.utilization(j) > share {
 			return true
 		}
 	}
 	return false
 }
 
-// leastUsed returns the least used region where a flow may run, other than the given one; -1
-// if there is none.
-func (s *placement) leastUsed(flow, except int) int {
+// leastUsedWith returns the region, other than the given one, that would be used least if it
+// got so much more work of a flow; -1 if the flow may run in no other.
+func (p *placement) leastUsedWith(flow, except int, work float64) int {
 	best := -1
-	for j, r := range s.regions {
-		if j != except && s.flows[flow].Permitted(r.Name) && (best < 0 || s.utilization(j) < s.utilization(best)) {
+	for j, r := range p.regions {
+		if j != except && p.flows[flow].Permitted(r.Name) && (best < 0 || p.utilizationWith(j, work) < p.utilizationWith(best, work)) {
 			best = j
 		}
 	}
 	return best
 }
 
+// utilizationWith returns a region's utilization if it got so much more work.
+func (p *placement) utilizationWith(region int, work float64) float64 {
+	return (p.used[region] + work) / p.regions[region].Capacity
+}
+
 // level moves work out of the regions that are used beyond what is comfortable, the most used
 // first, until no move evens out two regions.
-func (s *placement) level() {
+func (p *placement) level() {
 	for range maxMoves {
-		if !s.moveOnce() {
+		if !p.moveOnce() {
 			return
 		}
 	}
@@ -265,14 +269,14 @@
 
 // moveOnce makes the best single move, and reports whether there was one. Cached flows move
 // only where that evens out much, since their prompts are then read again.
-func (s *placement) moveOnce() bool {
+func (p *placement) moveOnce() bool {
 	for _, cached := range []bool{false, true} {
-		for _, from := range s.byUtilization() {
-			if s.utilization(from) <= Comfortable {
+		for _, from := range p.byUtilization() {
+			if p.utilization(from) <= Comfortable {
 				break
 			}
-			if flow, to := s.bestMove(from, cached); flow >= 0 {
-				s.move(flow, from, to, min(s.placed[flow][from], s.quantum))
+			if flow, to := p.bestMove(from, cached); flow >= 0 {
+				p.move(flow, from, to, min(p.placed[flow][from], p.quantum))
 				return true
 			}
 		}
@@ -280,40 +284,40 @@
 	return false
 }
 
-func (s *placement) byUtilization() []int {
-	order := make([]int, len(s.regions))
+func (p *placement) byUtilization() []int {
+	order := make([]int, len(p.regions))
 	for j := range order {
 		order[j] = j
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(s.utilization(b), s.utilization(a)) })
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(p.utilization(b), p.utilization(a)) })
 	return order
 }
 
 // bestMove returns the flow to move out of a region and where to; the flow is -1 if no move
 // helps. Work that runs far from its callers anyway is moved first: it loses nothing by that.
 // Otherwise the flow goes that can go to the least used region, the largest first.
-func (s *placement) bestMove(from int, cached bool) (flow, to int) {
+func (p *placement) bestMove(from int, cached bool) (flow, to int) {
 	flow, to = -1, -1
 	better := func(i, j int) bool {
 		if flow < 0 {
 			return true
 		}
-		away, bestAway := s.flows[i].Source != s.regions[from].Name, s.flows[flow].Source != s.regions[from].Name
+		away, bestAway := p.flows[i].Source != p.regions[from].Name, p.flows[flow].Source != p.regions[from].Name
 		if away != bestAway {
 			return away
 		}
-		if a, b := s.utilization(j), s.utilization(to); a != b {
+		if a, b := p.utilization(j), p.utilization(to); a != b {
 			return a < b
 		}
-		return s.placed[i][from] > s.placed[flow][from]
+		return p.placed[i][from] > p.placed[flow][from]
 	}
-	for i := range s.flows {
-		work := min(s.placed[i][from], s.quantum)
-		if work <= 0 || s.flows[i].Cached != cached {
+	for i := range p.flows {
+		work := min(p.placed[i][from], p.quantum)
+		if work <= 0 || p.flows[i].Cached != cached {
 			continue
 		}
-		j := s.leastUsed(i, from)
-		if j < 0 || (cached && s.utilization(from) < muchMore*s.utilization(j)) || s.utilization(j)+work/s.regions[j].Capacity >= s.utilization(from)-work/s.regions[from].Capacity {
+		j := p.leastUsedWith(i, from, work)
+		if j < 0 || (cached && p.utilization(from) < cachedMoveRatio*p.utilization(j)) || p.utilizationWith(j, work) >= p.utilizationWith(from, -work) {
 			continue
 		}
 		if better(i, j) {
@@ -323,19 +327,24 @@
 	return flow, to
 }
 
-func (s *placement) plan() Plan {
-	p := Plan{shares: make(map[flowKey][]Share, len(s.flows)), utilization: make(map[string]float64, len(s.regions))}
-	for j, r := range s.regions {
-		p.utilization[r.Name] = s.utilization(j)
+func (p *placement) utilizations() map[string]float64 {
+	out := make(map[string]float64, len(p.regions))
+	for j, r := range p.regions {
+		out[r.Name] = p.utilization(j)
 	}
-	for i, f := range s.flows {
+	return out
+}
+
+func (p *placement) plan() Plan {
+	out := Plan{needed: true, shares: make(map[flowKey][]Share, len(p.flows)), utilization: p.utilizations()}
+	for i, f := range p.flows {
 		var shares []Share
-		for j, r := range s.regions {
-			if w := s.placed[i][j] / f.Work; w > 1e-9 {
+		for j, r := range p.regions {
+			if w := p.placed[i][j] / f.Work; w > 1e-9 {
 				shares = append(shares, Share{r.Name, w})
 			}
 		}
-		p.shares[flowKey{f.Source, f.Route}] = shares
+		out.shares[flowKey{f.Source, f.Class}] = shares
 	}
-	return p
+	return out
 }
--- a/rollup/aggregator.go
+++ b/rollup/aggregator.go
@@ -372,6 +372,10 @@
 				_, included := s.speeds[e.Engine]
 				return !included // more than maxSpeeds
 			})
+			own.Demand = slices.DeleteFunc(slices.Clone(own.Demand), func(r RouteDemand) bool {
+				_, included := s.demand[r.Route]
+				return !included // a leader of an earlier version, or more than maxDemand
+			})
 			s.add(own, -1)
 		}
 	}
--- a/rollup/hardload.go
+++ b/rollup/hardload.go
@@ -20,14 +20,15 @@
 	TokenMicros, Tokens int
 }
 
-// RouteDemand is what callers lately asked for on one route of one service.
+// RouteDemand is what callers lately asked for in one class of requests of one service: those
+// of all routes that are alike for the decisions of gateways.
 type RouteDemand struct {
 	_      struct{} `cbor:",toarray"`
-	Route  uint32   // hash of the route's and the service's name
+	Route  uint32   // stands for the class
 	Tokens int      // prompt tokens per second that engines would have to read
 	Shared int      // shared prompt tokens per second, whether engines have cached them or not
-	// Requests and Rejected are in hundredths per second, a caller's retries included.
-	Requests, Rejected int
+	// Requests are in hundredths per second, a caller's retries included.
+	Requests int
 }
 
 // ServiceWork is work of one service.
@@ -41,6 +42,20 @@
 // those with the most evidence are sent, which are the busiest.
 const maxSpeeds = 512
 
+// maxDemand bounds the classes in one report to about 5 KB.
+const maxDemand = 256
+
+// LimitDemand returns the classes with the largest demand, at most as many as a report holds.
+func LimitDemand(demand []RouteDemand) []RouteDemand {
+	if len(demand) <= maxDemand {
+		return demand
+	}
+	slices.SortFunc(demand, func(a, b RouteDemand) int {
+		return cmp.Or(cmp.Compare(b.Tokens, a.Tokens), cmp.Compare(b.Requests, a.Requests), cmp.Compare(a.Route, b.Route))
+	})
+	return demand[:maxDemand]
+}
+
 func (e EngineSpeed) plus(o EngineSpeed, factor int) EngineSpeed {
 	e.LogSum += factor * o.LogSum
 	e.Weight += factor * o.Weight
@@ -53,7 +68,6 @@
 	d.Tokens += factor * o.Tokens
 	d.Shared += factor * o.Shared
 	d.Requests += factor * o.Requests
-	d.Rejected += factor * o.Rejected
 	return d
 }
 
@@ -95,6 +109,7 @@
 	for _, demand := range s.demand {
 		r.Demand = append(r.Demand, demand)
 	}
+	r.Demand = LimitDemand(r.Demand)
 	for _, work := range s.longReads {
 		r.LongReads = append(r.LongReads, work)
 	}
