--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -161,21 +161,20 @@
 // preferredEngine returns the engine on which all gateways agree to cache the prompt's
 // shared blocks: the usable one ranked first, or nil if this region isn't their home.
 // Engines are ranked by address, so a restarted engine gets its own prompts back and
-// takes none from the others.
+// takes none from the others, and weighted by the steps of their speeds.
 func (d *Dispatcher) preferredEngine(p *pool, req Request, now time.Time) *engine {
 	key := req.Prompt.AffinityKey()
 	if key == "" || d.homeRegion(p, req, now) != d.Region {
 		return nil
 	}
 	hash := hashString(key)
-	var preferred *engine
-	var highest uint64
+	var highest highestByStep
 	for _, e := range p.enginesFor(req) {
-		if r := rendezvous.Rank(hash, e.addressHash); (preferred == nil || r > highest) && d.canUse(p, e, req, now) {
-			preferred, highest = e, r
+		if c := (candidate{e, rendezvous.Rank(hash, e.addressHash)}); highest.isHigher(c) && d.canUse(p, e, req, now) {
+			highest.add(c)
 		}
 	}
-	return preferred
+	return highest.engine()
 }
 
 // add adds an engine unless it is a candidate already.
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -59,7 +59,7 @@
 	failureRate  float64       // share of recent requests that failed beyond the baseline
 	throughput   Throughput    // of the service's engines
 	usualError   time.Duration // mean error of the time estimates
-	slowdown     float64       // response time relative to the service's other engines; 0 if not known
+	speed        float64       // relative to the service's mean; 0 if not known
 	preferred    bool          // ranked first for the prompt's shared blocks
 	transferable int           // further tokens of the prompt that the engine could transfer
 	transferTime time.Duration // how long that transfer takes
@@ -132,10 +132,10 @@
 		s.wait += s.queue
 		s.cost += s.queue + in.slowdownCost(p) + in.overflowCost(p)
 	}
-	if in.slowdown > 1 {
-		s.queue = time.Duration(float64(s.queue) * in.slowdown)
-		s.wait = time.Duration(float64(s.wait) * in.slowdown)
-		s.cost = time.Duration(float64(s.cost) * in.slowdown)
+	if in.speed > 0 && in.speed != 1 {
+		s.queue = time.Duration(float64(s.queue) / in.speed)
+		s.wait = time.Duration(float64(s.wait) / in.speed)
+		s.cost = time.Duration(float64(s.cost) / in.speed)
 	}
 	s.wait += roundTrip
 	s.cost += roundTrip + time.Duration(in.failureRate*float64(failurePenalty))
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -78,6 +78,7 @@
 	enginesByHash     map[uint64]*engine
 	engineCursor      uint64    // number of the registry's last change that the pools contain
 	peerLoaded        []*engine // engines with a load of other gateways
+	knownSpeeds       []*engine // engines of whose speeds anything is known
 	// reported are the engines that the next report may have to contain: those that this
 	// gateway has used lately, or that others say drain.
 	reported       map[*engine]struct{}
--- a/dispatch/engine_status.go
+++ b/dispatch/engine_status.go
@@ -20,6 +20,8 @@
 	PeerRequests    int           `json:"others"`        // of the region's other gateways, as last reported
 	Limit           string        `json:"limit"`         // announced by the engine; "" for none
 	LastHeardAgo    time.Duration `json:"last_heard_ns"` // since the last byte received from it; 0 for never
+	Speed           float64       `json:"speed"`         // relative to the service's mean
+	TokenTime       time.Duration `json:"token_ns"`      // that its streams lately took for each token; 0 if not known
 	pushback.Counts
 }
 
@@ -46,7 +48,7 @@
 	s := EngineStatus{
 		Engine: e.ID, Service: p.service.Name, Exclusion: string(reason),
 		ExcludedFor: durationBetween(d.exclusionStart(e, reason, now), now), ExclusionEndsIn: durationBetween(now, d.exclusionEnd(e, reason, now)),
-		Requests: e.ownLoad.Requests, PeerRequests: e.peerLoad.Requests, LastHeardAgo: durationBetween(e.lastHeard, now),
+		Requests: e.ownLoad.Requests, PeerRequests: e.peerLoad.Requests, LastHeardAgo: durationBetween(e.lastHeard, now), Speed: e.speed(now), TokenTime: e.tokenTime(now),
 		Counts: d.pushback.Counts(e.hash),
 	}
 	if limit, limited := d.limits.Status(e.hash, now); limited {
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -72,6 +72,7 @@
 	case pushed.Reason == pushback.OnTrial:
 		found = true
 	}
+	found = d.addSpeedToReport(r, e, now) || found
 	readRate := e.readRate.perSecond(now)
 	reads := readRate*e.pool.throughput.current().ReadPerToken.Seconds() >= minReportedReadShare
 	if e.ownLoad.Requests == 0 && !reads {
@@ -186,6 +187,7 @@
 		}
 	}
 	d.reportingGateways = 1 + others.Reporting
+	d.applyPeerSpeeds(others, d.Clock())
 	d.applyLocalUsage(others)
 }
 
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/linenscale/linenscale/catalog"
-	"github.com/linenscale/linenscale/pace"
 	"github.com/linenscale/linenscale/registry"
 	"github.com/linenscale/linenscale/retry"
 )
@@ -32,7 +31,7 @@
 	readRate         decayingRate // prompt tokens that this gateway has sent
 	cached           cachedBlocks
 	failures         excessFailures // failures beyond the baseline
-	slowdown         pace.Slowdown
+	speeds           engineSpeed
 	replaced         bool      // another incarnation answers at its address
 	replacedAt       time.Time // when this gateway detected it; zero if others reported it
 	connectFailures  int       // consecutive failed connections
@@ -175,7 +174,7 @@
 func (p *pool) costInputs(e *engine, req Request, now time.Time) costInputs {
 	in := costInputs{
 		load: e.load(now), slots: e.Slots, failureRate: e.failures.rate(now),
-		throughput: p.throughput.current(), usualError: p.throughput.usualError(), slowdown: e.slowdown.Value(now),
+		throughput: p.throughput.current(), usualError: p.throughput.usualError(), speed: e.speed(now),
 	}
 	if p.service.Model != nil {
 		in.cacheTokens = p.service.Model.CacheTokens
--- a/dispatch/pushback_test.go
+++ b/dispatch/pushback_test.go
@@ -205,7 +205,7 @@
 		statuses[s.Engine] = s
 	}
 	must.Eq(t, dispatch.EngineStatus{
-		Engine: "i-0", Service: "review", Exclusion: "resting", ExcludedFor: time.Second, ExclusionEndsIn: 2 * time.Second, Counts: pushback.Counts{Backoffs: 1, Excluded: 1},
+		Engine: "i-0", Service: "review", Exclusion: "resting", ExcludedFor: time.Second, ExclusionEndsIn: 2 * time.Second, Speed: 1, Counts: pushback.Counts{Backoffs: 1, Excluded: 1},
 	}, statuses["i-0"])
 	must.Eq(t, "leaving", statuses["i-1"].Exclusion)
 	must.Eq(t, pushback.Counts{Excluded: 1}, statuses["i-1"].Counts)
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"github.com/linenscale/linenscale/internal/rendezvous"
 	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/telemetry"
 )
@@ -272,8 +273,7 @@
 		if engines == 0 || (req.Permitted != nil && !req.Permitted(region)) {
 			return
 		}
-		uniform := (float64(Rank(key, region)>>11) + 0.5) / (1 << 53)
-		if weight := -float64(engines) / math.Log(uniform); weight > highest {
+		if weight := rendezvous.Weighted(Rank(key, region), float64(engines)); weight > highest {
 			home, highest = region, weight
 		}
 	}
--- a/dispatch/throughput.go
+++ b/dispatch/throughput.go
@@ -78,6 +78,7 @@
 		t := estimator.current()
 		d.Log.Info("throughput estimate", zap.String("service", service), zap.Duration("fixed", t.Overhead), zap.Duration("token_read", t.ReadPerToken),
 			zap.Duration("token_out", t.OutputPerToken), zap.Duration("hold", t.SlotTime), zap.Duration("usual_error", estimator.usualError()), zap.Int("answers", estimator.answers))
+		d.logSpeeds(d.pools[service], d.Clock())
 	}
 	for _, region := range slices.Sorted(maps.Keys(d.remotes)) {
 		roundTrip, known := d.RoundTripTo(region)
@@ -95,10 +96,9 @@
 	t.pool.throughput.answeredAt = now
 	took := now.Sub(t.sentAt)
 	firstEvent := t.pool.throughput.firstEvent
-	// A usual error must not count as slowness of the engine.
-	usualError := firstEvent.MeanError()
-	t.engine.slowdown.Observe(firstEvent.Estimate(t.readTokens)+usualError, took+usualError, now)
-	firstEvent.Observe(t.readTokens, took)
+	t.engine.speeds.own.ObserveFirstEvent(firstEvent.Estimate(t.readTokens), took, firstEvent.MeanError(), now)
+	// Fast engines are sent more to read, and would make reading seem to take no time.
+	firstEvent.Observe(t.readTokens, time.Duration(float64(took)*t.engine.speed(now)))
 }
 
 // recordCompletion updates the estimates with a complete answer. now counts as its end
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -34,6 +34,8 @@
 	outputTokens int       // expected length of the answer
 	queued       bool      // no slot was free
 	route        string
+	// pace is how fast the answer arrives.
+	pace streamPace
 	// fingerprint is equal for all repeats of the request.
 	fingerprint quarantine.Fingerprint
 	// prompt is the prompt of the request, to find parts of prompts that crash engines.
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -29,6 +29,9 @@
 	fromGateway bool            // the answer was relayed by another gateway
 	origin      *streams.Origin // of a stream that the answer begins; nil if not known
 	firstByte   func()          // the first bytes of the body have arrived
+	// events is called with the number of a stream's events that have arrived. delayed is true
+	// if the caller took long to take the previous ones, and the stream wasn't read meanwhile.
+	events func(events int, delayed bool)
 	// lastByte is called before an answer is sent to the caller that has arrived completely.
 	// It isn't called for one that is relayed in parts.
 	lastByte func()
@@ -146,6 +149,7 @@
 	var splitter eventSplitter
 	chunk := make([]byte, readChunkBytes)
 	out := relay.NewWriter(x.w, writeTimeout)
+	events, delayed := 0, false
 	for {
 		n, err := resp.Body.Read(chunk)
 		if n > 0 && onFirstByte != nil {
@@ -157,9 +161,15 @@
 			return &truncatedAnswer{cause: errors.Errorf("an event of the stream is longer than %d bytes", maxEventBytes)}
 		}
 		if len(complete) > 0 {
+			if source.events != nil {
+				source.events(splitter.events-events, delayed)
+			}
+			events = splitter.events
+			arrived := time.Now()
 			if err := s.writeEvents(x, resp, out, complete, source); err != nil {
 				return err
 			}
+			delayed = time.Since(arrived) > slowWrite
 			x.progress.lastEventID = splitter.lastIDOr(x.progress.lastEventID)
 		}
 		if err == io.EOF {
@@ -217,6 +227,10 @@
 	x.lastEventAt = now
 }
 
+// slowWrite is how long a write to the caller takes at least that delays the reading of the
+// next event noticeably: engines send some ten to a hundred events per second.
+const slowWrite = 10 * time.Millisecond
+
 // readChunkBytes bounds one read of a stream. It is small because many streams are open at
 // once.
 const readChunkBytes = 2 << 10
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -155,6 +155,7 @@
 	return s.relayAnswer(x, resp, answerSource{
 		origin:    ticketOrigin(ticket),
 		firstByte: func() { x.firstByteAfter = ticket.RecordFirstByte(succeeded) },
+		events:    ticket.RecordEvents,
 		lastByte:  ticket.RecordLastByte,
 		crashed:   func() bool { return s.engineCrashed(x.r.Context(), ticket) },
 	})
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -17,6 +17,7 @@
 	afterCR   bool   // the last byte scanned was a CR; an LF after it belongs to the same line end
 	inEvent   bool   // partial has a whole line that isn't a comment
 	begun     bool   // there was a complete event
+	events    int    // complete events
 	pendingID string // ID of the event that isn't complete yet; "" for none
 	lastID    string // of the last complete event that has one
 }
@@ -59,7 +60,10 @@
 // endLine records a whole line, without its line end. It reports whether the line is blank.
 func (e *eventSplitter) endLine(line []byte) (blank bool) {
 	if len(line) == 0 {
-		e.begun = e.begun || e.inEvent
+		if e.inEvent {
+			e.begun = true
+			e.events++
+		}
 		e.inEvent = false
 		if e.pendingID != "" {
 			e.lastID, e.pendingID = e.pendingID, ""
--- a/internal/dispatchbench/exchange.go
+++ b/internal/dispatchbench/exchange.go
@@ -121,6 +121,7 @@
 			callbacks.firstEvent()
 			s.clock.After(returnDelay, x.endRemote)
 		}
+		callbacks.event()
 		if a.firstEvent == 0 {
 			a.firstEvent = at
 		}
--- a/internal/dispatchbench/strategy.go
+++ b/internal/dispatchbench/strategy.go
@@ -20,6 +20,7 @@
 type ticketCallbacks struct {
 	limitReceived func(ratelimit.Signal) // with the rate limit in the answer's header
 	firstEvent    func()
+	event         func() // each event, after firstEvent
 	done          func(dispatch.Outcome)
 }
 
@@ -49,7 +50,7 @@
 		return "", ticketCallbacks{}, err
 	}
 	done := false
-	return t.Engine, ticketCallbacks{limitReceived: t.ApplyLimit, firstEvent: func() { t.RecordFirstByte(true) }, done: func(o dispatch.Outcome) {
+	return t.Engine, ticketCallbacks{limitReceived: t.ApplyLimit, firstEvent: func() { t.RecordFirstByte(true) }, event: func() { t.RecordEvents(1, false) }, done: func(o dispatch.Outcome) {
 		if !done {
 			done = true
 			t.Done(o)
@@ -84,7 +85,7 @@
 	e := b.choose(s, g, x.arrival, warm)
 	g.inFlight[e.id]++
 	done := false
-	return e.id, ticketCallbacks{limitReceived: func(ratelimit.Signal) {}, firstEvent: func() {}, done: func(dispatch.Outcome) {
+	return e.id, ticketCallbacks{limitReceived: func(ratelimit.Signal) {}, firstEvent: func() {}, event: func() {}, done: func(dispatch.Outcome) {
 		if !done {
 			done = true
 			g.inFlight[e.id]--
