--- a/dispatch/throughput.go
+++ b/dispatch/throughput.go
@@ -96,7 +96,7 @@
 	t.pool.throughput.answeredAt = now
 	took := now.Sub(t.sentAt)
 	firstEvent := t.pool.throughput.firstEvent
-	t.engine.speeds.own.ObserveFirstEvent(firstEvent.Estimate(t.readTokens), took, firstEvent.MeanError(), now)
+	t.engine.speeds.own.ObserveFirstEvent(firstEvent.Estimate(t.readTokens), took, firstEvent.MeanError(), t.engine.speed(now), now)
 	// Fast engines are sent more to read, and would make reading seem to take no time.
 	firstEvent.Observe(t.readTokens, time.Duration(float64(took)*t.engine.speed(now)))
 }
--- a/enginespeed/enginespeed.go
+++ b/enginespeed/enginespeed.go
@@ -22,10 +22,11 @@
 const (
 	// timeConstant is the time after which past observations count about a third (1/e). A
 	// change of an engine's speed is to be known within two seconds of traffic, when the
-	// observations before it count a quarter.
-	timeConstant = 1500 * time.Millisecond
-	// maxRatio bounds one observed speed in both directions, because a lost packet doesn't
-	// make an engine slow.
+	// observations before it count an eighth.
+	timeConstant = time.Second
+	// minRatio and maxRatio bound one observed speed relative to the estimate: a lost packet, or a long prompt that
+	// another gateway has just sent, doesn't make an engine slow.
+	minRatio = 0.25
 	maxRatio = 8.0
 	// jitterShare is the share of the usual error that counts on both sides of a ratio, so
 	// that a few milliseconds don't matter where little is to be read.
@@ -58,11 +59,12 @@
 }
 
 // ObserveFirstEvent adds the time until an answer's first event, and the expected time at
-// the service's mean speed. usualError is the mean error of the expected time.
-func (e *Evidence) ObserveFirstEvent(expected, took, usualError time.Duration, now time.Time) {
+// the service's mean speed. usualError is the mean error of the expected time, and speed the
+// estimated speed of the engine, around which the observation is bounded.
+func (e *Evidence) ObserveFirstEvent(expected, took, usualError time.Duration, speed float64, now time.Time) {
 	jitter := jitterShare * float64(max(usualError, 0))
 	expectedTime, time := float64(max(expected, 1))+jitter, float64(max(took, 1))+jitter
-	observed := math.Log(max(1/maxRatio, min(maxRatio, expectedTime/time)))
+	observed := math.Log(speed * max(minRatio, min(maxRatio, expectedTime/time/speed)))
 	// Jitter on both sides makes the engine seem closer to the mean than it is, by about the
 	// mean of its shares in both.
 	shown := 1 - jitter/2*(1/expectedTime+1/time)
--- a/enginespeed/track.go
+++ b/enginespeed/track.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -13,6 +14,7 @@
 	// longer time.
 	logSum, weight float64
 	updatedAt      time.Time
+	changedAt      time.Time // when the speed last changed
 	speed          float64 // 0 if nothing is known
 	step           Step
 	steppedAt      time.Time // when there was last enough evidence for a step
@@ -22,21 +24,28 @@
 	// smoothing is the time constant of the average, for engines whose speed hasn't changed.
 	// Single answers take twice or half the expected time because of what other gateways sent
 	// meanwhile, and a hundred of them show a speed within a tenth.
-	smoothing = 5 * time.Second
-	// usualDeviation is the standard deviation of the logarithm of one observed speed.
-	usualDeviation = 0.75
+	smoothing = 4 * time.Second
+	// minDeviation and maxDeviation bound the standard deviation of the logarithm of one
+	// observed speed, which depends on how well gateways know each other's requests.
+	minDeviation = 0.5
+	maxDeviation = 1.0
+	// minDeviationEngines is the number of engines from which it is estimated.
+	minDeviationEngines = 8
 	// changeDeviations is how many standard deviations the evidence must differ from its
 	// average for the speed to have changed. The average then starts anew.
 	changeDeviations = 3.0
+	// settleTime is how long after a change the average doesn't include what was before: until
+	// an eighth of the evidence is of the former speed.
+	settleTime = 2 * timeConstant
 	// minChangeWeight is the weight of the evidence from which a change is recognized.
 	minChangeWeight = 2.0
-	// priorWeight is the weight of the prior, the mean speed, in observations.
-	priorWeight = 2.0
-	// alike and different bound the logarithm of a speed: below alike an engine counts as
-	// one of mean speed, from different on its estimate counts in full. Choices among like
-	// engines must not follow the noise.
-	alike     = 0.10
-	different = 0.20
+	// priorWeight is the weight of the prior, the mean speed, in observations. It is small
+	// since differences within the standard error don't count.
+	priorWeight = 0.5
+	// alike bounds the logarithm of a speed below which an engine counts as one of mean speed,
+	// or its standard error if that is more; from twice the bound on the estimate counts in
+	// full. Choices among like engines must not follow the noise.
+	alike = 0.10
 	// observationsPerWeight is how many observations a unit of the averaged weight stands
 	// for, of which each counted for timeConstant.
 	observationsPerWeight = 1 + float64(smoothing)/float64(timeConstant)
@@ -60,7 +69,7 @@
 const minWeight = 0.02
 
 // Update updates the estimates of the engines of one service with the evidence of all
-// gateways, sums[i] being that of tracks[i]. A request takes as long as usual divided by the
+// gateways, sums[i] being that of tracks[i]; it changes both. A request takes as long as usual divided by the
 // speed of its engine: the mean of the inverse speeds, weighted by the observations, is 1,
 // since the service's usual times are means over its answers.
 func Update(tracks []*Track, sums []Sum, now time.Time) {
@@ -72,12 +81,16 @@
 	if total.Weight > 0 {
 		mean = total.LogSum / total.Weight
 	}
+	for i := range sums {
+		sums[i].LogSum -= mean * sums[i].Weight
+	}
+	deviation := deviationOf(tracks, sums)
 	inverse, weight := 0.0, 0.0
 	for i, t := range tracks {
-		t.add(sums[i].LogSum-mean*sums[i].Weight, sums[i].Weight, now)
+		t.add(sums[i], deviation, now)
 		t.speed = 0
 		if t.weight >= minWeight {
-			t.speed = math.Exp(withoutNoise(t.log()))
+			t.speed = math.Exp(t.log(deviation))
 			inverse += t.weight / t.speed
 			weight += t.weight
 		}
@@ -90,29 +103,48 @@
 	}
 }
 
-// add adds the evidence as of now to the average.
-func (t *Track) add(logSum, weight float64, now time.Time) {
-	if t.weight >= minWeight && weight >= minChangeWeight &&
-		math.Abs(logSum/weight-t.logSum/t.weight) > changeDeviations*usualDeviation/math.Sqrt(weight) {
-		t.logSum, t.weight, t.updatedAt = logSum/observationsPerWeight, weight/observationsPerWeight, now
-		return
+// deviationOf estimates the standard deviation of the logarithm of one observed speed from the
+// differences between the latest evidence and its averages. Few engines that have changed
+// don't move the median.
+func deviationOf(tracks []*Track, sums []Sum) float64 {
+	differences := make([]float64, 0, len(tracks))
+	for i, t := range tracks {
+		if t.weight >= minWeight && sums[i].Weight >= minChangeWeight {
+			differences = append(differences, math.Abs(t.difference(sums[i]))*math.Sqrt(sums[i].Weight))
+		}
 	}
-	age := max(0, now.Sub(t.updatedAt))
-	if t.updatedAt.IsZero() {
-		age = 0
+	if len(differences) < minDeviationEngines {
+		return maxDeviation
 	}
-	retained := math.Exp(-float64(age) / float64(smoothing))
-	t.logSum = retained*t.logSum + (1-retained)*logSum
-	t.weight = retained*t.weight + (1-retained)*weight
-	t.updatedAt = now
+	slices.Sort(differences)
+	// The median of a normal variable's magnitude is 0.67 standard deviations. The averages
+	// contain part of the evidence.
+	const deviationsPerMedian = 2
+	return max(minDeviation, min(maxDeviation, deviationsPerMedian*differences[len(differences)/2]))
 }
 
-// log returns the estimated logarithm of the speed.
-func (t *Track) log() float64 {
-	return t.logSum / (t.weight + priorWeight/observationsPerWeight)
+// difference returns by how much the logarithm of the speed in the evidence differs from its
+// average.
+func (t *Track) difference(s Sum) float64 { return s.LogSum/s.Weight - t.logSum/t.weight }
+
+// add adds the evidence as of now to the average.
+func (t *Track) add(s Sum, deviation float64, now time.Time) {
+	if t.weight >= minWeight && s.Weight >= minChangeWeight && math.Abs(t.difference(s)) > changeDeviations*deviation/math.Sqrt(s.Weight) {
+		t.changedAt = now
+	}
+	retained := math.Exp(-float64(max(0, now.Sub(t.updatedAt))) / float64(smoothing))
+	t.logSum = retained*t.logSum + (1-retained)*s.LogSum
+	t.weight = retained*t.weight + (1-retained)*s.Weight
+	t.updatedAt = now
+	if latest := s.Weight / observationsPerWeight; now.Sub(t.changedAt) < settleTime || t.weight < latest {
+		t.logSum, t.weight = s.LogSum/observationsPerWeight, latest
+	}
 }
 
-// withoutNoise returns the logarithm of a speed without differences that may be noise.
-func withoutNoise(log float64) float64 {
-	return log * max(0, min(1, (math.Abs(log)-alike)/(different-alike)))
+// log returns the estimated logarithm of the speed, without differences that may be noise.
+func (t *Track) log(deviation float64) float64 {
+	observations := t.weight * observationsPerWeight
+	log := t.logSum / t.weight * observations / (observations + priorWeight)
+	bound := max(alike, deviation/math.Sqrt(observations))
+	return log * max(0, min(1, math.Abs(log)/bound-1))
 }
--- a/internal/dispatchbench/result.go
+++ b/internal/dispatchbench/result.go
@@ -28,6 +28,15 @@
 	Kinds           []KindResult  // in the order of Options.Kinds
 	// LimitedEngines are the results of the engines that announced rate limits.
 	LimitedEngines []LimitedEngine
+	// Engines are the results of the engines that ran at the end.
+	Engines []EngineResult
+}
+
+// EngineResult is the work of one engine.
+type EngineResult struct {
+	Region     string
+	Speed      float64 // relative to Options.Engine
+	TokensRead int     // of prompts
 }
 
 // KindResult is the result of the requests of one kind.
@@ -69,6 +78,11 @@
 // result computes the result after the simulation has ended.
 func (s *Simulation) result() Result {
 	r := Result{Requests: len(s.arrivals), LimitedEngines: s.limitResults()}
+	for _, region := range s.Regions {
+		for _, e := range s.enginesByRegion[region.Name] {
+			r.Engines = append(r.Engines, EngineResult{region.Name, e.speed, e.tokensRead})
+		}
+	}
 	var total valueSum
 	regions, kinds, windows := map[string]*valueSum{}, map[string]*valueSum{}, map[int]*valueSum{}
 	shared, reread, remote := 0, 0, 0
