urgency: less urgent requests leave room for more urgent ones

A request was judged by its own target alone, so that the most patient kind filled the queues. Less urgent requests are now admitted only while the queue leaves room that every more urgent kind that was recently asked for accepts; a quarter of them is judged like the more urgent ones.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/linenscale/linenscale/urgency"
 )
 
 // Load is the work of an engine. Loads of several gateways add up.
@@ -63,6 +65,7 @@
 	preferred    bool          // ranked first for the prompt's shared blocks
 	transferable int           // further tokens of the prompt that the engine could transfer
 	transferTime time.Duration // how long that transfer takes
+	limit        urgency.Limit // of the queue, for what is more urgent than the request
 }
 
 // score is the cost estimate for one engine. The engine with the lowest score is chosen.
@@ -78,7 +81,9 @@
 	rank         uint64
 	unresponsive bool // missed its heartbeats: chosen only if no other engine can be
 
+	accepted time.Duration // longest queue that the request accepts itself
 	maxQueue time.Duration // longest queue with which the request is admitted
+	after    int           // priority that the request goes after; it counts if maxQueue is below accepted
 	late     bool          // queue exceeds maxQueue
 }
 
@@ -139,7 +144,8 @@
 	}
 	s.wait += roundTrip
 	s.cost += roundTrip + time.Duration(in.failureRate*float64(failurePenalty))
-	s.maxQueue = req.maxQueueTime(s.wait-s.queue, in.usualError)
+	s.accepted = req.maxQueueTime(s.wait-s.queue, in.usualError)
+	s.maxQueue, s.after = in.limit.For(s.accepted, req.yields()), in.limit.After
 	if s.late = req.Target > 0 && s.queue > s.maxQueue; s.late {
 		s.cost += latePenalty
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"github.com/linenscale/linenscale/roster"
 	"github.com/linenscale/linenscale/streams"
 	"github.com/linenscale/linenscale/telemetry"
+	"github.com/linenscale/linenscale/urgency"
 )
 
 // Deps are the dependencies and the identity of a Dispatcher.
@@ -233,6 +234,8 @@
 	Fingerprint quarantine.Fingerprint
 	// Origin is set if the request continues a stream: only engines of its version may.
 	Origin *streams.Origin
+
+	limit urgency.Limit // of the queue in this region
 }
 
 // Acquire returns a ticket for the engine with the lowest expected cost. The error is a
@@ -249,6 +252,7 @@
 	if err != nil {
 		return nil, err
 	}
+	req.limit = p.rank(req, now)
 	chosen, expected := d.choose(p, req, now)
 	if chosen == nil {
 		return nil, d.noEngineError(p, req, now)
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/linenscale/linenscale/pushback"
 	"github.com/linenscale/linenscale/rollup"
+	"github.com/linenscale/linenscale/urgency"
 )
 
 const (
@@ -187,6 +188,7 @@
 	}
 	d.reportingGateways = 1 + others.Reporting
 	d.applyLocalUsage(others)
+	d.applyDemand(d.Region, others.Demand, func(service string) *urgency.Demand { return &d.pools[service].demand }, d.Clock())
 }
 
 // updateGateways updates the list of this region's gateways, the gateways that share rate
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -12,6 +12,7 @@
 	"github.com/linenscale/linenscale/pace"
 	"github.com/linenscale/linenscale/registry"
 	"github.com/linenscale/linenscale/retry"
+	"github.com/linenscale/linenscale/urgency"
 )
 
 // engine is what this gateway knows about one incarnation of an engine.
@@ -85,6 +86,7 @@
 	failureBaselines map[string]*failureBaseline // by route
 	readyEngines     int                         // that accept requests and aren't cold
 	rollout          *poolRollout                // the service's latest; nil if it never had one
+	demand           urgency.Demand              // what is asked for in this region
 }
 
 func newPool(s catalog.Service, budget retry.Policy) *pool {
@@ -175,7 +177,7 @@
 func (p *pool) costInputs(e *engine, req Request, now time.Time) costInputs {
 	in := costInputs{
 		load: e.load(now), slots: e.Slots, failureRate: e.failures.rate(now),
-		throughput: p.throughput.current(), usualError: p.throughput.usualError(), slowdown: e.slowdown.Value(now),
+		throughput: p.throughput.current(), usualError: p.throughput.usualError(), slowdown: e.slowdown.Value(now), limit: req.limit,
 	}
 	if p.service.Model != nil {
 		in.cacheTokens = p.service.Model.CacheTokens
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -13,6 +13,7 @@
 
 	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/telemetry"
+	"github.com/linenscale/linenscale/urgency"
 )
 
 // Digest summarizes a region's engines of one service. It is sent to other regions.
@@ -167,7 +168,7 @@
 	d.mergeRemoteCrashes(r, now)
 	remote, ok := d.remotes[r.Region]
 	if !ok {
-		remote = &remoteRegion{cached: make(map[string]cachedBlocks)}
+		remote = &remoteRegion{cached: make(map[string]cachedBlocks), demand: make(map[string]*urgency.Demand)}
 		d.remotes[r.Region] = remote
 	}
 	var digests []Digest
@@ -178,6 +179,7 @@
 	remote.applyDigests(digests, d.roundTrip(r.Region), now.Add(-r.Age))
 	remote.applyVersions(r.Versions)
 	d.applyRemoteUsage(r.Region, r.Accounts, now.Add(-r.Age))
+	d.applyDemand(r.Region, demandByRoute(r.Demand), remote.demandFor, now.Add(-r.Age))
 }
 
 // Placement is the region chosen for a request.
@@ -211,6 +213,7 @@
 	best := Placement{Region: d.Region, LocalCost: -1, IsHome: home == d.Region}
 	var localEngine *engine
 	if localPermitted {
+		req.limit = p.rank(req, now)
 		if e, s := d.choose(p, req, now); e != nil {
 			localEngine = e
 			best.LocalCost, best.Queue, best.Refusal = s.cost, s.queue, req.checkAdmission(s)
@@ -248,6 +251,7 @@
 	inFlight.Requests, inFlight.Unread, inFlight.Reserved = inFlight.Requests*d.reportingGateways, inFlight.Unread*d.reportingGateways, inFlight.Reserved*d.reportingGateways
 	in.load = in.load.plus(inFlight.dividedBy(remote.digests[p.service.Name].Engines))
 	in.usualError = p.throughput.usualError()
+	in.limit = remote.limitFor(req, now)
 	return estimate(in, req, d.roundTrip(region)), true
 }
 
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -8,15 +8,17 @@
 	"time"
 
 	"github.com/linenscale/linenscale/streams"
+	"github.com/linenscale/linenscale/urgency"
 )
 
 // remoteRegion is the known state of another region.
 type remoteRegion struct {
 	reportedAt time.Time // when its last report arrived in this region
 	digests    map[string]Digest
-	versions   map[streams.Origin]int  // engines that serve, by service and version; nil if not reported
-	inFlight   []*RemoteRequest        // sent there, and not in its last report yet
-	cached     map[string]cachedBlocks // by service: prompt blocks sent there
+	versions   map[streams.Origin]int     // engines that serve, by service and version; nil if not reported
+	inFlight   []*RemoteRequest           // sent there, and not in its last report yet
+	cached     map[string]cachedBlocks    // by service: prompt blocks sent there
+	demand     map[string]*urgency.Demand // by service: what is asked for there
 }
 
 // RemoteRequest is a request handed over to another region. It counts as load of that
@@ -48,6 +50,7 @@
 		remote.cachedFor(req.Service).record(req.Prompt, now)
 	}
 	remote.inFlight = append(remote.inFlight, r)
+	remote.recordSent(req, now)
 	return r
 }
 
--- /dev/null
+++ b/dispatch/urgency.go
@@ -0,0 +1,88 @@
+// This file defines which requests go before others where room is short: it supplies package
+// urgency with what callers of this region and of others ask for.
+
+package dispatch
+
+import (
+	"time"
+
+	"github.com/linenscale/linenscale/rollup"
+	"github.com/linenscale/linenscale/urgency"
+)
+
+// kindOf returns the kind of requests with a priority and a target.
+func kindOf(priority int, target time.Duration) urgency.Kind {
+	return urgency.Kind{
+		Priority: priority,
+		Short:    time.Duration(minQueueShare * float64(target)),
+		Long:     time.Duration(maxQueueShare * float64(target)),
+	}
+}
+
+// isRanked reports whether the request's priority counts. A request that was admitted and sent
+// before, or that continues a stream, isn't put back any more.
+func (r Request) isRanked() bool { return r.Target > 0 && r.Origin == nil && len(r.Tried) == 0 }
+
+// yields reports whether the request is of the share that is judged like more urgent ones.
+func (r Request) yields() bool { return urgency.Yields(hashString(r.ID)) }
+
+// rank records that a request was asked for in this region, and returns the limit of the queue
+// behind which it is admitted here. The lock is held.
+func (p *pool) rank(req Request, now time.Time) urgency.Limit {
+	if !req.isRanked() {
+		return urgency.Limit{}
+	}
+	p.demand.Record(kindOf(req.Priority, req.Target), now)
+	return p.demand.LimitFor(req.Priority, now)
+}
+
+// demandFor returns what is asked for of a service in the other region.
+func (r *remoteRegion) demandFor(service string) *urgency.Demand {
+	demand, ok := r.demand[service]
+	if !ok {
+		demand = &urgency.Demand{}
+		r.demand[service] = demand
+	}
+	return demand
+}
+
+// limitFor returns the limit of the queue behind which the other region admits a request.
+func (r *remoteRegion) limitFor(req Request, now time.Time) urgency.Limit {
+	if !req.isRanked() {
+		return urgency.Limit{}
+	}
+	return r.demandFor(req.Service).LimitFor(req.Priority, now)
+}
+
+// recordSent records that a request was sent to the other region.
+func (r *remoteRegion) recordSent(req Request, now time.Time) {
+	if req.isRanked() {
+		r.demandFor(req.Service).Record(kindOf(req.Priority, req.Target), now)
+	}
+}
+
+// hashRoute returns the hash that stands for a route of a service in reports of demand.
+func hashRoute(route, service string) uint32 { return uint32(hashString(route + "\x00" + service)) }
+
+// applyDemand records what callers of a region ask for of each service, as reported by its
+// gateways. The lock is held.
+func (d *Dispatcher) applyDemand(region string, reported map[uint32]rollup.RouteDemand, demandFor func(service string) *urgency.Demand, at time.Time) {
+	if len(reported) == 0 {
+		return
+	}
+	for _, s := range d.catalog.Services() {
+		for _, r := range d.catalog.RoutesOf(s.Name) {
+			if r.PermitsRegion(region) && r.Target > 0 && reported[hashRoute(r.Name, s.Name)].Requests > 0 {
+				demandFor(s.Name).Record(kindOf(r.Priority, r.Target), at)
+			}
+		}
+	}
+}
+
+func demandByRoute(reported []rollup.RouteDemand) map[uint32]rollup.RouteDemand {
+	out := make(map[uint32]rollup.RouteDemand, len(reported))
+	for _, r := range reported {
+		out[r.Route] = r
+	}
+	return out
+}
