--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -146,8 +146,11 @@
 	s.cost += roundTrip + time.Duration(in.failureRate*float64(failurePenalty))
 	s.accepted = req.maxQueueTime(s.wait-s.queue, in.usualError)
 	s.maxQueue, s.after = in.limit.For(s.accepted, req.yields()), in.limit.After
-	if s.late = req.Target > 0 && s.queue > s.maxQueue; s.late {
+	s.late = req.Target > 0 && s.queue > s.maxQueue
+	if s.late && s.queue > s.accepted {
 		s.cost += latePenalty
+	} else if s.late {
+		s.cost += s.queue - s.maxQueue + noEngineRetryAfter
 	}
 	return s
 }
--- a/urgency/urgency.go
+++ b/urgency/urgency.go
@@ -27,7 +27,7 @@
 	// reservedShare is the share of the queue accepted by all more urgent requests that is
 	// kept free for them. The rest must absorb what gateways admit before they learn of each
 	// other's requests.
-	reservedShare = 0.4
+	reservedShare = 0.2
 	// minQueue is a queue that is never kept free: with a shorter one, engines are idle until
 	// gateways have seen that requests have ended.
 	minQueue = 60 * time.Millisecond
