--- a/catalog/account.go
+++ b/catalog/account.go
@@ -115,6 +115,9 @@
 		}
 		k.accountByKey[key] = a.Name
 	}
+	if a.Priority != nil && *a.Priority < 0 {
+		k.faultf("account %q has priority %d, must be 0 or more", a.Name, *a.Priority)
+	}
 	if a.Allowance.Rate < 0 || a.Allowance.Burst < 0 || a.Allowance.Plain < 0 {
 		k.faultf("account %q has a negative allowance", a.Name)
 	}
--- a/catalog/check.go
+++ b/catalog/check.go
@@ -79,6 +79,9 @@
 	if r.Timeout <= 0 {
 		k.faultf("route %q has timeout %v, must be more than 0", r.Name, r.Timeout)
 	}
+	if r.Priority < 0 {
+		k.faultf("route %q has priority %d, must be 0 or more", r.Name, r.Priority)
+	}
 	if r.Attempts < 1 {
 		k.faultf("route %q allows %d attempts, must be 1 or more", r.Name, r.Attempts)
 	}
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -87,6 +87,9 @@
 	late     bool          // queue exceeds maxQueue
 }
 
+// isPutAfter reports whether the request would be admitted if nothing more urgent were asked for.
+func (s score) isPutAfter() bool { return s.late && s.queue <= s.accepted }
+
 func (s score) less(o score) bool {
 	if s.unresponsive != o.unresponsive {
 		return !s.unresponsive
@@ -147,10 +150,12 @@
 	s.accepted = req.maxQueueTime(s.wait-s.queue, in.usualError)
 	s.maxQueue, s.after = in.limit.For(s.accepted, req.yields()), in.limit.After
 	s.late = req.Target > 0 && s.queue > s.maxQueue
-	if s.late && s.queue > s.accepted {
-		s.cost += latePenalty
-	} else if s.late {
+	switch {
+	case s.isPutAfter():
+		// The caller would return later, at an engine that probably doesn't suit better.
 		s.cost += s.queue - s.maxQueue + noEngineRetryAfter
+	case s.late:
+		s.cost += latePenalty
 	}
 	return s
 }
--- /dev/null
+++ b/internal/dispatchbench/contended_test.go
@@ -0,0 +1,43 @@
+package dispatchbench_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/linenscale/linenscale/internal/dispatchbench"
+)
+
+// TestUrgentRequestsAreServedFirst asks for 1.5 times the room with two kinds of requests, in
+// both orders of urgency. The urgent kind must be served at least as often as the other, none
+// below a quarter of the mean, and the engines must be as busy as without any order.
+func TestUrgentRequestsAreServedFirst(t *testing.T) {
+	for _, gateways := range []int{3, 40} {
+		unranked := dispatchbench.Run(dispatchbench.Contended(dispatchbench.ContendedOptions{Load: 1.5, Gateways: gateways, Unranked: true}))
+		for _, longFirst := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d gateways, long first %t", gateways, longFirst), func(t *testing.T) {
+				r := dispatchbench.Run(dispatchbench.Contended(dispatchbench.ContendedOptions{Load: 1.5, Gateways: gateways, LongFirst: longFirst}))
+				urgent, other := r.Kinds[1], r.Kinds[0]
+				if longFirst {
+					urgent, other = other, urgent
+				}
+				t.Logf("served: urgent %.3f, other %.3f; engine time %v of %v", urgent.Served(), other.Served(), r.EngineTime, unranked.EngineTime)
+				must.GreaterEq(t, other.Served(), urgent.Served())
+				mean := 1 - float64(r.Rejected+r.Failed)/float64(r.Requests)
+				must.GreaterEq(t, mean/4, other.Served())
+				must.GreaterEq(t, 0.97*unranked.EngineTime.Seconds(), r.EngineTime.Seconds())
+			})
+		}
+	}
+}
+
+// TestWithoutAShortageNoKindIsPutBack asks for two thirds of the room.
+func TestWithoutAShortageNoKindIsPutBack(t *testing.T) {
+	for _, longFirst := range []bool{false, true} {
+		r := dispatchbench.Run(dispatchbench.Contended(dispatchbench.ContendedOptions{Load: 0.67, Gateways: 12, LongFirst: longFirst}))
+		for _, k := range r.Kinds {
+			must.GreaterEq(t, 0.98, k.Served(), must.Sprint(k.Name))
+		}
+	}
+}
--- a/internal/dispatchbench/engine.go
+++ b/internal/dispatchbench/engine.go
@@ -42,19 +42,21 @@
 // engine is one incarnation of an engine.
 type engine struct {
 	EngineModel
-	clock      *virtual.Scheduler
-	id         string // of the incarnation
-	address    string
-	region     string
-	speed      float64 // relative to the model; 1 is normal
-	down       bool
-	coldUntil  time.Time
-	running    []*activeRequest
-	waiting    []*activeRequest
-	stepping   bool // a step is running
-	cache      *blockCache
-	tokensRead int // of prompts
-	limit      announcedLimit
+	clock         *virtual.Scheduler
+	id            string // of the incarnation
+	address       string
+	region        string
+	speed         float64 // relative to the model; 1 is normal
+	down          bool
+	coldUntil     time.Time
+	running       []*activeRequest
+	waiting       []*activeRequest
+	stepping      bool // a step is running
+	cache         *blockCache
+	tokensRead    int           // of prompts
+	measuredUntil time.Time     // end of the arrivals
+	busy          time.Duration // before that
+	limit         announcedLimit
 }
 
 // activeRequest is a request that an engine queues or runs.
@@ -124,7 +126,11 @@
 		readers = append(readers, request)
 	}
 	milliseconds += e.StepMSPerKToken * float64(memoryTokens) / 1000
-	e.clock.After(time.Duration(milliseconds/e.speed*float64(time.Millisecond)), func() { e.endStep(readers) })
+	step := time.Duration(milliseconds / e.speed * float64(time.Millisecond))
+	if e.clock.Now().Before(e.measuredUntil) {
+		e.busy += step
+	}
+	e.clock.After(step, func() { e.endStep(readers) })
 }
 
 // fillBatch moves requests from the queue to free slots, and evicts cached blocks that no
--- a/internal/dispatchbench/result.go
+++ b/internal/dispatchbench/result.go
@@ -24,6 +24,7 @@
 	RemoteShare     float64       // share of the requests that ran in another region
 	P50, P99        time.Duration // time to the first event
 	SendsPerRequest float64       // engines that a request was sent to, on average
+	EngineTime      time.Duration // that the engines up at the end were busy, added up
 	Score           float64       // weighted sum of the shares, less the prices
 	Kinds           []KindResult  // in the order of Options.Kinds
 	// LimitedEngines are the results of the engines that announced rate limits.
@@ -128,6 +129,9 @@
 	r.WorstWindows = (windowShares[0] + windowShares[min(1, len(windowShares)-1)]) / 2
 	r.RereadShare, r.RemoteShare = float64(reread)/float64(max(1, shared)), float64(remote)/float64(max(1, r.Requests))
 	r.SendsPerRequest = float64(s.sends) / float64(max(1, r.Requests))
+	for _, e := range s.engines {
+		r.EngineTime += e.busy
+	}
 	slices.Sort(firstEvents)
 	if n := len(firstEvents); n > 0 {
 		r.P50, r.P99 = firstEvents[n/2], firstEvents[n*99/100]
--- a/internal/dispatchbench/simulation.go
+++ b/internal/dispatchbench/simulation.go
@@ -164,7 +164,7 @@
 // startEngine starts an engine. A cold one accepts only few requests at first.
 func (s *Simulation) startEngine(region, address string, cold bool) {
 	s.incarnations++
-	e := &engine{EngineModel: s.Engine, clock: s.clock, id: fmt.Sprintf("e%04d", s.incarnations), address: address, region: region, speed: s.speedOf(address), cache: newBlockCache()}
+	e := &engine{EngineModel: s.Engine, clock: s.clock, id: fmt.Sprintf("e%04d", s.incarnations), address: address, region: region, speed: s.speedOf(address), cache: newBlockCache(), measuredUntil: s.start.Add(s.Duration)}
 	heartbeat := registry.Engine{ID: e.id, Service: serviceName, Address: address, DataCentre: region, Slots: s.Engine.Slots, Sequence: 1}
 	delay := time.Duration(0)
 	if cold {
