returns: rejected callers return in order, and on time before newcomers

Cause: all rejected at one moment were spread at random, and one that returned was judged like a newcomer. A quarter of what a gateway admits of a kind may be promised returns: a time each, the most urgent kinds first, told to the region's gateways (report field 15). dispatchbench can have callers return as told.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/linenscale/linenscale/returns"
 	"github.com/linenscale/linenscale/urgency"
 )
 
@@ -66,6 +67,7 @@
 	transferable int           // further tokens of the prompt that the engine could transfer
 	transferTime time.Duration // how long that transfer takes
 	limit        urgency.Limit // of the queue, for what is more urgent than the request
+	promised     bool          // the request returns as it was promised
 }
 
 // score is the cost estimate for one engine. The engine with the lowest score is chosen.
@@ -149,6 +151,9 @@
 	s.cost += roundTrip + time.Duration(in.failureRate*float64(failurePenalty))
 	s.accepted = req.maxQueueTime(s.wait-s.queue, in.usualError)
 	s.maxQueue, s.after = in.limit.For(s.accepted, req.yields()), in.limit.After
+	if in.promised {
+		s.accepted, s.maxQueue = returns.Queue(s.accepted), returns.Queue(s.maxQueue)
+	}
 	s.late = req.Target > 0 && s.queue > s.maxQueue
 	switch {
 	case s.isPutAfter():
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"github.com/linenscale/linenscale/registry"
 	"github.com/linenscale/linenscale/request"
 	"github.com/linenscale/linenscale/retry"
+	"github.com/linenscale/linenscale/returns"
 	"github.com/linenscale/linenscale/rollout"
 	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/roster"
@@ -88,11 +89,13 @@
 	crashDetector  *quarantine.CrashDetector[brokenRun] // distinguishes crashes from broken connections
 	suspectEngines chan SuspectEngine
 	// quarantine holds the requests that were running when engines crashed.
-	quarantine *quarantine.Table
-	parts      *quarantine.Parts // the parts of prompts that were running when engines crashed
-	begunRuns  []*Ticket         // whose answers have begun, until their parts are cleared
-	limits     *ratelimit.Table  // limits announced by engines
-	pushback   *pushback.Table   // backoff and draining announced by engines
+	quarantine    *quarantine.Table
+	parts         *quarantine.Parts // the parts of prompts that were running when engines crashed
+	begunRuns     []*Ticket         // whose answers have begun, until their parts are cleared
+	limits        *ratelimit.Table  // limits announced by engines
+	pushback      *pushback.Table   // backoff and draining announced by engines
+	returns       *returns.Book     // promises to rejected requests
+	loggedReturns returns.Counts
 }
 
 // New returns a dispatcher without services. They come with the first ledger state.
@@ -101,7 +104,7 @@
 	d := &Dispatcher{
 		Deps: deps, catalog: catalog.NewTable(catalog.Catalog{}), pools: make(map[string]*pool), reported: make(map[*engine]struct{}),
 		evacuationEnded: make(map[string]time.Time), reportingGateways: 1, remotes: make(map[string]*remoteRegion), enginesByHash: make(map[uint64]*engine), accountNames: make(map[uint32]string),
-		crashDetector: quarantine.NewCrashDetector[brokenRun](), suspectEngines: make(chan SuspectEngine, maxSuspectEngines), quarantine: quarantine.New(), parts: quarantine.NewParts(), limits: ratelimit.New(deps.Name), pushback: pushback.New(),
+		crashDetector: quarantine.NewCrashDetector[brokenRun](), suspectEngines: make(chan SuspectEngine, maxSuspectEngines), quarantine: quarantine.New(), parts: quarantine.NewParts(), limits: ratelimit.New(deps.Name), pushback: pushback.New(), returns: returns.New(),
 	}
 	d.aggregator = rollup.New(rollup.Deps{Self: self, Hosts: deps.Peers, IsSignificant: d.isSignificantLoad, Clock: deps.Clock})
 	return d
@@ -167,6 +170,8 @@
 		d.forgetRemoteBlocks(now)
 		d.quarantine.Expire(now)
 		d.parts.Expire(now)
+		d.returns.Expire(now)
+		d.logReturns()
 		d.forgetRemovedEngines(now)
 	}
 	d.clearBegunParts(now)
@@ -235,7 +240,8 @@
 	// Origin is set if the request continues a stream: only engines of its version may.
 	Origin *streams.Origin
 
-	limit urgency.Limit // of the queue in this region
+	limit    urgency.Limit // of the queue in this region
+	promised bool          // it returns as it was promised
 }
 
 // Acquire returns a ticket for the engine with the lowest expected cost. The error is a
@@ -252,7 +258,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req.limit = p.rank(req, now)
+	req.limit, req.promised = p.rank(req, now), d.isPromised(req, now)
 	chosen, expected := d.choose(p, req, now)
 	if chosen == nil {
 		return nil, d.noEngineError(p, req, now)
@@ -262,6 +268,7 @@
 	}
 	ticket := d.issueTicket(p, chosen, req, expected, now)
 	ticket.partTrials = trials
+	d.returns.Admitted(req.returnHash(), req.kindHash(), now)
 	d.parts.BeginTrials(trials)
 	return ticket, nil
 }
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -46,7 +46,7 @@
 
 // report returns this gateway's own report. The lock is held.
 func (d *Dispatcher) report(now time.Time) rollup.Report {
-	r := rollup.Report{SentBlocks: d.recentSentBlocks(now), Accounts: d.ownUsage(now), Crashes: d.quarantine.OutgoingLocal(now), Parts: d.parts.OutgoingLocal(now), Limits: d.limits.Outgoing(now)}
+	r := rollup.Report{SentBlocks: d.recentSentBlocks(now), Accounts: d.ownUsage(now), Crashes: d.quarantine.OutgoingLocal(now), Parts: d.parts.OutgoingLocal(now), Limits: d.limits.Outgoing(now), Returns: d.outgoingReturns(now)}
 	for e := range d.reported {
 		if !d.addToReport(&r, e, now) {
 			delete(d.reported, e)
@@ -138,6 +138,7 @@
 	}
 	d.mergeLocalCrashes(m, now)
 	d.mergeLimits(m, now)
+	d.mergeReturns(m, now)
 	for _, sent := range m.Report.SentBlocks {
 		if e, ok := d.enginesByHash[sent.Engine]; ok {
 			e.pool.recordBlock(e, sent.Block, now)
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -177,7 +177,7 @@
 func (p *pool) costInputs(e *engine, req Request, now time.Time) costInputs {
 	in := costInputs{
 		load: e.load(now), slots: e.Slots, failureRate: e.failures.rate(now),
-		throughput: p.throughput.current(), usualError: p.throughput.usualError(), slowdown: e.slowdown.Value(now), limit: req.limit,
+		throughput: p.throughput.current(), usualError: p.throughput.usualError(), slowdown: e.slowdown.Value(now), limit: req.limit, promised: req.promised,
 	}
 	if p.service.Model != nil {
 		in.cacheTokens = p.service.Model.CacheTokens
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -213,7 +213,7 @@
 	best := Placement{Region: d.Region, LocalCost: -1, IsHome: home == d.Region}
 	var localEngine *engine
 	if localPermitted {
-		req.limit = p.rank(req, now)
+		req.limit, req.promised = p.rank(req, now), d.isPromised(req, now)
 		if e, s := d.choose(p, req, now); e != nil {
 			localEngine = e
 			best.LocalCost, best.Queue, best.Refusal = s.cost, s.queue, req.checkAdmission(s)
--- a/ingress/rejection.go
+++ b/ingress/rejection.go
@@ -12,27 +12,16 @@
 	"github.com/linenscale/linenscale/request"
 )
 
-// After a rejection for lack of capacity, the Retry-After is a random fraction of the
-// caller's remaining time, between these bounds. Such a lack (a burst, a partition, a
-// crash) usually lasts for seconds. A caller that retries as soon as the queue that it met
-// has been served meets the same queue again, together with all other rejected callers.
-// Callers wait for at most a third of their time.
-const (
-	minRetryFraction = 0.20
-	maxRetryFraction = 0.33
-)
-
 // spreadRetries spreads the retries of rejected callers over their remaining time. Only
 // the entry host does so, not a gateway that the request was handed over to.
-func (s *Server) spreadRetries(x *exchange, rejection request.Refusal) request.Refusal {
+func (s *Server) spreadRetries(x *exchange, rejection request.Refusal) (spread request.Refusal, promised bool) {
 	notRun, ok := rejection.(*request.NotRun)
 	if !ok || x.handedOver || (notRun.Reason != request.ReasonNoEngine && notRun.Reason != request.ReasonOverload) {
-		return rejection
+		return rejection, false
 	}
-	fraction := minRetryFraction + (maxRetryFraction-minRetryFraction)*float64(s.Random()>>11)/(1<<53)
-	spread := *notRun
-	spread.RetryAfter = max(notRun.RetryAfter, time.Duration(fraction*float64(s.remaining(x))))
-	return &spread
+	later := *notRun
+	later.RetryAfter, promised = s.Dispatcher.ReturnAfter(x.dispatchRequest(nil), notRun, s.remaining(x), s.Random())
+	return &later, promised
 }
 
 // countOutcome counts a finished request in the metrics. Only the entry host counts it for
@@ -50,13 +39,13 @@
 	outcome := request.OutcomeValueUnknown
 	reason := "outcome_unknown"
 	x.refundAllowance(rejection, s.Clock())
-	rejection = s.spreadRetries(x, rejection)
+	rejection, promised := s.spreadRetries(x, rejection)
 	var retryAfter time.Duration
 	if notRun, ok := rejection.(*request.NotRun); ok {
 		outcome, reason, retryAfter = request.OutcomeValueNotRun, string(notRun.Reason), notRun.RetryAfter
 	}
 	s.countOutcome(x, reason)
-	s.Log.Info("refused", x.logFields(zap.String("reason", reason), zap.Bool("started", x.answerStarted), zap.Duration("come_back", retryAfter), zap.String("why", rejection.Error()))...)
+	s.Log.Info("refused", x.logFields(zap.String("reason", reason), zap.Bool("started", x.answerStarted), zap.Duration("come_back", retryAfter), zap.Bool("promised", promised), zap.String("why", rejection.Error()))...)
 	if x.answerStarted {
 		x.abortAnswer(outcome)
 		return
--- a/internal/dispatchbench/contended.go
+++ b/internal/dispatchbench/contended.go
@@ -20,7 +20,7 @@
 	}
 	const engines, perEngine = 10, 13
 	return Options{
-		Seed: c.Seed, Duration: 16 * time.Second, Engine: unevenEngine, ColdTime: 3 * time.Second, ColdRate: 2.7, Kinds: []*RequestKind{long, short}, Strategy: dispatchStrategy{},
+		Seed: c.Seed, Duration: 16 * time.Second, Engine: unevenEngine, ColdTime: 3 * time.Second, ColdRate: 2.7, Kinds: []*RequestKind{long, short}, Strategy: dispatchStrategy{}, OrderedReturns: true,
 		Regions: []Region{{Name: "a", Engines: engines, Gateways: c.Gateways, Rate: func(time.Duration) float64 { return c.Load * engines * perEngine }}},
 	}
 }
--- a/internal/dispatchbench/contended_test.go
+++ b/internal/dispatchbench/contended_test.go
@@ -22,10 +22,12 @@
 				if longFirst {
 					urgent, other = other, urgent
 				}
-				t.Logf("served: urgent %.3f, other %.3f; engine time %v of %v", urgent.Served(), other.Served(), r.EngineTime, unranked.EngineTime)
+				t.Logf("served: urgent %.3f, other %.3f; %d returned, at most %d at once; engine time %v of %v", urgent.Served(), other.Served(), r.Returns, r.LargestReturn, r.EngineTime, unranked.EngineTime)
 				must.GreaterEq(t, other.Served(), urgent.Served())
 				mean := 1 - float64(r.Rejected+r.Failed)/float64(r.Requests)
 				must.GreaterEq(t, mean/4, other.Served())
+				// Evenly spread, each tenth of a second would have about 1 in 160.
+				must.Less(t, r.Returns/20, r.LargestReturn)
 				must.GreaterEq(t, 0.97*unranked.EngineTime.Seconds(), r.EngineTime.Seconds())
 			})
 		}
--- a/internal/dispatchbench/exchange.go
+++ b/internal/dispatchbench/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"github.com/linenscale/linenscale/dispatch"
+	"github.com/linenscale/linenscale/quarantine"
 	"github.com/linenscale/linenscale/request"
 )
 
@@ -21,6 +22,7 @@
 	active      *activeRequest
 	lastEvent   time.Duration           // when the caller received the last event
 	remote      *dispatch.RemoteRequest // set if package dispatch handed it over to another region
+	entry       *gateway                // that the caller sent it to
 }
 
 // endRemote stops counting the request as load of another region.
@@ -36,7 +38,8 @@
 // handleArrival processes a request that reaches a gateway of the caller's region.
 func (s *Simulation) handleArrival(a *arrival) {
 	x := &exchange{arrival: a, deadline: a.at + a.kind.Deadline}
-	s.chooseRegion(x, s.randomGateway(a.region))
+	x.entry = s.randomGateway(a.region)
+	s.chooseRegion(x, x.entry)
 	s.clock.After(x.deadline-s.elapsed(), func() {
 		if x.active != nil && !a.answered {
 			x.engine.cancel(x.active)
@@ -78,7 +81,7 @@
 	}
 	return dispatch.Request{
 		ID: a.id, Route: a.kind.Name, Service: serviceName, Prompt: p, Deadline: s.start.Add(x.deadline), Tried: x.tried,
-		Target: a.kind.Target, MaxPause: a.kind.MaxPause, Priority: a.kind.Priority, Permitted: func(region string) bool { return s.permitted(a, region) },
+		Target: a.kind.Target, MaxPause: a.kind.MaxPause, Priority: a.kind.Priority, Permitted: func(region string) bool { return s.permitted(a, region) }, Fingerprint: quarantine.Fingerprint(dispatch.Rank("caller", a.id)),
 	}
 }
 
@@ -177,8 +180,13 @@
 	if !errors.As(err, &rejection) || x.arrival.rejections > callerRetries || x.failedSends > 0 || remaining <= 0 {
 		return
 	}
-	wait := min(rejection.RetryAfter, remaining/3)
-	s.clock.After(wait+2*callerDelay, func() {
-		s.chooseRegion(&exchange{arrival: x.arrival, deadline: x.deadline}, s.randomGateway(x.arrival.region))
+	wait := rejection.RetryAfter
+	if s.OrderedReturns {
+		wait, _ = x.entry.dispatcher.ReturnAfter(s.dispatchRequest(x), rejection, remaining, s.random.Uint64())
+	}
+	x.arrival.returnedAt = s.elapsed() + min(wait, remaining/3)
+	s.clock.After(min(wait, remaining/3)+2*callerDelay, func() {
+		again := &exchange{arrival: x.arrival, deadline: x.deadline, entry: s.randomGateway(x.arrival.region)}
+		s.chooseRegion(again, again.entry)
 	})
 }
--- a/internal/dispatchbench/result.go
+++ b/internal/dispatchbench/result.go
@@ -25,8 +25,11 @@
 	P50, P99        time.Duration // time to the first event
 	SendsPerRequest float64       // engines that a request was sent to, on average
 	EngineTime      time.Duration // that the engines up at the end were busy, added up
-	Score           float64       // weighted sum of the shares, less the prices
-	Kinds           []KindResult  // in the order of Options.Kinds
+	// Returns is the number of rejected callers that returned, and LargestReturn that within
+	// the tenth of a second with the most.
+	Returns, LargestReturn int
+	Score                  float64      // weighted sum of the shares, less the prices
+	Kinds                  []KindResult // in the order of Options.Kinds
 	// LimitedEngines are the results of the engines that announced rate limits.
 	LimitedEngines []LimitedEngine
 }
@@ -132,6 +135,7 @@
 	for _, e := range s.engines {
 		r.EngineTime += e.busy
 	}
+	r.Returns, r.LargestReturn = s.countReturns()
 	slices.Sort(firstEvents)
 	if n := len(firstEvents); n > 0 {
 		r.P50, r.P99 = firstEvents[n/2], firstEvents[n*99/100]
@@ -140,6 +144,21 @@
 	return r
 }
 
+func (s *Simulation) countReturns() (all, largest int) {
+	const slot = 100 * time.Millisecond
+	slots := make(map[time.Duration]int)
+	for _, a := range s.arrivals {
+		if a.returnedAt > 0 {
+			all++
+			slots[a.returnedAt/slot]++
+		}
+	}
+	for _, n := range slots {
+		largest = max(largest, n)
+	}
+	return all, largest
+}
+
 func add(sum *valueSum, earned, possible float64) {
 	sum.earned += earned
 	sum.possible += possible
--- a/internal/dispatchbench/simulation.go
+++ b/internal/dispatchbench/simulation.go
@@ -37,7 +37,10 @@
 	ColdRate float64       // requests per second that a cold engine may get
 	Speeds   []float64     // of the engines, in turn, relative to Engine; empty if all are alike
 	Strategy Strategy
-	Faults   func(s *Simulation) // schedules crashes and rate limits; may be nil
+	// OrderedReturns has rejected callers return when package dispatch tells them to, as with
+	// package ingress, rather than when there may be room at the earliest.
+	OrderedReturns bool
+	Faults         func(s *Simulation) // schedules crashes and rate limits; may be nil
 }
 
 // Times and other constants of the model. Network delays are one-way.
--- a/internal/dispatchbench/traffic.go
+++ b/internal/dispatchbench/traffic.go
@@ -71,8 +71,9 @@
 	pausedTooLong   bool          // for longer than the kind's MaxPause
 	answered        bool
 	rejections      int
-	servedIn        string // region that answered
-	rereadTokens    int    // tokens of shared blocks that were read again
+	returnedAt      time.Duration // when the caller returned after a rejection
+	servedIn        string        // region that answered
+	rereadTokens    int           // tokens of shared blocks that were read again
 }
 
 // trafficGenerator draws the arrivals. A seed gives the same arrivals for every strategy.
--- a/rollup/report.go
+++ b/rollup/report.go
@@ -39,6 +39,8 @@
 	Demand []RouteDemand `cbor:"12,keyasint,omitempty"`
 	// The work of very long prompts, by service.
 	LongReads []ServiceWork `cbor:"13,keyasint,omitempty"`
+	// Promises recently made to rejected requests.
+	Returns []ReturnPromise `cbor:"15,keyasint,omitempty"`
 }
 
 // Backoff is an engine that asks for backoff, with the number of gateways that it asked.
@@ -148,6 +150,7 @@
 	speeds    map[uint64]EngineSpeed
 	demand    map[uint32]RouteDemand
 	longReads map[uint32]ServiceWork
+	returns   map[uint32]ReturnPromise // by request, the one that is due last
 }
 
 // maxCrashes bounds the crash reports in one sum to about 4 KB, those of twelve engines
@@ -161,6 +164,7 @@
 // aged returns a report that was received that long ago, ready to be forwarded.
 func (r Report) aged(by time.Duration) Report {
 	r.Limits = ratelimit.AddAge(r.Limits, by)
+	r.Returns = agedReturns(r.Returns, by)
 	return r
 }
 
@@ -181,7 +185,7 @@
 	return &sum{
 		loads: make(map[uint64]EngineLoad), blocks: make(map[SentBlock]bool), unreachable: make(map[uint64]bool), replaced: make(map[uint64]bool), draining: make(map[uint64]bool),
 		backingOff: make(map[uint64]int), accounts: make(map[uint32]AccountUsage), crashes: make(map[crashKey]quarantine.CrashReport), parts: make(map[partKey]quarantine.PartReport),
-		limits: make(map[uint64]ratelimit.LimitReport), speeds: make(map[uint64]EngineSpeed), demand: make(map[uint32]RouteDemand), longReads: make(map[uint32]ServiceWork),
+		limits: make(map[uint64]ratelimit.LimitReport), speeds: make(map[uint64]EngineSpeed), demand: make(map[uint32]RouteDemand), longReads: make(map[uint32]ServiceWork), returns: make(map[uint32]ReturnPromise),
 	}
 }
 
@@ -206,6 +210,7 @@
 		s.accounts[a.Account] = u
 	}
 	s.addLoadReports(r, factor)
+	s.addReturns(r)
 	for _, block := range r.SentBlocks {
 		s.blocks[block] = true
 	}
@@ -279,6 +284,7 @@
 		}
 	}
 	s.putLoadReports(&r)
+	s.putReturns(&r)
 	slices.SortFunc(r.Engines, func(a, b EngineLoad) int { return compareHash(a.Engine, b.Engine) })
 	return r
 }
--- a/urgency/urgency.go
+++ b/urgency/urgency.go
@@ -101,6 +101,24 @@
 	return l
 }
 
+// Rank returns the number of more urgent priorities that were recently asked for, and that of
+// all of them with the given one.
+func (d *Demand) Rank(priority int, now time.Time) (rank, ranks int) {
+	ranks = 1
+	last := priority
+	for _, k := range d.kinds {
+		if k.Priority == priority || k.Priority == last || now.Sub(k.at) > recentTime {
+			continue
+		}
+		last = k.Priority
+		ranks++
+		if k.Priority < priority {
+			rank++
+		}
+	}
+	return rank, ranks
+}
+
 // after returns the limit of requests that go after a kind, which is itself limited by own.
 func (l Limit) after(k Kind, own Limit) Limit {
 	accepted, longest := k.Short, k.Long
