--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -6,6 +6,9 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/linenscale/linenscale/returns"
+	"github.com/linenscale/linenscale/urgency"
 )
 
 // Load is the work of an engine. Loads of several gateways add up.
@@ -63,6 +66,8 @@
 	preferred    bool          // ranked first for the prompt's shared blocks
 	transferable int           // further tokens of the prompt that the engine could transfer
 	transferTime time.Duration // how long that transfer takes
+	limit        urgency.Limit // of the queue, for what is more urgent than the request
+	promised     bool          // the request returns as it was promised
 }
 
 // score is the cost estimate for one engine. The engine with the lowest score is chosen.
@@ -79,10 +84,15 @@
 	rank         uint64
 	unresponsive bool // missed its heartbeats: chosen only if no other engine can be
 
+	accepted time.Duration // longest queue that the request accepts itself
 	maxQueue time.Duration // longest queue with which the request is admitted
+	after    int           // priority that the request goes after; it counts if maxQueue is below accepted
 	late     bool          // queue exceeds maxQueue
 }
 
+// isPutAfter reports whether the request would be admitted if nothing more urgent were asked for.
+func (s score) isPutAfter() bool { return s.late && s.queue <= s.accepted }
+
 func (s score) less(o score) bool {
 	if s.unresponsive != o.unresponsive {
 		return !s.unresponsive
@@ -140,8 +150,17 @@
 	}
 	s.wait += roundTrip
 	s.cost += roundTrip + time.Duration(in.failureRate*float64(failurePenalty))
-	s.maxQueue = req.maxQueueTime(s.wait-s.queue, in.usualError)
-	if s.late = req.Target > 0 && s.queue > s.maxQueue; s.late {
+	s.accepted = req.maxQueueTime(s.wait-s.queue, in.usualError)
+	s.maxQueue, s.after = in.limit.For(s.accepted, req.yields()), in.limit.After
+	if in.promised {
+		s.accepted, s.maxQueue = returns.Queue(s.accepted), returns.Queue(s.maxQueue)
+	}
+	s.late = req.Target > 0 && s.queue > s.maxQueue
+	switch {
+	case s.isPutAfter():
+		// The caller would return later, at an engine that probably doesn't suit better.
+		s.cost += s.queue - s.maxQueue + noEngineRetryAfter
+	case s.late:
 		s.cost += latePenalty
 	}
 	return s
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -24,8 +24,8 @@
 	route catalog.Route // one of the class
 }
 
-// classID returns the number that stands for the class of a route's requests in messages.
-func classID(route catalog.Route, service string) uint32 {
+// ClassID returns the number that stands for the class of a route's requests in messages.
+func ClassID(route catalog.Route, service string) uint32 {
 	homes := slices.Sorted(slices.Values(route.Homes))
 	return uint32(hashString(fmt.Sprintf("%s\x00%s\x00%d\x00%d", service, strings.Join(homes, ","), route.Priority, route.Target)))
 }
@@ -34,7 +34,7 @@
 func (p *pool) applyRoutes(routes []catalog.Route) {
 	p.classes, p.classByRoute = nil, make(map[string]uint32, len(routes))
 	for _, route := range routes {
-		id := classID(route, p.service.Name)
+		id := ClassID(route, p.service.Name)
 		p.classByRoute[route.Name] = id
 		if !slices.ContainsFunc(p.classes, func(c demandClass) bool { return c.id == id }) {
 			p.classes = append(p.classes, demandClass{id, route})
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -12,6 +12,7 @@
 	"github.com/linenscale/linenscale/regionplan"
 	"github.com/linenscale/linenscale/registry"
 	"github.com/linenscale/linenscale/retry"
+	"github.com/linenscale/linenscale/urgency"
 )
 
 // engine is what this gateway knows about one incarnation of an engine.
@@ -89,6 +90,7 @@
 	classes          []demandClass               // of the service's requests
 	classByRoute     map[string]uint32           // ID of the class of each route's requests
 	cachedShare      shareAverage                // of the shared tokens of prompts, that engines had cached
+	demand           urgency.Demand              // what is asked for in this region
 }
 
 func newPool(s catalog.Service, budget retry.Policy) *pool {
@@ -179,7 +181,7 @@
 func (p *pool) costInputs(e *engine, req Request, now time.Time) costInputs {
 	in := costInputs{
 		load: e.load(now), slots: e.Slots, failureRate: e.failures.rate(now),
-		throughput: p.throughput.current(), usualError: p.throughput.usualError(), speed: e.speed(now),
+		throughput: p.throughput.current(), usualError: p.throughput.usualError(), speed: e.speed(now), limit: req.limit, promised: req.promised,
 	}
 	if p.service.Model != nil {
 		in.cacheTokens = p.service.Model.CacheTokens
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -14,6 +14,7 @@
 	"github.com/linenscale/linenscale/internal/rendezvous"
 	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/telemetry"
+	"github.com/linenscale/linenscale/urgency"
 )
 
 // Digest summarizes a region's engines of one service. It is sent to other regions.
@@ -168,7 +169,7 @@
 	d.mergeRemoteCrashes(r, now)
 	remote, ok := d.remotes[r.Region]
 	if !ok {
-		remote = &remoteRegion{cached: make(map[string]cachedBlocks)}
+		remote = &remoteRegion{cached: make(map[string]cachedBlocks), demand: make(map[string]*urgency.Demand)}
 		d.remotes[r.Region] = remote
 	}
 	var digests []Digest
@@ -180,6 +181,7 @@
 	remote.applyVersions(r.Versions)
 	remote.applyCallerDemand(r.Demand)
 	d.applyRemoteUsage(r.Region, r.Accounts, now.Add(-r.Age))
+	d.applyDemand(r.Region, remote.callerDemand, remote.demandFor, now.Add(-r.Age))
 }
 
 // Placement is the region chosen for a request.
@@ -214,6 +216,7 @@
 	best := Placement{Region: d.Region, LocalCost: -1, IsHome: home == d.Region}
 	var localEngine *engine
 	if localPermitted {
+		req.limit, req.promised = p.rank(req, now), d.isPromised(req, now)
 		if e, s := d.choose(p, req, now); e != nil {
 			localEngine = e
 			best.LocalCost, best.Queue, best.Refusal = s.cost, s.queue, req.checkAdmission(s)
@@ -255,6 +258,7 @@
 	inFlight.Requests, inFlight.Unread, inFlight.Reserved = inFlight.Requests*senders, inFlight.Unread*senders, inFlight.Reserved*senders
 	in.load = in.load.plus(inFlight.dividedBy(remote.digests[p.service.Name].Engines))
 	in.usualError = p.throughput.usualError()
+	in.limit = remote.limitFor(req, now)
 	return estimate(in, req, d.roundTrip(region)), true
 }
 
--- a/enginespeed/track.go
+++ b/enginespeed/track.go
@@ -15,7 +15,7 @@
 	logSum, weight float64
 	updatedAt      time.Time
 	changedAt      time.Time // when the speed last changed
-	speed          float64 // 0 if nothing is known
+	speed          float64   // 0 if nothing is known
 	step           Step
 	steppedAt      time.Time // when there was last enough evidence for a step
 }
--- a/internal/dispatchbench/result.go
+++ b/internal/dispatchbench/result.go
@@ -24,8 +24,12 @@
 	RemoteShare     float64       // share of the requests that ran in another region
 	P50, P99        time.Duration // time to the first event
 	SendsPerRequest float64       // engines that a request was sent to, on average
-	Score           float64       // weighted sum of the shares, less the prices
-	Kinds           []KindResult  // in the order of Options.Kinds
+	EngineTime      time.Duration // that the engines up at the end were busy, added up
+	// Returns is the number of rejected callers that returned, and LargestReturn that within
+	// the tenth of a second with the most.
+	Returns, LargestReturn int
+	Score                  float64      // weighted sum of the shares, less the prices
+	Kinds                  []KindResult // in the order of Options.Kinds
 	// LimitedEngines are the results of the engines that announced rate limits.
 	LimitedEngines []LimitedEngine
 	// Engines are the results of the engines that ran at the end.
@@ -142,6 +146,10 @@
 	r.WorstWindows = (windowShares[0] + windowShares[min(1, len(windowShares)-1)]) / 2
 	r.RereadShare, r.RemoteShare = float64(reread)/float64(max(1, shared)), float64(remote)/float64(max(1, r.Requests))
 	r.SendsPerRequest = float64(s.sends) / float64(max(1, r.Requests))
+	for _, e := range s.engines {
+		r.EngineTime += e.busy
+	}
+	r.Returns, r.LargestReturn = s.countReturns()
 	slices.Sort(firstEvents)
 	if n := len(firstEvents); n > 0 {
 		r.P50, r.P99 = firstEvents[n/2], firstEvents[n*99/100]
@@ -150,6 +158,21 @@
 	return r
 }
 
+func (s *Simulation) countReturns() (all, largest int) {
+	const slot = 100 * time.Millisecond
+	slots := make(map[time.Duration]int)
+	for _, a := range s.arrivals {
+		if a.returnedAt > 0 {
+			all++
+			slots[a.returnedAt/slot]++
+		}
+	}
+	for _, n := range slots {
+		largest = max(largest, n)
+	}
+	return all, largest
+}
+
 func add(sum *valueSum, earned, possible float64) {
 	sum.earned += earned
 	sum.possible += possible
--- a/internal/dispatchbench/simulation.go
+++ b/internal/dispatchbench/simulation.go
@@ -37,7 +37,10 @@
 	ColdRate float64       // requests per second that a cold engine may get
 	Speeds   []float64     // of the engines, in turn, relative to Engine; empty if all are alike
 	Strategy Strategy
-	Faults   func(s *Simulation) // schedules crashes and rate limits; may be nil
+	// OrderedReturns has rejected callers return when package dispatch tells them to, as with
+	// package ingress, rather than when there may be room at the earliest.
+	OrderedReturns bool
+	Faults         func(s *Simulation) // schedules crashes and rate limits; may be nil
 }
 
 // Times and other constants of the model. Network delays are one-way.
@@ -164,7 +167,7 @@
 // startEngine starts an engine. A cold one accepts only few requests at first.
 func (s *Simulation) startEngine(region, address string, cold bool) {
 	s.incarnations++
-	e := &engine{EngineModel: s.Engine, clock: s.clock, id: fmt.Sprintf("e%04d", s.incarnations), address: address, region: region, speed: s.speedOf(address), cache: newBlockCache()}
+	e := &engine{EngineModel: s.Engine, clock: s.clock, id: fmt.Sprintf("e%04d", s.incarnations), address: address, region: region, speed: s.speedOf(address), cache: newBlockCache(), measuredUntil: s.start.Add(s.Duration)}
 	heartbeat := registry.Engine{ID: e.id, Service: serviceName, Address: address, DataCentre: region, Slots: s.Engine.Slots, Sequence: 1}
 	delay := time.Duration(0)
 	if cold {
