dispatch: urgency counts accounts' priorities and handed-over requests

Cause: demand was reported by the priority of routes, so that an account's own priority was unknown to other gateways; gateways of a region that gets requests of another knew only their own of these; one request counted as demand for more than five seconds (review). Change: classes of demand have the priority of the request; handed-over requests are counted where they arrive; a rate counts as demand as long as one request in the last second has it. Conclusion: room is kept for who asks for it, for a second.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -133,7 +133,7 @@
 			d.pools[s.Name] = p
 		}
 		p.service = s
-		p.applyRoutes(table.RoutesOf(s.Name))
+		p.applyRoutes(table.RoutesOf(s.Name), table.Accounts())
 		r, ordered := state.Rollouts[s.Name]
 		p.applyRollout(r, ordered)
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -17,62 +17,104 @@
 )
 
 // demandClass is the requests of one service that are alike for the decisions of gateways:
-// those of all routes with the same homes, priority and target. Catalogs have thousands of
-// routes and few classes.
+// those with the same priority of all routes with the same homes and target. Catalogs have
+// thousands of routes and few classes.
 type demandClass struct {
-	id    uint32
-	route catalog.Route // one of the class
+	id       uint32
+	priority int
+	route    catalog.Route // one of the class
 }
 
-// ClassID returns the number that stands for the class of a route's requests in messages.
-func ClassID(route catalog.Route, service string) uint32 {
+// ClassID returns the number that stands in messages for the class of a route's requests with
+// a priority.
+func ClassID(route catalog.Route, service string, priority int) uint32 {
 	homes := slices.Sorted(slices.Values(route.Homes))
-	return uint32(hashString(fmt.Sprintf("%s\x00%s\x00%d\x00%d", service, strings.Join(homes, ","), route.Priority, route.Target)))
+	return uint32(hashString(fmt.Sprintf("%s\x00%s\x00%d\x00%d", service, strings.Join(homes, ","), priority, route.Target)))
 }
 
-// applyRoutes finds the classes of the service's requests.
-func (p *pool) applyRoutes(routes []catalog.Route) {
-	p.classes, p.classByRoute = nil, make(map[string]uint32, len(routes))
+// routePriority is a route and a priority that its requests may have.
+type routePriority struct {
+	route    string
+	priority int
+}
+
+// applyRoutes finds the classes of the service's requests. The priorities of accounts replace
+// those of routes.
+func (p *pool) applyRoutes(routes []catalog.Route, accounts []catalog.Account) {
+	p.classes, p.classByRoute = nil, make(map[routePriority]uint32, len(routes))
+	known := make(map[uint32]bool)
 	for _, route := range routes {
-		id := ClassID(route, p.service.Name)
-		p.classByRoute[route.Name] = id
-		if !slices.ContainsFunc(p.classes, func(c demandClass) bool { return c.id == id }) {
-			p.classes = append(p.classes, demandClass{id, route})
+		priorities := []int{route.Priority}
+		for _, account := range accounts {
+			if own := account.PriorityOn(route); !slices.Contains(priorities, own) {
+				priorities = append(priorities, own)
+			}
+		}
+		for _, priority := range priorities {
+			id := ClassID(route, p.service.Name, priority)
+			p.classByRoute[routePriority{route.Name, priority}] = id
+			if !known[id] {
+				known[id] = true
+				p.classes = append(p.classes, demandClass{id, priority, route})
+			}
 		}
 	}
 }
 
+// classOf returns the class of a request; false if its route isn't in this gateway's catalog.
+func (p *pool) classOf(req Request) (uint32, bool) {
+	class, ok := p.classByRoute[routePriority{req.Route, req.Priority}]
+	return class, ok
+}
+
 // callerDemand is what this gateway's callers lately asked for in one class.
 type callerDemand struct {
 	tokens, shared, requests decayingRate
 }
 
 // CountArrival counts a caller's request, before its region is chosen, as demand of this
-// region. Requests that other gateways hand over are demand of their callers' regions.
+// region.
 func (d *Dispatcher) CountArrival(req Request) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.Clock()
+	demand := d.countRequest(req, now)
+	p := d.pools[req.Service]
+	if demand == nil || p.service.Model == nil {
+		return
+	}
+	prompt := min(max(0, req.Prompt.InputTokens), p.service.Model.CacheTokens)
+	shared := min(max(0, req.Prompt.sharedTokens()), prompt)
+	demand.tokens.add(float64(prompt)-p.cachedShare.value()*float64(shared), now)
+	demand.shared.add(float64(shared), now)
+}
+
+// CountHandover counts a request that a gateway of another region has handed over. Its work is
+// demand of its caller's region, but the request asks for room here.
+func (d *Dispatcher) CountHandover(req Request) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.countRequest(req, d.Clock())
+}
+
+// countRequest counts a request in its class, and returns the class's demand; nil if it has no
+// class. The lock is held.
+func (d *Dispatcher) countRequest(req Request, now time.Time) *callerDemand {
 	p, ok := d.pools[req.Service]
 	if !ok {
-		return
+		return nil
 	}
-	class, ok := p.classByRoute[req.Route]
+	class, ok := p.classOf(req)
 	if !ok {
-		return
+		return nil
 	}
 	demand, ok := d.callerDemand[class]
 	if !ok {
 		demand = &callerDemand{}
 		d.callerDemand[class] = demand
 	}
-	now := d.Clock()
 	demand.requests.add(1, now)
-	if p.service.Model != nil {
-		prompt := min(max(0, req.Prompt.InputTokens), p.service.Model.CacheTokens)
-		shared := min(max(0, req.Prompt.sharedTokens()), prompt)
-		demand.tokens.add(float64(prompt)-p.cachedShare.value()*float64(shared), now)
-		demand.shared.add(float64(shared), now)
-	}
+	return demand
 }
 
 // shareAverage is an exponential average of shares. The zero value has none and is 0.
@@ -215,7 +257,7 @@
 // "" if nothing is planned for it. usable reports whether a region can be chosen now. The lock
 // is held.
 func (d *Dispatcher) plannedRegion(p *pool, req Request, usable func(region string) bool) string {
-	class, ok := p.classByRoute[req.Route]
+	class, ok := p.classOf(req)
 	if !ok || !p.plan.IsNeeded() {
 		return ""
 	}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -88,7 +88,7 @@
 	rollout          *poolRollout                // the service's latest; nil if it never had one
 	plan             regionplan.Plan             // where the requests of all regions run, as of the last refresh
 	classes          []demandClass               // of the service's requests
-	classByRoute     map[string]uint32           // ID of the class of each route's requests
+	classByRoute     map[routePriority]uint32    // IDs of the classes
 	cachedShare      shareAverage                // of the shared tokens of prompts, that engines had cached
 	demand           urgency.Demand              // what is asked for in this region
 }
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -61,6 +61,10 @@
 	}
 }
 
+// askedForRequests is the reported rate, in hundredths per second, of a class that one request
+// in the last second has asked for. Lower rates are what is left of earlier requests.
+const askedForRequests = 37
+
 // applyDemand records what callers of a region ask for of each service, as reported by its
 // gateways. The lock is held.
 func (d *Dispatcher) applyDemand(region string, reported map[uint32]rollup.RouteDemand, demandFor func(service string) *urgency.Demand, at time.Time) {
@@ -69,8 +73,8 @@
 	}
 	for service, p := range d.pools {
 		for _, class := range p.classes {
-			if r := class.route; r.PermitsRegion(region) && r.Target > 0 && reported[class.id].Requests > 0 {
-				demandFor(service).Record(kindOf(r.Priority, r.Target), at)
+			if r := class.route; r.PermitsRegion(region) && r.Target > 0 && reported[class.id].Requests >= askedForRequests {
+				demandFor(service).Record(kindOf(class.priority, r.Target), at)
 			}
 		}
 	}
--- a/dispatch/urgency_test.go
+++ b/dispatch/urgency_test.go
@@ -72,7 +72,7 @@
 	}}
 	g := env.gateways[0]
 	g.ApplyState(ledger.State{Index: 2, Catalog: c}, catalog.NewTable(c))
-	demand := []rollup.RouteDemand{{Route: dispatch.ClassID(c.Routes[0], "review"), Requests: 100}}
+	demand := []rollup.RouteDemand{{Route: dispatch.ClassID(c.Routes[0], "review", 0), Requests: 100}}
 	report := func(demand []rollup.RouteDemand) {
 		for _, out := range env.gateways[1].Outgoing() {
 			out.Message.Report.Demand = demand
--- a/ingress/region.go
+++ b/ingress/region.go
@@ -15,6 +15,7 @@
 // is rejected there as not run, it may be tried in other regions.
 func (s *Server) runInBestRegion(x *exchange) error {
 	if x.handedOver {
+		s.Dispatcher.CountHandover(x.dispatchRequest(nil))
 		return s.runAttempts(x)
 	}
 	local := x.mayRunIn(s.Self.Region)
--- a/internal/dispatchbench/exchange.go
+++ b/internal/dispatchbench/exchange.go
@@ -65,7 +65,11 @@
 		s.sendToEngine(x, g)
 		return
 	}
-	s.clock.After(remoteDelay, func() { s.sendToEngine(x, s.randomGateway(region)) })
+	s.clock.After(remoteDelay, func() {
+		remote := s.randomGateway(region)
+		remote.dispatcher.CountHandover(s.dispatchRequest(x))
+		s.sendToEngine(x, remote)
+	})
 }
 
 // permitted reports whether the request may run in the region.
