--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -42,8 +42,12 @@
 	return max(low, min(high, r.Target-afterStart-errorMargin*usualError))
 }
 
-// checkAdmission returns a *request.NotRun if the request would start too late, else nil.
+// checkAdmission returns a *request.NotRun if the request would start or end too late,
+// else nil.
 func (r Request) checkAdmission(s score) error {
+	if s.risks.hopeless {
+		return noTimeError()
+	}
 	if !s.late {
 		return nil
 	}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -74,6 +74,28 @@
 		return canary, estimate(p.costInputs(canary, req, now), req, 0)
 	}
 	s := d.sample(p, req, now)
+	best, bestScore = p.best(s, req, now)
+	if best != nil && bestScore.risks.hopeless {
+		// Some engine outside the sample may be fast enough.
+		s.candidates = s.candidates[:0]
+		for _, e := range p.usable {
+			if d.canUse(p, e, req, now) {
+				s.candidates = append(s.candidates, candidate{engine: e})
+			}
+		}
+		best, bestScore = p.best(s, req, now)
+	}
+	if best != nil {
+		return best, bestScore
+	}
+	if best = d.fallback(p, req, now); best != nil {
+		bestScore = estimate(p.costInputs(best, req, now), req, 0)
+	}
+	return best, bestScore
+}
+
+// best returns the candidate with the lowest score, or nil if there is none.
+func (p *pool) best(s sample, req Request, now time.Time) (best *engine, bestScore score) {
 	for _, c := range s.candidates {
 		in := p.costInputs(c.engine, req, now)
 		// No guess is needed where some engine is known to have cached the blocks.
@@ -89,12 +111,6 @@
 			best, bestScore = c.engine, estimated
 		}
 	}
-	if best != nil {
-		return best, bestScore
-	}
-	if best = d.fallback(p, req, now); best != nil {
-		bestScore = estimate(p.costInputs(best, req, now), req, 0)
-	}
 	return best, bestScore
 }
 
@@ -132,6 +148,13 @@
 	if s.preferred != nil {
 		s.add(s.preferred, id)
 	}
+	if p.isLong(req) {
+		for _, e := range p.long.readers {
+			if d.canUse(p, e, req, now) {
+				s.add(e, id)
+			}
+		}
+	}
 	for _, e := range p.limited {
 		if d.canUse(p, e, req, now) {
 			s.add(e, id)
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -44,8 +44,8 @@
 	// rereadWeight is the additional cost, relative to the read time, of reading shared
 	// blocks that another engine has cached: no other request can use that engine time.
 	rereadWeight = 3.6
-	// latePenalty is the cost of a choice with which the request would start too late to
-	// be admitted. Any other choice is better.
+	// latePenalty is the cost of a choice with which the request would start or end too late
+	// to be admitted. Any other choice is better.
 	latePenalty = 5 * time.Second
 	// assumedCachedShare is the share of the shared blocks that the engine ranked first
 	// is assumed to have cached, where this gateway doesn't know any cache holder.
@@ -68,6 +68,11 @@
 	transferTime time.Duration // how long that transfer takes
 	limit        urgency.Limit // of the queue, for what is more urgent than the request
 	promised     bool          // the request returns as it was promised
+	tokenTime    time.Duration // of its streams lately; 0 if not known
+	longShare    float64       // of its time that it reads long prompts; 0 unless it is set apart and this one isn't long
+	eventTokens  int           // tokens of one event of a stream; 0 if not known
+	maxPause     time.Duration // shortest limit for pauses of the service's routes; 0 for none
+	remaining    time.Duration // until the request's deadline; 0 if it has none
 }
 
 // score is the cost estimate for one engine. The engine with the lowest score is chosen.
@@ -85,6 +90,7 @@
 	unresponsive bool // missed its heartbeats: chosen only if no other engine can be
 
 	accepted time.Duration // longest queue that the request accepts itself
+	risks    streamRisks
 	maxQueue time.Duration // longest queue with which the request is admitted
 	after    int           // priority that the request goes after; it counts if maxQueue is below accepted
 	late     bool          // queue exceeds maxQueue
@@ -107,8 +113,9 @@
 // cached, copied is transferred, first is preferred, held is load.Reserved, and silent is
 // unresponsive.
 func (s score) String() string {
-	return fmt.Sprintf("wait=%v cost=%v kept=%d copied=%d first=%t requests=%d unread=%d held=%d silent=%t",
-		s.wait.Round(time.Millisecond), s.cost.Round(time.Millisecond), s.cached, s.transferred, s.preferred, s.load.Requests, s.load.Unread, s.load.Reserved, s.unresponsive)
+	return fmt.Sprintf("wait=%v cost=%v kept=%d copied=%d first=%t requests=%d unread=%d held=%d silent=%t ends_late=%.2f interrupts=%.2f delayed=%.2f apart=%t",
+		s.wait.Round(time.Millisecond), s.cost.Round(time.Millisecond), s.cached, s.transferred, s.preferred, s.load.Requests, s.load.Unread, s.load.Reserved, s.unresponsive,
+		s.risks.endsLate, s.risks.interrupts, s.risks.delayed, s.risks.apart)
 }
 
 // readTime returns the time to read so many prompt tokens.
@@ -155,12 +162,16 @@
 	if in.promised {
 		s.accepted, s.maxQueue = returns.Queue(s.accepted), returns.Queue(s.maxQueue)
 	}
+	if in.cacheTokens > 0 {
+		s.risks = in.streamRisks(p, s.wait, max(0, p.InputTokens-s.cached))
+		s.cost += s.risks.cost()
+	}
 	s.late = req.Target > 0 && s.queue > s.maxQueue
 	switch {
-	case s.isPutAfter():
+	case s.isPutAfter() && !s.risks.hopeless:
 		// The caller would return later, at an engine that probably doesn't suit better.
 		s.cost += s.queue - s.maxQueue + noEngineRetryAfter
-	case s.late:
+	case s.late, s.risks.hopeless:
 		s.cost += latePenalty
 	}
 	return s
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -132,7 +132,7 @@
 			p = newPool(s, d.RetryBudget)
 			d.pools[s.Name] = p
 		}
-		p.service = s
+		p.service, p.maxPause = s, shortestMaxPause(table, s.Name)
 		p.applyRoutes(table.RoutesOf(s.Name))
 		r, ordered := state.Rollouts[s.Name]
 		p.applyRollout(r, ordered)
@@ -184,6 +184,7 @@
 	for _, p := range d.pools {
 		p.classifyVersions()
 		d.classifyEngines(p, now)
+		d.updateReaders(p, now)
 	}
 	d.updatePlans(now)
 }
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -46,7 +46,7 @@
 
 // report returns this gateway's own report. The lock is held.
 func (d *Dispatcher) report(now time.Time) rollup.Report {
-	r := rollup.Report{SentBlocks: d.recentSentBlocks(now), Accounts: d.ownUsage(now), Crashes: d.quarantine.OutgoingLocal(now), Parts: d.parts.OutgoingLocal(now), Limits: d.limits.Outgoing(now), Demand: d.ownDemand(now), Returns: d.outgoingReturns(now)}
+	r := rollup.Report{SentBlocks: d.recentSentBlocks(now), Accounts: d.ownUsage(now), Crashes: d.quarantine.OutgoingLocal(now), Parts: d.parts.OutgoingLocal(now), Limits: d.limits.Outgoing(now), Demand: d.ownDemand(now), LongReads: d.longReads(now), Returns: d.outgoingReturns(now)}
 	for e := range d.reported {
 		if !d.addToReport(&r, e, now) {
 			delete(d.reported, e)
@@ -191,6 +191,7 @@
 	d.reportingGateways = 1 + others.Reporting
 	d.peerDemand = others.Demand
 	d.applyPeerSpeeds(others, d.Clock())
+	d.applyLongReads(others)
 	d.applyLocalUsage(others)
 	d.applyDemand(d.Region, others.Demand, func(service string) *urgency.Demand { return &d.pools[service].demand }, d.Clock())
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -91,6 +91,8 @@
 	classByRoute     map[string]uint32           // ID of the class of each route's requests
 	cachedShare      shareAverage                // of the shared tokens of prompts, that engines had cached
 	demand           urgency.Demand              // what is asked for in this region
+	maxPause         time.Duration               // shortest limit for pauses of the service's routes; 0 for none
+	long             longPrompts
 }
 
 func newPool(s catalog.Service, budget retry.Policy) *pool {
@@ -186,6 +188,11 @@
 	if p.service.Model != nil {
 		in.cacheTokens = p.service.Model.CacheTokens
 		in.cached = e.cached.tokens(req.Prompt, now)
+		in.tokenTime = e.tokenTime(now)
+		in.eventTokens, in.maxPause, in.remaining = p.service.Model.EventTokens, p.maxPause, req.remaining(now)
+		if share := p.long.shares[e]; share > 0 && !p.isLong(req) {
+			in.longShare = share
+		}
 	}
 	return in
 }
@@ -204,11 +211,12 @@
 // decayingRate estimates events per second, with exponential decay. The zero value has
 // recorded none.
 type decayingRate struct {
+	window    time.Duration // time constant of the decay; 0 for rateWindow
 	sum       float64
 	updatedAt time.Time
 }
 
-// rateWindow is the time constant of the decay.
+// rateWindow is the usual time constant of the decay.
 const rateWindow = time.Second
 
 func (r *decayingRate) add(n float64, now time.Time) {
@@ -216,7 +224,9 @@
 }
 
 func (r *decayingRate) decayed(now time.Time) float64 {
-	return r.sum * math.Exp(-float64(now.Sub(r.updatedAt))/float64(rateWindow))
+	return r.sum * math.Exp(-float64(now.Sub(r.updatedAt))/float64(cmp.Or(r.window, rateWindow)))
 }
 
-func (r *decayingRate) perSecond(now time.Time) float64 { return r.decayed(now) / rateWindow.Seconds() }
+func (r *decayingRate) perSecond(now time.Time) float64 {
+	return r.decayed(now) / cmp.Or(r.window, rateWindow).Seconds()
+}
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -80,6 +80,7 @@
 		if shared := req.Prompt.sharedTokens(); shared > 0 {
 			p.cachedShare.add(min(1, float64(s.known)/float64(shared)))
 		}
+		p.recordLongPrompt(req, t.load.Unread, now)
 		p.recordPrompt(e, req.Prompt, now)
 		d.recordSentBlock(req.Prompt, e, now)
 	}
--- a/internal/dispatchbench/exchange.go
+++ b/internal/dispatchbench/exchange.go
@@ -80,10 +80,14 @@
 	for _, b := range a.blocks {
 		p.Blocks = append(p.Blocks, dispatch.Block{ID: b.id, Tokens: b.tokens})
 	}
-	return dispatch.Request{
+	req := dispatch.Request{
 		ID: a.id, Route: a.kind.Name, Service: serviceName, Prompt: p, Deadline: s.start.Add(x.deadline), Tried: x.tried,
 		Target: a.kind.Target, MaxPause: a.kind.MaxPause, Priority: a.kind.Priority, Permitted: func(region string) bool { return s.permitted(a, region) }, Fingerprint: quarantine.Fingerprint(dispatch.Rank("caller", a.id)),
 	}
+	if s.Unlimited {
+		req.Deadline, req.MaxPause = time.Time{}, 0
+	}
+	return req
 }
 
 // sendToEngine sends the request to an engine of the gateway's region. It tries another
--- a/internal/dispatchbench/result.go
+++ b/internal/dispatchbench/result.go
@@ -48,6 +48,8 @@
 	Name                                                     string
 	Requests, Rejected, Failed, Late, PausedTooLong, Expired int // Expired is how many of the failed ones had begun, and passed their deadline
 	EarnedShare                                              float64
+	// ServedLargest is the share of the answered ones among the tenth with the longest prompts.
+	ServedLargest float64
 }
 
 // Served returns the share of the requests that were answered, late ones included.
@@ -138,6 +140,7 @@
 	for _, k := range s.Kinds {
 		kind := *byKind[k.Name]
 		kind.EarnedShare = valueSumOf(kinds, k.Name).share()
+		kind.ServedLargest = s.servedLargest(k)
 		r.Kinds = append(r.Kinds, kind)
 	}
 	r.Earned = total.earned
@@ -197,6 +200,20 @@
 	return out
 }
 
+// servedLargest returns the share of the answered requests among the tenth of a kind with the
+// longest prompts.
+func (s *Simulation) servedLargest(k *RequestKind) float64 {
+	arrivals := slices.DeleteFunc(slices.Clone(s.arrivals), func(a *arrival) bool { return a.kind != k })
+	slices.SortStableFunc(arrivals, func(a, b *arrival) int { return b.tokensIn - a.tokensIn })
+	largest, answered := arrivals[:(len(arrivals)+9)/10], 0
+	for _, a := range largest {
+		if a.answered {
+			answered++
+		}
+	}
+	return float64(answered) / float64(max(1, len(largest)))
+}
+
 // Row is the result of one strategy in one scenario.
 type Row struct {
 	Strategy string
--- a/internal/dispatchbench/simulation.go
+++ b/internal/dispatchbench/simulation.go
@@ -40,7 +40,9 @@
 	// OrderedReturns has rejected callers return when package dispatch tells them to, as with
 	// package ingress, rather than when there may be room at the earliest.
 	OrderedReturns bool
-	Faults         func(s *Simulation) // schedules crashes and rate limits; may be nil
+	// Unlimited hides the limits for pauses and the deadlines from the gateways.
+	Unlimited bool
+	Faults    func(s *Simulation) // schedules crashes and rate limits; may be nil
 }
 
 // Times and other constants of the model. Network delays are one-way.
@@ -136,8 +138,12 @@
 func (s *Simulation) routes() []catalog.Route {
 	var out []catalog.Route
 	for _, k := range s.Kinds {
+		maxPause := k.MaxPause
+		if s.Unlimited {
+			maxPause = 0
+		}
 		out = append(out, catalog.Route{
-			Name: k.Name, Kind: catalog.KindStream, Target: k.Target, MaxPause: k.MaxPause, Priority: k.Priority, Homes: k.Homes, Resumable: k.Resumable,
+			Name: k.Name, Kind: catalog.KindStream, Target: k.Target, MaxPause: maxPause, Priority: k.Priority, Homes: k.Homes, Resumable: k.Resumable,
 			Backends: []catalog.Backend{{Service: serviceName, Weight: 1}},
 		})
 	}
