--- a/dispatch/long_prompts.go
+++ b/dispatch/long_prompts.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/sizeclass"
 )
@@ -33,15 +35,20 @@
 
 // updateReaders sets the engines apart that the long prompts need.
 func (d *Dispatcher) updateReaders(p *pool, now time.Time) {
-	l := &p.long
+	l, before := &p.long, len(p.long.readers)
 	l.readers, l.shares = l.readers[:0], nil
-	if !p.keepsLongApart() {
-		return
-	}
 	work := (l.own.perSecond(now) + l.others) * p.throughput.current().ReadPerToken.Seconds()
-	if work < minLongWork {
-		return
+	if p.keepsLongApart() && work >= minLongWork {
+		d.setApart(p, work, now)
+	}
+	if len(l.readers) != before {
+		d.Log.Info("engines set apart for long prompts", zap.String("service", p.service.Name), zap.Int("engines", len(l.readers)), zap.Int("of", len(p.usable)), zap.Float64("work", work))
 	}
+}
+
+// setApart sets engines apart for so much work.
+func (d *Dispatcher) setApart(p *pool, work float64, now time.Time) {
+	l := &p.long
 	var usable []*engine
 	var described []sizeclass.Engine
 	for _, e := range p.usable {
