--- a/pace/pace.go
+++ b/pace/pace.go
@@ -32,6 +32,11 @@
 	// outlierFactor times the mean absolute error is the largest residual that counts
 	// in full. A larger one is clipped.
 	outlierFactor = 3.0
+	// minWorkShare is the share of the mean duration that is attributed to the work at least.
+	// Delays for other reasons would otherwise hide what the work takes, and a queue of any
+	// length would seem to cost nothing; with it, five times the usual work is expected to take
+	// twice as long.
+	minWorkShare = 0.25
 	// errorSmoothing is the weight of the latest error.
 	errorSmoothing = 0.05
 	// discountedWeight is what all earlier observations together count after Discount, in
@@ -81,13 +86,18 @@
 	}
 }
 
-// PerUnit returns the estimated time per unit of work, in ns. It is never negative.
+// PerUnit returns the estimated time per unit of work, in ns. It is never negative, and never
+// less than minWorkShare allows.
 func (l *LinearEstimator) PerUnit() float64 {
+	if l.sumX <= 0 {
+		return 0
+	}
+	least := minWorkShare * max(0, l.sumY) / l.sumX
 	determinant := l.sumWeight*l.sumXX - l.sumX*l.sumX
 	if determinant <= 0 {
-		return 0
+		return least
 	}
-	return max(0, (l.sumWeight*l.sumXY-l.sumX*l.sumY)/determinant)
+	return max(least, (l.sumWeight*l.sumXY-l.sumX*l.sumY)/determinant)
 }
 
 // Fixed returns the estimated time without work. It is never negative.
