allowance: refunds reach other gateways

Change: rates count charges; the units refunded of those charged within the last window are reported beside them, and subtracted from the estimate.

--- a/allowance/account.go
+++ b/allowance/account.go
@@ -10,8 +10,10 @@
 	limit           float64            // units per window
 	used            map[string]*window // by region; no entry for a region that admitted nothing
 	updatedAt       time.Time          // when the other gateways' rates were last added
-	admitted        movingSum          // from this gateway's callers
-	ownWindow       *window            // the same over the last window; nil if nothing was admitted
+	admitted        movingSum          // from this gateway's callers, less refunds
+	charged         movingSum          // the same with what was refunded
+	ownWindow       *window            // admitted over the last window; nil if nothing was
+	refunded        *window            // of what was charged over the last window; nil if nothing was
 	requested       decayingAverage    // by this gateway's callers, admitted or not
 	rejected        float64            // units since this gateway started
 	regionShares    map[string]float64 // of the limit, as of the last time that all regions were reachable
@@ -51,8 +53,14 @@
 	w.add(units, now)
 }
 
-// refundOwn subtracts units that this gateway admitted at an earlier time in its region.
-func (a *account) refundOwn(region string, units float64, admittedAt, now time.Time) {
+// refundOwn subtracts units that this gateway admitted at an earlier time in its region. Other
+// gateways have counted them by reported rates, and get the sum of refunds beside these: a rate
+// reduced by refunds would take them from what is admitted now.
+func (a *account) refundOwn(region string, units float64, windowLength time.Duration, admittedAt, now time.Time) {
+	if a.refunded == nil {
+		a.refunded = newWindow(windowLength, 0, now)
+	}
+	a.refunded.addAt(units, admittedAt, now)
 	a.admitted.add(-units, now)
 	if w, ok := a.used[region]; ok {
 		w.subtract(units, admittedAt, now)
@@ -63,40 +71,43 @@
 }
 
 // estimateIn returns the units admitted in a region within the last window, as estimated
-// from the reported rates.
-func (a *account) estimateIn(region string, now time.Time) float64 {
+// from the reported rates, less those that other gateways report as refunded.
+func (a *account) estimateIn(region string, refunded float64, now time.Time) float64 {
 	w, ok := a.used[region]
 	if !ok {
 		return 0
 	}
 	w.advance(now)
-	return w.sum
+	return max(0, w.sum-refunded)
 }
 
-// expiryRate returns how many of the units admitted in the regions currently leave the
-// window per second.
-func (a *account) expiryRate(regions []string, now time.Time) (sum float64) {
-	for _, region := range regions {
-		if w, ok := a.used[region]; ok {
-			w.advance(now)
-			sum += w.expiryRate()
-		}
+// expiryRateIn returns how many of the units admitted in a region currently leave the window
+// per second. When the refunded ones were charged isn't reported, so that they are assumed to
+// be spread over the window like the others.
+func (a *account) expiryRateIn(region string, refunded float64, now time.Time) float64 {
+	w, ok := a.used[region]
+	if !ok {
+		return 0
 	}
-	return sum
+	w.advance(now)
+	if w.sum <= refunded {
+		return 0
+	}
+	return w.expiryRate() * (1 - refunded/w.sum)
 }
 
-// prune drops empty windows. It reports whether the account is idle: no window is left,
-// and this gateway's callers request nothing.
+// prune drops empty windows. It reports whether the account is idle: no window is left, no
+// refund has to be reported, and this gateway's callers request nothing.
 func (a *account) prune(now time.Time) (idle bool) {
 	for region, w := range a.used {
 		if w.advance(now); w.sum == 0 {
 			delete(a.used, region)
 		}
 	}
-	if len(a.used) > 0 || a.requested.perSecond(now) >= minReportedRate {
+	if len(a.used) > 0 || a.refundedSum(now) > 0 || a.requested.perSecond(now) >= minReportedRate {
 		return false
 	}
-	a.ownWindow = nil
+	a.ownWindow, a.refunded = nil, nil
 	return true
 }
 
@@ -138,11 +149,20 @@
 	return a.ownWindow.sum
 }
 
+// refundedSum returns the units of those charged within the last window that were refunded.
+func (a *account) refundedSum(now time.Time) float64 {
+	if a.refunded == nil {
+		return 0
+	}
+	a.refunded.advance(now)
+	return a.refunded.sum
+}
+
 // ownUsage returns the usage by this gateway's callers.
 func (a *account) ownUsage(now time.Time) Usage {
 	return Usage{
-		AdmittedRate: a.admitted.perSecond(now, localRatePeriod), SmoothedRate: a.admitted.perSecond(now, remoteRatePeriod),
-		RequestedRate: a.requested.perSecond(now), WindowTotal: a.ownSum(now),
+		AdmittedRate: a.charged.perSecond(now, localRatePeriod), SmoothedRate: a.charged.perSecond(now, remoteRatePeriod),
+		RequestedRate: a.requested.perSecond(now), WindowTotal: a.ownSum(now), RefundedTotal: a.refundedSum(now),
 	}
 }
 
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -22,14 +22,15 @@
 // Usage is how much of an account is admitted and requested, in units a second unless
 // noted.
 type Usage struct {
-	AdmittedRate  float64 // over the last 0.2 s
-	SmoothedRate  float64 // admitted over the last 0.5 s
+	AdmittedRate  float64 // over the last 0.2 s, with what was refunded
+	SmoothedRate  float64 // admitted over the last 0.5 s, with what was refunded
 	RequestedRate float64 // requested, admitted or not
-	WindowTotal   float64 // units admitted within the last window
+	WindowTotal   float64 // units admitted within the last window, less those refunded
+	RefundedTotal float64 // units refunded of those admitted within the last window
 }
 
 func (u Usage) plus(other Usage) Usage {
-	return Usage{u.AdmittedRate + other.AdmittedRate, u.SmoothedRate + other.SmoothedRate, u.RequestedRate + other.RequestedRate, u.WindowTotal + other.WindowTotal}
+	return Usage{u.AdmittedRate + other.AdmittedRate, u.SmoothedRate + other.SmoothedRate, u.RequestedRate + other.RequestedRate, u.WindowTotal + other.WindowTotal, u.RefundedTotal + other.RefundedTotal}
 }
 
 // Deps are the settings and dependencies of a Meter.
@@ -163,7 +164,7 @@
 	}
 	g.meter.mu.Lock()
 	defer g.meter.mu.Unlock()
-	g.account.refundOwn(g.meter.Region, g.cost, g.admittedAt, now)
+	g.account.refundOwn(g.meter.Region, g.cost, g.meter.Policy.Window, g.admittedAt, now)
 	g.account.surge.refund(g.cost, g.admittedAt)
 	g.cost = 0
 }
@@ -205,6 +206,7 @@
 	}
 	a.add(m.Region, cost, m.Policy.Window, now)
 	a.admitted.add(cost, now)
+	a.charged.add(cost, now)
 	a.addOwn(cost, m.Policy.Window, now)
 	a.surge.admitted += cost
 	return &Grant{meter: m, account: a, cost: cost, admittedAt: now}, nil
@@ -238,7 +240,7 @@
 	defer m.mu.Unlock()
 	out := make(map[string]Usage)
 	for name, a := range m.active {
-		if u := a.ownUsage(now); u.RequestedRate >= minReportedRate || u.WindowTotal > 0 {
+		if u := a.ownUsage(now); u.RequestedRate >= minReportedRate || u.WindowTotal > 0 || u.RefundedTotal > 0 {
 			out[name] = u
 		}
 	}
@@ -270,12 +272,13 @@
 	}
 }
 
-// maxUsage returns the greater usage of each account, field by field.
+// maxUsage returns the greater usage of each account, field by field, and so the smaller
+// refunds.
 func maxUsage(a, b map[string]Usage) map[string]Usage {
 	out := maps.Clone(a)
 	for name, use := range b {
 		larger := out[name]
-		out[name] = Usage{max(larger.AdmittedRate, use.AdmittedRate), max(larger.SmoothedRate, use.SmoothedRate), max(larger.RequestedRate, use.RequestedRate), max(larger.WindowTotal, use.WindowTotal)}
+		out[name] = Usage{max(larger.AdmittedRate, use.AdmittedRate), max(larger.SmoothedRate, use.SmoothedRate), max(larger.RequestedRate, use.RequestedRate), max(larger.WindowTotal, use.WindowTotal), min(larger.RefundedTotal, use.RefundedTotal)}
 	}
 	return out
 }
--- a/allowance/state.go
+++ b/allowance/state.go
@@ -71,7 +71,9 @@
 	for _, region := range regions {
 		s.used += m.usedIn(region, name, a, now)
 	}
-	s.expiryRate = a.expiryRate(regions, now)
+	for _, region := range regions {
+		s.expiryRate += a.expiryRateIn(region, m.refundedIn(region, name, now), now)
+	}
 	s.soleGateway = own.RequestedRate >= soleGatewayShare*s.requested
 	if s.requested > 0 {
 		othersShare := others.RequestedRate / s.requested
@@ -87,12 +89,26 @@
 	return s
 }
 
+// refundedIn returns the units that other gateways report as refunded in a region, of those
+// charged within the last window. What an old report says may have left the window since. The
+// caller holds m.mu.
+func (m *Meter) refundedIn(region, name string, now time.Time) float64 {
+	switch {
+	case region == m.Region:
+		return m.local.usage[name].RefundedTotal
+	case m.hasFreshReport(region, now):
+		return m.remote[region].usage[name].RefundedTotal
+	default:
+		return 0
+	}
+}
+
 // usedIn returns the units admitted in a region within the last window: the estimate from
 // the reported rates or the reported sum, whichever is more. The rates miss what was
 // admitted while no report arrived; the next reported sum includes it. The caller holds
 // m.mu.
 func (m *Meter) usedIn(region, name string, a *account, now time.Time) float64 {
-	estimate := a.estimateIn(region, now)
+	estimate := a.estimateIn(region, m.refundedIn(region, name, now), now)
 	if region == m.Region {
 		return max(estimate, a.ownSum(now)+m.local.usage[name].WindowTotal-localSumError*a.limit)
 	}
--- a/allowance/window.go
+++ b/allowance/window.go
@@ -47,6 +47,17 @@
 	w.sum += units
 }
 
+// addAt counts units in the slot of an earlier time, if that is still in the window.
+func (w *window) addAt(units float64, at, now time.Time) {
+	w.advance(now)
+	number := min(w.slotNumber(at), w.newest)
+	if number < w.newest-windowSlots {
+		return
+	}
+	w.slots[number%int64(len(w.slots))] += units
+	w.sum += units
+}
+
 // subtract removes units that were added at an earlier time from the slot that has them.
 // The current slot may hold less than that, and units that stayed in theirs would use up
 // the limit until they leave the window.
--- a/dispatch/accounts.go
+++ b/dispatch/accounts.go
@@ -3,7 +3,9 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,6 +32,32 @@
 	return out
 }
 
+// ownRefunds returns what was refunded to the accounts of this gateway's callers.
+func (d *Dispatcher) ownRefunds(now time.Time) []rollup.AccountRefund {
+	if d.Allowances == nil {
+		return nil
+	}
+	var out []rollup.AccountRefund
+	for name, use := range d.Allowances.OwnUsage(now) {
+		if units := int(use.RefundedTotal); units > 0 {
+			out = append(out, rollup.AccountRefund{Account: hashAccount(name), Units: units})
+		}
+	}
+	return out
+}
+
+// regionRefunds returns the refunds summed over all gateways of the region. The lock is held.
+func (d *Dispatcher) regionRefunds(now time.Time) []rollup.AccountRefund {
+	if d.Allowances == nil {
+		return nil
+	}
+	sums := d.aggregator.PeerTotals().Refunds
+	for _, own := range d.ownRefunds(now) {
+		sums[own.Account] = rollup.AccountRefund{Account: own.Account, Units: sums[own.Account].Units + own.Units}
+	}
+	return slices.Collect(maps.Values(sums))
+}
+
 // regionUsage returns the account usage summed over all gateways of the region. The lock
 // is held.
 func (d *Dispatcher) regionUsage(now time.Time) []rollup.AccountUsage {
@@ -67,12 +95,13 @@
 			uses[name] = decodeUsage(use)
 		}
 	}
+	d.addRefunds(uses, slices.Collect(maps.Values(others.Refunds)))
 	d.Allowances.ReceiveLocal(uses, coverage, d.Clock())
 }
 
 // applyRemoteUsage passes the usage reported by another region to the meter. The lock is
 // held.
-func (d *Dispatcher) applyRemoteUsage(region string, reported []rollup.AccountUsage, at time.Time) {
+func (d *Dispatcher) applyRemoteUsage(region string, reported []rollup.AccountUsage, refunds []rollup.AccountRefund, at time.Time) {
 	if d.Allowances == nil {
 		return
 	}
@@ -82,9 +111,21 @@
 			uses[name] = decodeUsage(use)
 		}
 	}
+	d.addRefunds(uses, refunds)
 	d.Allowances.ReceiveRemote(region, uses, at, d.Clock())
 }
 
+// addRefunds adds reported refunds to the usage by account. The lock is held.
+func (d *Dispatcher) addRefunds(uses map[string]allowance.Usage, refunds []rollup.AccountRefund) {
+	for _, refund := range refunds {
+		if name, ok := d.accountNames[refund.Account]; ok {
+			use := uses[name]
+			use.RefundedTotal = float64(max(0, refund.Units))
+			uses[name] = use
+		}
+	}
+}
+
 func decodeUsage(use rollup.AccountUsage) allowance.Usage {
 	units := func(encoded int) float64 { return float64(max(0, encoded)) / usageScale }
 	return allowance.Usage{AdmittedRate: units(use.AdmittedRate), SmoothedRate: units(use.SmoothedRate), RequestedRate: units(use.RequestedRate), WindowTotal: float64(max(0, use.WindowTotal))}
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -46,7 +46,7 @@
 
 // report returns this gateway's own report. The lock is held.
 func (d *Dispatcher) report(now time.Time) rollup.Report {
-	r := rollup.Report{SentBlocks: d.recentSentBlocks(now), Accounts: d.ownUsage(now), Crashes: d.quarantine.OutgoingLocal(now), Parts: d.parts.OutgoingLocal(now), Limits: d.limits.Outgoing(now), Demand: d.ownDemand(now), LongReads: d.longReads(now), Returns: d.outgoingReturns(now)}
+	r := rollup.Report{SentBlocks: d.recentSentBlocks(now), Accounts: d.ownUsage(now), Crashes: d.quarantine.OutgoingLocal(now), Parts: d.parts.OutgoingLocal(now), Limits: d.limits.Outgoing(now), Demand: d.ownDemand(now), LongReads: d.longReads(now), Returns: d.outgoingReturns(now), Refunds: d.ownRefunds(now)}
 	for e := range d.reported {
 		if !d.addToReport(&r, e, now) {
 			delete(d.reported, e)
--- a/rollup/aggregator.go
+++ b/rollup/aggregator.go
@@ -311,19 +311,20 @@
 
 // PeerTotals is the sum of what the other gateways of the region do.
 type PeerTotals struct {
-	Loads     map[uint64]EngineLoad   // by the hash of the engine's incarnation
-	Accounts  map[uint32]AccountUsage // by the hash of the account's name
-	Speeds    map[uint64]EngineSpeed  // by the hash of the engine's incarnation
-	Demand    map[uint32]RouteDemand  // by RouteDemand.Route
-	LongReads map[uint32]ServiceWork  // by the hash of the service's name
-	Reporting int                     // gateways whose reports are included
-	Listed    int                     // other gateways in the list of gateways
+	Loads     map[uint64]EngineLoad    // by the hash of the engine's incarnation
+	Accounts  map[uint32]AccountUsage  // by the hash of the account's name
+	Speeds    map[uint64]EngineSpeed   // by the hash of the engine's incarnation
+	Demand    map[uint32]RouteDemand   // by RouteDemand.Route
+	Refunds   map[uint32]AccountRefund // by the hash of the account's name
+	LongReads map[uint32]ServiceWork   // by the hash of the service's name
+	Reporting int                      // gateways whose reports are included
+	Listed    int                      // other gateways in the list of gateways
 }
 
 // PeerTotals returns the sum of what the other gateways of the region do.
 func (a *Aggregator) PeerTotals() PeerTotals {
 	s, gateways := a.sumOthers()
-	return PeerTotals{Loads: s.loads, Accounts: s.accounts, Speeds: s.speeds, Demand: s.demand, LongReads: s.longReads, Reporting: gateways, Listed: a.topology.size() - 1}
+	return PeerTotals{Loads: s.loads, Accounts: s.accounts, Speeds: s.speeds, Demand: s.demand, LongReads: s.longReads, Refunds: s.refunds, Reporting: gateways, Listed: a.topology.size() - 1}
 }
 
 // sumOthers sums the latest valid reports of the other gateways, and counts the gateways
@@ -376,6 +377,10 @@
 				_, included := s.demand[r.Route]
 				return !included // a leader of an earlier version, or more than maxDemand
 			})
+			own.Refunds = slices.DeleteFunc(slices.Clone(own.Refunds), func(f AccountRefund) bool {
+				_, included := s.refunds[f.Account]
+				return !included // a leader of an earlier version
+			})
 			s.add(own, -1)
 		}
 	}
--- a/rollup/hardload.go
+++ b/rollup/hardload.go
@@ -38,6 +38,19 @@
 	Tokens  int      // prompt tokens per second
 }
 
+// AccountRefund is what was refunded to one client account of what its callers were charged
+// within the last window of its allowance: their requests were never run.
+type AccountRefund struct {
+	_       struct{} `cbor:",toarray"`
+	Account uint32   // hash of its name
+	Units   int
+}
+
+func (f AccountRefund) plus(o AccountRefund, factor int) AccountRefund {
+	f.Units += factor * o.Units
+	return f
+}
+
 // maxSpeeds bounds the engines in one sum to about 10 KB. In larger regions the speeds of
 // those with the most evidence are sent, which are the busiest.
 const maxSpeeds = 512
@@ -83,6 +96,7 @@
 		known.Engine = e.Engine
 		s.speeds[e.Engine] = known.plus(e, factor)
 	}
+	s.addRefunds(r.Refunds, factor)
 	for _, demand := range r.Demand {
 		known := s.demand[demand.Route]
 		known.Route = demand.Route
@@ -95,6 +109,15 @@
 	}
 }
 
+// addRefunds adds refunds factor times.
+func (s *sum) addRefunds(refunds []AccountRefund, factor int) {
+	for _, f := range refunds {
+		known := s.refunds[f.Account]
+		known.Account = f.Account
+		s.refunds[f.Account] = known.plus(f, factor)
+	}
+}
+
 // putLoadReports sets the reports of this file in r.
 func (s *sum) putLoadReports(r *Report) {
 	for _, e := range s.speeds {
@@ -106,6 +129,9 @@
 		})
 		r.Speeds = r.Speeds[:maxSpeeds]
 	}
+	for _, refund := range s.refunds {
+		r.Refunds = append(r.Refunds, refund)
+	}
 	for _, demand := range s.demand {
 		r.Demand = append(r.Demand, demand)
 	}
