--- a/cmd/linenscale/engines.go
+++ b/cmd/linenscale/engines.go
@@ -35,7 +35,7 @@
 		if err != nil {
 			return err
 		}
-		return t.print(all, []string{"GATEWAY", "ENGINE", "SERVICE", "WHY NOT", "SINCE", "ENDS IN", "REQUESTS", "OTHERS", "RESTS ASKED", "KEPT AWAY", "SENT IN SPITE"}, engineRows(all))
+		return t.print(all, []string{"GATEWAY", "ENGINE", "SERVICE", "WHY NOT", "SINCE", "ENDS IN", "REQUESTS", "OTHERS", "SPEED", "TOKEN", "RESTS ASKED", "KEPT AWAY", "SENT IN SPITE"}, engineRows(all))
 	}}
 }
 
@@ -46,6 +46,7 @@
 		for _, e := range g.Engines {
 			rows = append(rows, []string{
 				g.Gateway, e.Engine, e.Service, e.Exclusion, formatDuration(e.ExcludedFor), formatDuration(e.ExclusionEndsIn), strconv.Itoa(e.Requests), strconv.Itoa(e.PeerRequests),
+				strconv.FormatFloat(e.Speed, 'f', 2, 64), e.TokenTime.Round(10 * time.Microsecond).String(),
 				strconv.Itoa(e.Backoffs), strconv.Itoa(e.Excluded), strconv.Itoa(e.Overridden),
 			})
 		}
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -86,6 +86,8 @@
 	source       *engine // where it transfers them from
 	preferred    bool
 	load         Load
+	speed        float64       // of the engine; 0 if not known
+	tokenTime    time.Duration // likewise
 	rank         uint64
 	unresponsive bool // missed its heartbeats: chosen only if no other engine can be
 
@@ -113,8 +115,8 @@
 // cached, copied is transferred, first is preferred, held is load.Reserved, and silent is
 // unresponsive.
 func (s score) String() string {
-	return fmt.Sprintf("wait=%v cost=%v kept=%d copied=%d first=%t requests=%d unread=%d held=%d silent=%t ends_late=%.2f interrupts=%.2f delayed=%.2f apart=%t",
-		s.wait.Round(time.Millisecond), s.cost.Round(time.Millisecond), s.cached, s.transferred, s.preferred, s.load.Requests, s.load.Unread, s.load.Reserved, s.unresponsive,
+	return fmt.Sprintf("wait=%v cost=%v kept=%d copied=%d first=%t requests=%d unread=%d held=%d silent=%t speed=%.2f token=%v ends_late=%.2f interrupts=%.2f delayed=%.2f apart=%t",
+		s.wait.Round(time.Millisecond), s.cost.Round(time.Millisecond), s.cached, s.transferred, s.preferred, s.load.Requests, s.load.Unread, s.load.Reserved, s.unresponsive, s.speed, s.tokenTime.Round(10*time.Microsecond),
 		s.risks.endsLate, s.risks.interrupts, s.risks.delayed, s.risks.apart)
 }
 
@@ -127,7 +129,7 @@
 // network round trip to the engine's region, 0 for this one.
 func estimate(in costInputs, req Request, roundTrip time.Duration) score {
 	p := req.Prompt
-	s := score{cached: in.cached, known: in.cached, preferred: in.preferred, load: in.load}
+	s := score{cached: in.cached, known: in.cached, preferred: in.preferred, load: in.load, speed: in.speed, tokenTime: in.tokenTime}
 	queuedPerSlot := float64(in.load.Requests+1-in.slots) / float64(max(1, in.slots))
 	s.queue = time.Duration(max(0, queuedPerSlot) * float64(in.throughput.SlotTime))
 	if in.cacheTokens == 0 {
--- a/dispatch/stream_pace.go
+++ b/dispatch/stream_pace.go
@@ -15,6 +15,14 @@
 	events int       // after since
 }
 
+// recordStreamed records the pace of a whole answer, by its expected length, where it isn't
+// known how many tokens an event has. The dispatcher's lock is held.
+func (t *Ticket) recordStreamed(end time.Time) {
+	if model := t.pool.service.Model; model != nil && model.EventTokens == 0 {
+		t.engine.speeds.own.ObserveTokens(t.outputTokens, end.Sub(t.firstEventAt), end)
+	}
+}
+
 // RecordEvents records that events of a stream have arrived from the engine. delayed is true
 // if this gateway didn't read the stream all the time before: then they say nothing about
 // the engine. It isn't safe for concurrent use.
--- a/dispatch/testenv_test.go
+++ b/dispatch/testenv_test.go
@@ -95,6 +95,11 @@
 // applyState applies a ledger state with the test services and the given data centres
 // evacuated.
 func (env *testEnv) applyState(evacuated ...string) {
+	env.applyServices(services, evacuated...)
+}
+
+// applyServices applies a ledger state with these services.
+func (env *testEnv) applyServices(services []catalog.Service, evacuated ...string) {
 	env.index++
 	env.state = ledger.State{Index: env.index, Catalog: catalog.Catalog{Version: 1, Services: services}, Evacuated: evacuated}
 	for _, g := range env.gateways {
--- a/dispatch/throughput.go
+++ b/dispatch/throughput.go
@@ -115,5 +115,6 @@
 	t.pool.throughput.slotTime.Observe(now.Sub(t.sentAt))
 	if t.outputTokens > 0 {
 		t.pool.throughput.outputPerToken.Observe(now.Sub(t.firstEventAt) / time.Duration(t.outputTokens))
+		t.recordStreamed(now)
 	}
 }
--- a/enginespeed/enginespeed_test.go
+++ b/enginespeed/enginespeed_test.go
@@ -156,6 +156,37 @@
 	must.Less(t, len(s.tracks)/10, deviating)
 }
 
+// TestSingleSlowEngineIsDetected lets one engine take four times as long as the others, and then
+// as long: a single slow answer must count little, ten must show it, and it must be forgotten.
+func TestSingleSlowEngineIsDetected(t *testing.T) {
+	s := newSimulatedService(1, repeated(10, 1)...)
+	for i := range s.speeds {
+		for range 10 {
+			s.evidence[i][0].ObserveFirstEvent(100*time.Millisecond, 100*time.Millisecond, 30*time.Millisecond, 1, s.now)
+		}
+	}
+	s.update()
+	slow := &s.evidence[0][0]
+	*slow = enginespeed.Evidence{}
+	slow.ObserveFirstEvent(100*time.Millisecond, 10*time.Second, 30*time.Millisecond, 1, s.now)
+	s.update()
+	must.Greater(t, 0.5, s.tracks[0].Speed())
+	s.tracks[0] = &enginespeed.Track{}
+	for range 10 {
+		slow.ObserveFirstEvent(100*time.Millisecond, 400*time.Millisecond, 30*time.Millisecond, 1, s.now)
+	}
+	s.update()
+	must.Between(t, 0.2, s.tracks[0].Speed(), 0.4)
+	s.now = s.now.Add(30 * time.Second)
+	s.update()
+	must.Between(t, 0.8, s.tracks[0].Speed(), 1.0)
+	for range 20 {
+		slow.ObserveFirstEvent(100*time.Millisecond, 100*time.Millisecond, 30*time.Millisecond, 1, s.now)
+	}
+	s.update()
+	must.Between(t, 0.8, s.tracks[0].Speed(), 1.1)
+}
+
 // TestSpeedsAreForgottenWithoutTraffic lets reports and answers stop.
 func TestSpeedsAreForgottenWithoutTraffic(t *testing.T) {
 	s := newSimulatedService(8, repeated(5, 0.5, 1, 2)...)
--- a/enginespeed/track.go
+++ b/enginespeed/track.go
@@ -28,7 +28,7 @@
 	// minDeviation and maxDeviation bound the standard deviation of the logarithm of one
 	// observed speed, which depends on how well gateways know each other's requests.
 	minDeviation = 0.5
-	maxDeviation = 1.0
+	maxDeviation = 0.75
 	// minDeviationEngines is the number of engines from which it is estimated.
 	minDeviationEngines = 8
 	// changeDeviations is how many standard deviations the evidence must differ from its
@@ -90,14 +90,14 @@
 		t.add(sums[i], deviation, now)
 		t.speed = 0
 		if t.weight >= minWeight {
-			t.speed = math.Exp(t.log(deviation))
+			t.speed = math.Exp(t.logSum / (t.weight + priorWeight/observationsPerWeight))
 			inverse += t.weight / t.speed
 			weight += t.weight
 		}
 	}
 	for i, t := range tracks {
-		if t.speed != 0 && t.speed != 1 {
-			t.speed *= inverse / weight
+		if t.speed != 0 {
+			t.speed = t.withoutNoise(t.speed*inverse/weight, deviation)
 		}
 		t.updateStep(sums[i].Weight, now)
 	}
@@ -109,7 +109,8 @@
 func deviationOf(tracks []*Track, sums []Sum) float64 {
 	differences := make([]float64, 0, len(tracks))
 	for i, t := range tracks {
-		if t.weight >= minWeight && sums[i].Weight >= minChangeWeight {
+		// An average of little more than the latest evidence doesn't differ from it.
+		if t.weight*observationsPerWeight >= 2*sums[i].Weight && sums[i].Weight >= minChangeWeight {
 			differences = append(differences, math.Abs(t.difference(sums[i]))*math.Sqrt(sums[i].Weight))
 		}
 	}
@@ -141,10 +142,9 @@
 	}
 }
 
-// log returns the estimated logarithm of the speed, without differences that may be noise.
-func (t *Track) log(deviation float64) float64 {
-	observations := t.weight * observationsPerWeight
-	log := t.logSum / t.weight * observations / (observations + priorWeight)
-	bound := max(alike, deviation/math.Sqrt(observations))
-	return log * max(0, min(1, math.Abs(log)/bound-1))
+// withoutNoise returns a speed without a difference from the mean that may be noise.
+func (t *Track) withoutNoise(speed, deviation float64) float64 {
+	log := math.Log(speed)
+	bound := max(alike, deviation/math.Sqrt(t.weight*observationsPerWeight))
+	return math.Exp(log * max(0, min(1, math.Abs(log)/bound-1)))
 }
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -3,10 +3,10 @@
 //
 // The throughput of an engine isn't declared anywhere. A LinearEstimator estimates a fixed time
 // and a time per unit of work, by linear regression over recent responses; a MeanEstimator, an
-// average duration; a Slowdown, how much slower an engine is than its peers. Each
-// starts from a prior that a few responses outweigh, and discounts old responses.
-// The regression and the slowdown factor also limit the effect of outliers: a response
-// may be late because of a lost packet, or early because it came from a cache.
+// average duration. Each starts from a prior that a few responses outweigh, and discounts old
+// responses. The regression also limits the effect of outliers: a response may be late because
+// of a lost packet, or early because it came from a cache. Package enginespeed compares engines
+// with their peers.
 package pace
 
 import (
@@ -144,48 +144,3 @@
 
 // MeanError returns the mean absolute deviation from the mean.
 func (m *MeanEstimator) MeanError() time.Duration { return time.Duration(m.meanError) }
-
-// Slowdown estimates how many times as long as its peers an engine takes, as a
-// geometric mean. The zero value has no observations and a value of 1.
-type Slowdown struct {
-	sumLog    float64 // weighted sum of the logarithms of the observed ratios
-	sumWeight float64
-	updatedAt time.Time
-}
-
-const (
-	// slowdownDecay multiplies the weight of earlier observations at each new one, so
-	// that about the last ten count.
-	slowdownDecay = 0.9
-	// slowdownPriorWeight is the weight of the prior, a factor of 1, in observations.
-	slowdownPriorWeight = 3.0
-	// slowdownTimeConstant is the time after which past observations count about a
-	// third (1/e), so that an engine that was slow for a while is tried again.
-	slowdownTimeConstant = 5 * time.Second
-	// maxSlowdown limits the ratio of one observation in both directions, because a
-	// lost packet doesn't make an engine slow.
-	maxSlowdown = 8.0
-)
-
-// decay reduces the weight of past observations by their age.
-func (f *Slowdown) decay(now time.Time) {
-	factor := math.Exp(-float64(now.Sub(f.updatedAt)) / float64(slowdownTimeConstant))
-	f.sumLog *= factor
-	f.sumWeight *= factor
-	f.updatedAt = now
-}
-
-// Observe adds an observation: the expected and the actual duration of a response.
-func (f *Slowdown) Observe(expected, duration time.Duration, now time.Time) {
-	f.decay(now)
-	ratio := float64(max(duration, 1)) / float64(max(expected, 1))
-	ratio = max(1/maxSlowdown, min(maxSlowdown, ratio))
-	f.sumLog = slowdownDecay*f.sumLog + math.Log(ratio)
-	f.sumWeight = slowdownDecay*f.sumWeight + 1
-}
-
-// Value returns the estimated factor as of now.
-func (f Slowdown) Value(now time.Time) float64 {
-	f.decay(now)
-	return math.Exp(f.sumLog / (f.sumWeight + slowdownPriorWeight))
-}
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -87,25 +87,6 @@
 	must.GreaterEq(t, 0, line.PerUnit())
 }
 
-// TestFactorDetectsASlowEngine lets responses take four times the expected time, and
-// then the expected time.
-func TestFactorDetectsASlowEngine(t *testing.T) {
-	var f pace.Slowdown
-	now := time.Unix(1000, 0)
-	must.Eq(t, 1, f.Value(now))
-	f.Observe(100*time.Millisecond, 10*time.Second, now)
-	must.Less(t, 2, f.Value(now), must.Sprint("a single slow response must count little"))
-	for range 10 {
-		f.Observe(100*time.Millisecond, 400*time.Millisecond, now)
-	}
-	must.Between(t, 2.5, f.Value(now), 5)
-	must.Between(t, 1, f.Value(now.Add(30*time.Second)), 1.2, must.Sprint("the slowdown must be forgotten without new responses"))
-	for range 20 {
-		f.Observe(100*time.Millisecond, 100*time.Millisecond, now)
-	}
-	must.Between(t, 0.9, f.Value(now), 1.3)
-}
-
 func ExampleMeanEstimator() {
 	m := pace.NewMeanEstimator(20 * time.Millisecond)
 	for range 300 {
--- a/rollup/aggregator.go
+++ b/rollup/aggregator.go
@@ -47,9 +47,10 @@
 	topology      topology
 	topologyAt    time.Time
 	lastNumber    uint32
-	sentReports   [reportHistory]Report      // own reports, by number modulo reportHistory
-	memberReports map[uint32]receivedMessage // of its own group, by the hash of the sender's name
-	groupSums     map[Group]receivedMessage  // of other groups
+	sentReports   [reportHistory]Report       // own reports, by number modulo reportHistory
+	sentSpeeds    [speedHistory][]EngineSpeed // own speeds, by the numbers of the reports that have them
+	memberReports map[uint32]receivedMessage  // of its own group, by the hash of the sender's name
+	groupSums     map[Group]receivedMessage   // of other groups
 	regionTotal   receivedMessage
 	leaderSeen    map[string]time.Time    // time of the last message from each leader, by name
 	remote        map[string]remoteReport // by region
@@ -59,6 +60,7 @@
 type receivedMessage struct {
 	receivedAt time.Time
 	Message
+	speeds receivedSpeeds
 }
 
 // isFresh reports whether the message is recent enough to show that its sender still leads.
@@ -103,9 +105,10 @@
 	}
 	a.expire(now)
 	a.lastNumber++
+	own.Speeds = a.ownSpeeds(own.Speeds)
 	a.sentReports[a.lastNumber%reportHistory] = own
 	self := Message{
-		From: a.Self.Name, Group: singletonGroup(a.Self), Report: own,
+		From: a.Self.Name, Group: singletonGroup(a.Self), Report: a.withDueSpeeds(own),
 		Members: []Member{{NameHash: hashOf(a.Self.Name), ReportNumber: a.lastNumber}},
 	}
 	if a.topology.fullMesh {
@@ -147,18 +150,18 @@
 	message := Message{From: a.Self.Name, Group: a.topology.ownGroup, Remote: a.remoteReports(true, now)}
 	message.Members = []Member{{NameHash: hashOf(a.Self.Name), ReportNumber: a.lastNumber}}
 	for _, m := range a.memberReports {
-		acc.add(m.Report.aged(now.Sub(m.receivedAt)), 1)
+		acc.add(m.reportWithSpeeds(now).aged(now.Sub(m.receivedAt)), 1)
 		message.Members = append(message.Members, m.Members...)
 	}
-	message.Report = acc.report()
+	message.Report = a.withDueSpeeds(acc.report())
 	total := message
 	total.Total = true
 	total.Remote = a.remoteReports(false, now)
 	for _, s := range a.groupSums {
-		acc.add(s.Report.aged(now.Sub(s.receivedAt)), 1)
+		acc.add(s.reportWithSpeeds(now).aged(now.Sub(s.receivedAt)), 1)
 		total.OtherGateways += len(s.Members)
 	}
-	total.Report = acc.report()
+	total.Report = a.withDueSpeeds(acc.report())
 	if a.IsSignificant != nil {
 		total.Report.Engines = slices.DeleteFunc(total.Report.Engines, func(l EngineLoad) bool { return !a.IsSignificant(l) })
 	}
@@ -205,7 +208,7 @@
 			newer = append(newer, report)
 		}
 	}
-	a.receiveReport(receivedMessage{now, m}, now)
+	a.receiveReport(receivedMessage{receivedAt: now, Message: m}, now)
 	return newer
 }
 
@@ -220,7 +223,7 @@
 		a.leaderSeen[m.From] = now
 		a.receiveTotal(msg, now)
 	case m.Group.IsSingleton() && a.topology.ownGroup.contains(m.Group):
-		a.memberReports[m.Group.Low] = msg
+		a.memberReports[m.Group.Low] = msg.withSpeedsOf(a.memberReports[m.Group.Low], now)
 	case a.topology.ownGroup.overlaps(m.Group):
 		a.leaderSeen[m.From] = now // another gateway sums this group too
 	default:
@@ -236,7 +239,7 @@
 		return
 	}
 	if msg.From == a.regionTotal.From || !a.regionTotal.isFresh(now) || len(msg.Members) > len(a.regionTotal.Members) {
-		a.regionTotal = msg
+		a.regionTotal = msg.withSpeedsOf(a.regionTotal, now)
 	}
 }
 
@@ -248,6 +251,7 @@
 			return
 		}
 	}
+	msg = msg.withSpeedsOf(a.groupSums[msg.Group], now)
 	for group := range a.groupSums {
 		if group.overlaps(msg.Group) {
 			delete(a.groupSums, group)
@@ -350,13 +354,13 @@
 	if !msg.isValid(now) {
 		return 0
 	}
-	s.add(msg.Report.additiveFields(), 1)
+	s.add(msg.reportWithSpeeds(now).additiveFields(), 1)
 	return len(msg.Members)
 }
 
 // totalWithoutSelf adds the region's total to s, without this gateway's own report.
 func (a *Aggregator) totalWithoutSelf(s *sum) (*sum, int) {
-	s.add(a.regionTotal.Report.additiveFields(), 1)
+	s.add(a.regionTotal.reportWithSpeeds(a.Clock()).additiveFields(), 1)
 	gateways := a.regionTotal.OtherGateways + len(a.regionTotal.Members)
 	self := hashOf(a.Self.Name)
 	ownIndex := slices.IndexFunc(a.regionTotal.Members, func(m Member) bool { return m.NameHash == self })
@@ -368,10 +372,7 @@
 				_, included := s.loads[l.Engine]
 				return !included // too little to be significant
 			})
-			own.Speeds = slices.DeleteFunc(slices.Clone(own.Speeds), func(e EngineSpeed) bool {
-				_, included := s.speeds[e.Engine]
-				return !included // more than maxSpeeds
-			})
+			own.Speeds = nil
 			own.Demand = slices.DeleteFunc(slices.Clone(own.Demand), func(r RouteDemand) bool {
 				_, included := s.demand[r.Route]
 				return !included // a leader of an earlier version, or more than maxDemand
@@ -379,6 +380,7 @@
 			s.add(own, -1)
 		}
 	}
+	a.subtractOwnSpeeds(s)
 	return s, gateways
 }
 
--- a/rollup/rollup_test.go
+++ b/rollup/rollup_test.go
@@ -26,6 +26,7 @@
 	bytes        map[string]int // sent and received, by address
 	extraEngines int            // engines that each gateway uses besides the common one
 	ownEngines   int            // engines that no other gateway uses
+	speeds       int            // engines of whose speeds each gateway reports evidence
 }
 
 const (
@@ -73,6 +74,13 @@
 		hash := xxhash.Sum64String(fmt.Sprint(from, i))
 		report.Engines = append(report.Engines, rollup.EngineLoad{Engine: hash, Requests: 1, Unread: 300, Reserved: 9000, ReadRate: 9000})
 	}
+	if r.speeds > 0 {
+		report.Speeds = append(report.Speeds, rollup.EngineSpeed{Engine: engine, LogSum: -37, Weight: 100, TokenMicros: 912_345, Tokens: 131})
+	}
+	for i := range r.speeds {
+		hash := xxhash.Sum64String(fmt.Sprint((i + int(xxhash.Sum64String(from)%uint64(len(r.hosts)))) % len(r.hosts)))
+		report.Speeds = append(report.Speeds, rollup.EngineSpeed{Engine: hash, LogSum: -37, Weight: 81, TokenMicros: 912_345, Tokens: 131})
+	}
 	for _, out := range r.aggregators[from].Outgoing(report) {
 		data, err := cbor.Marshal(out.Message)
 		if err != nil {
@@ -363,3 +371,62 @@
 		})
 	}
 }
+
+// TestSpeedsAddUpOverGateways has every gateway report evidence of one engine's speed, which is
+// sent in one of several reports. Each must count that of all others, and not its own, also
+// while single messages are lost; what a gateway that has stopped saw must be forgotten.
+func TestSpeedsAddUpOverGateways(t *testing.T) {
+	for _, gateways := range []int{3, 8, 40, 120} {
+		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
+			r := newTestRegion(gateways)
+			r.speeds = 1
+			weight := func(gateway string) int { return r.aggregators[gateway].PeerTotals().Speeds[engine].Weight }
+			r.advance(3 * time.Second)
+			for range 20 {
+				r.advance(70 * time.Millisecond)
+				for _, h := range r.hosts {
+					must.Eq(t, 100*(gateways-1), weight(h.Peer), must.Sprint(h.Peer))
+				}
+			}
+			lost := 0
+			r.dropped = func(string, string) bool { lost++; return lost%11 == 0 }
+			for range 20 {
+				r.advance(70 * time.Millisecond)
+				must.GreaterEq(t, 50*(gateways-1), weight(r.hosts[0].Peer))
+			}
+			r.dropped = func(string, string) bool { return false }
+			r.down[r.hosts[1].Peer] = true
+			r.advance(6 * time.Second)
+			must.Eq(t, 100*(gateways-2), weight(r.hosts[0].Peer))
+		})
+	}
+}
+
+// BenchmarkSpeedBytes measures what evidence of engines' speeds adds to the traffic of the
+// busiest and the average gateway, in bytes a second. There are as many engines as gateways,
+// and each gateway reports evidence of 16.
+func BenchmarkSpeedBytes(b *testing.B) {
+	for _, n := range []int{8, 60, 300, 985} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			measure := func(speeds int) (highest, mean float64) {
+				r := newTestRegion(n)
+				r.speeds = speeds
+				r.advance(500 * time.Millisecond)
+				clear(r.bytes)
+				r.advance(time.Second)
+				sum := 0
+				for _, bytes := range r.bytes {
+					highest = max(highest, float64(bytes))
+					sum += bytes
+				}
+				return highest, float64(sum) / float64(n)
+			}
+			for b.Loop() {
+				highest, mean := measure(16)
+				highestBefore, meanBefore := measure(0)
+				b.ReportMetric(highest-highestBefore, "bytes/s-busiest")
+				b.ReportMetric(mean-meanBefore, "bytes/s-mean")
+			}
+		})
+	}
+}
