engine speeds: tests of homes, which gateways agree on, and of a suspended gateway

Cause: the test of a suspended gateway passed without the check that it guards. Another test compares the homes that two gateways with different histories see. Conclusion: both guard what they say.

--- a/dispatch/engine_speed_test.go
+++ b/dispatch/engine_speed_test.go
@@ -151,20 +151,41 @@
 	must.Between(t, 0.75, s.speed(7, "i-0")/s.speed(7, "i-2"), 1.33)
 }
 
-// TestPauseOfAGatewayIsNotTheEnginesSpeed suspends a gateway that waits for answers. What it
-// learned before is out of date afterwards, and the pause isn't the engines' time.
+// TestPauseOfAGatewayIsNotTheEnginesSpeed suspends a gateway that waits for answers of one engine,
+// for so short a time that what it knows of the others still counts, and for a long one, after
+// which it knows nothing.
 func TestPauseOfAGatewayIsNotTheEnginesSpeed(t *testing.T) {
-	s := newSpeedSim(t, 2, 12)
-	s.speeds = nil
-	suspendedAt := time.Time{}
-	s.gateways[0].SuspendedSince = func(since time.Time) bool { return since.Before(suspendedAt) }
-	s.run(3*time.Second, 150)
-	suspendedAt = s.now.Add(20 * time.Second)
-	s.now = suspendedAt
-	s.tick()
-	s.run(time.Second, 0)
-	for i := range 12 {
-		must.Eq(t, 1, s.speed(0, fmt.Sprint("i-", i)))
+	for _, pause := range []time.Duration{1500 * time.Millisecond, time.Minute} {
+		t.Run(pause.String(), func(t *testing.T) {
+			s := newSpeedSim(t, 2, 12)
+			s.speeds = map[string]float64{"i-1": 2}
+			var resumedAt time.Time
+			s.gateways[0].SuspendedSince = func(since time.Time) bool { return since.Before(resumedAt) }
+			s.run(3*time.Second, 150)
+			s.run(300*time.Millisecond, 0) // until all are answered
+			var waiting []*dispatch.Ticket
+			var others []string
+			for i := range 12 {
+				if i != 3 {
+					others = append(others, fmt.Sprint("i-", i))
+				}
+			}
+			for i := range 8 {
+				waiting = append(waiting, acquire(t, s.gateways[0], dispatch.Request{ID: fmt.Sprint("w", i), Service: "review", Prompt: dispatch.Prompt{InputTokens: 1800, OutputTokens: 50}, Tried: others}))
+			}
+			s.now = s.now.Add(pause)
+			resumedAt = s.now
+			for _, ticket := range waiting {
+				ticket.RecordFirstByte(true)
+				ticket.Done(dispatch.Answered)
+			}
+			s.run(300*time.Millisecond, 0)
+			t.Logf("speeds %.2f, %.2f", s.speed(0, "i-3"), s.speed(0, "i-1"))
+			must.Between(t, 0.8, s.speed(0, "i-3"), 1.25)
+			if pause == time.Minute {
+				must.Eq(t, 1, s.speed(0, "i-1"))
+			}
+		})
 	}
 }
 
--- a/enginespeed/enginespeed_test.go
+++ b/enginespeed/enginespeed_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/linenscale/linenscale/enginespeed"
+	"github.com/linenscale/linenscale/internal/rendezvous"
 )
 
 // simulatedService is a service whose engines' first events many gateways observe. Each
@@ -53,14 +54,17 @@
 	}
 }
 
-func (s *simulatedService) update() {
+func (s *simulatedService) update() { enginespeed.Update(s.tracks, s.sums(), s.now) }
+
+// sums returns the evidence of all gateways about each engine.
+func (s *simulatedService) sums() []enginespeed.Sum {
 	sums := make([]enginespeed.Sum, len(s.speeds))
 	for i := range s.speeds {
 		for _, e := range s.evidence[i] {
 			sums[i] = sums[i].Plus(e.Sum(len(s.evidence[i]), s.now))
 		}
 	}
-	enginespeed.Update(s.tracks, sums, s.now)
+	return sums
 }
 
 // ratio returns the estimated speed of one engine relative to another's, as a share of the
@@ -221,6 +225,44 @@
 	must.LessEq(t, 60, changes) // each engine's once in ten seconds
 }
 
+// TestGatewaysAgreeOnHomes compares the homes by the steps of a gateway with those of one that started 3 s
+// later and receives evidence 0.4 s later. Prompts whose homes they see differently are read
+// twice.
+func TestGatewaysAgreeOnHomes(t *testing.T) {
+	s := newSimulatedService(30, repeated(10, 0.6, 1, 1.6)...)
+	s.run(3*time.Second, 15)
+	other := newSimulatedService(1, s.speeds...).tracks
+	var late [][]enginespeed.Sum
+	different, all := 0, 0
+	for range 200 {
+		s.run(100*time.Millisecond, 15)
+		late = append(late, s.sums())
+		if len(late) <= 4 {
+			continue
+		}
+		enginespeed.Update(other, late[len(late)-5], s.now)
+		for key := range uint64(100) {
+			all++
+			if home(key, s.tracks) != home(key, other) {
+				different++
+			}
+		}
+	}
+	t.Logf("%d of %d homes differ", different, all)
+	must.Less(t, all/20, different)
+}
+
+// home returns the engine that ranks first for a key.
+func home(key uint64, tracks []*enginespeed.Track) (best int) {
+	highest := 0.0
+	for i, track := range tracks {
+		if weight := rendezvous.Weighted(rendezvous.Rank(key, uint64(i)), track.Step().Speed()); weight > highest {
+			best, highest = i, weight
+		}
+	}
+	return best
+}
+
 // TestTimePerToken adds streams of several gateways.
 func TestTimePerToken(t *testing.T) {
 	now := time.Unix(1000, 0)
