--- a/dispatch/engine_speed_test.go
+++ b/dispatch/engine_speed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -23,6 +24,8 @@
 	busyUntil map[string]time.Time
 	// senders is the number of gateways that send requests; the others only receive reports.
 	senders int
+	// tried returns the engines that a request must not be sent to.
+	tried   func(request int) []string
 	pending []pendingAnswer
 	sent    int
 	silent  bool // no reports are exchanged
@@ -45,7 +48,11 @@
 	for steps := 0; s.now.Sub(start) < length; steps++ {
 		for ; perSecond > 0 && next.Before(s.now); next = next.Add(time.Second / time.Duration(perSecond)) {
 			s.sent++
-			ticket := acquire(s.t, s.gateways[s.random.IntN(s.senders)], dispatch.Request{ID: fmt.Sprint("r", s.sent), Service: "review", Prompt: dispatch.Prompt{InputTokens: 1800, OutputTokens: 50}})
+			req := dispatch.Request{ID: fmt.Sprint("r", s.sent), Service: "review", Prompt: dispatch.Prompt{InputTokens: 1800, OutputTokens: 50}}
+			if s.tried != nil {
+				req.Tried = s.tried(s.sent)
+			}
+			ticket := acquire(s.t, s.gateways[s.random.IntN(s.senders)], req)
 			s.pending = append(s.pending, pendingAnswer{ticket, s.answerTime(ticket.Engine)})
 		}
 		remaining := s.pending[:0]
@@ -189,6 +196,31 @@
 	}
 }
 
+// TestFullEnginesDontSeemSlow has half of the requests use a fourth of the engines, which read
+// nearly all the time.
+func TestFullEnginesDontSeemSlow(t *testing.T) {
+	for _, gateways := range []int{2, 8} {
+		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
+			s := newSpeedSim(t, gateways, 12)
+			s.speeds = nil
+			var others []string
+			for i := 3; i < 12; i++ {
+				others = append(others, fmt.Sprint("i-", i))
+			}
+			s.tried = func(request int) []string { return others[:len(others)*(request%2)] }
+			for range 5 {
+				s.run(2*time.Second, 108)
+				sum := 0.0
+				for i := range 3 {
+					sum += math.Log(s.speed(0, fmt.Sprint("i-", i))) / 3
+				}
+				t.Logf("%.2f", math.Exp(sum))
+				must.Between(t, 0.75, math.Exp(sum), 1.33)
+			}
+		})
+	}
+}
+
 // TestPromptsHomesFollowSpeed sends prompts that share parts: fast engines must be home to
 // more of them than slow ones.
 func TestPromptsHomesFollowSpeed(t *testing.T) {
