engine speeds: a bounded log line and a gauge

Cause: in a region of thousands of engines of three speeds the line named two thirds of them. Change: it counts the slow and the fast ones and names the farthest eight; the gauge linenscale_unusual_engines has the counts. Conclusion: go test of dispatch, rollup, enginespeed, pace and telemetry passes.

--- a/dispatch/engine_speed.go
+++ b/dispatch/engine_speed.go
@@ -55,6 +55,8 @@
 	// unusualSpeed is the factor from the mean, in either direction, from which the speed of
 	// an engine is logged.
 	unusualSpeed = 1.25
+	// maxLoggedSpeeds bounds the engines in one line.
+	maxLoggedSpeeds = 8
 )
 
 // addSpeedToReport adds this gateway's evidence of an engine's speed. It returns false if
@@ -159,19 +161,32 @@
 	return best
 }
 
-// logSpeeds logs the engines of a service whose speeds are far from the mean. The lock is
-// held.
+// logSpeeds logs the engines of a service whose speeds are farthest from the mean, and counts
+// them. The lock is held.
 func (d *Dispatcher) logSpeeds(p *pool, now time.Time) {
-	var slow, fast []string
+	var slow, fast []*engine
 	for _, e := range p.sorted {
 		switch speed := e.speed(now); {
 		case speed >= unusualSpeed:
-			fast = append(fast, fmt.Sprintf("%s:%.2f", e.ID, speed))
+			fast = append(fast, e)
 		case speed <= 1/unusualSpeed:
-			slow = append(slow, fmt.Sprintf("%s:%.2f", e.ID, speed))
+			slow = append(slow, e)
 		}
 	}
-	if len(slow)+len(fast) > 0 {
-		d.Log.Info("engine speeds", zap.String("service", p.service.Name), zap.Strings("slow", slow), zap.Strings("fast", fast), zap.Int("engines", len(p.sorted)))
+	if d.Metrics != nil {
+		d.Metrics.RecordUnusualEngines(p.service.Name, len(slow), len(fast))
 	}
+	if len(slow)+len(fast) == 0 {
+		return
+	}
+	bySpeed := func(a, b *engine) int { return cmp.Compare(a.speed(now), b.speed(now)) }
+	slices.SortFunc(slow, bySpeed)
+	slices.SortFunc(fast, func(a, b *engine) int { return bySpeed(b, a) })
+	format := func(engines []*engine) (out []string) {
+		for _, e := range engines[:min(len(engines), maxLoggedSpeeds)] {
+			out = append(out, fmt.Sprintf("%s:%.2f", e.ID, e.speed(now)))
+		}
+		return out
+	}
+	d.Log.Info("engine speeds", zap.String("service", p.service.Name), zap.Strings("slowest", format(slow)), zap.Strings("fastest", format(fast)), zap.Int("slow", len(slow)), zap.Int("fast", len(fast)), zap.Int("engines", len(p.sorted)))
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -37,6 +37,7 @@
 	continuations   metric.Int64Counter
 	streamSearches  metric.Int64Counter
 	partQuarantines metric.Int64Counter
+	unusualEngines  metric.Int64Gauge
 	accountLabels   labelSet // the accounts that have counters of their own
 	engineLabels    labelSet // the engines that have counters of their own
 }
@@ -51,7 +52,7 @@
 	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
 	meter := provider.Meter("linenscale")
 	m := &Metrics{provider: provider, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
-	var errs [17]error
+	var errs [18]error
 	m.requests, errs[0] = meter.Int64Counter("linenscale_requests", metric.WithDescription("requests that have ended, by service and outcome"))
 	m.attempts, errs[1] = meter.Int64Counter("linenscale_attempts", metric.WithDescription("attempts sent to engines and entry hosts, by service and outcome"))
 	m.firstByte, errs[2] = meter.Float64Histogram("linenscale_first_byte_seconds", metric.WithDescription("time to the first byte of an answer"), metric.WithUnit("s"))
@@ -69,6 +70,7 @@
 	m.continuations, errs[14] = meter.Int64Counter("linenscale_stream_continuations", metric.WithDescription("attempts that continue a stream, by service and by who resumes it"))
 	m.streamSearches, errs[15] = meter.Int64Counter("linenscale_stream_searches", metric.WithDescription("searches for the origin of a stream that a caller resumes, by service and outcome"))
 	m.partQuarantines, errs[16] = meter.Int64Counter("linenscale_quarantined_parts", metric.WithDescription("parts of prompts that this host has quarantined because engines crashed under them, or learned to be"))
+	m.unusualEngines, errs[17] = meter.Int64Gauge("linenscale_unusual_engines", metric.WithDescription("engines a quarter slower or faster than their service's mean, by service and kind"))
 	for _, err := range errs {
 		if err != nil {
 			return nil, errors.Annotate(err, "metrics")
@@ -161,6 +163,13 @@
 	m.changes.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
 
+// RecordUnusualEngines records how many engines of a service are slow, and how many fast.
+func (m *Metrics) RecordUnusualEngines(service string, slow, fast int) {
+	for kind, count := range map[string]int{"slow": slow, "fast": fast} {
+		m.unusualEngines.Record(context.Background(), int64(count), metric.WithAttributes(attribute.String("service", service), attribute.String("kind", kind)))
+	}
+}
+
 // RecordRevision records the revision of the effective configuration on this host.
 func (m *Metrics) RecordRevision(revision int64) {
 	m.revision.Record(context.Background(), revision)
