--- a/enginespeed/track.go
+++ b/enginespeed/track.go
@@ -30,7 +30,7 @@
 	minDeviation = 0.5
 	maxDeviation = 1.0
 	// minDeviationEngines is the number of engines from which it is estimated.
-	minDeviationEngines = 8
+	minDeviationEngines = 4
 	// changeDeviations is how many standard deviations the evidence must differ from its
 	// average for the speed to have changed. The average then starts anew.
 	changeDeviations = 3.0
@@ -90,14 +90,14 @@
 		t.add(sums[i], deviation, now)
 		t.speed = 0
 		if t.weight >= minWeight {
-			t.speed = math.Exp(t.log(deviation))
+			t.speed = math.Exp(t.logSum / (t.weight + priorWeight/observationsPerWeight))
 			inverse += t.weight / t.speed
 			weight += t.weight
 		}
 	}
 	for i, t := range tracks {
-		if t.speed != 0 && t.speed != 1 {
-			t.speed *= inverse / weight
+		if t.speed != 0 {
+			t.speed = t.withoutNoise(t.speed*inverse/weight, deviation)
 		}
 		t.updateStep(sums[i].Weight, now)
 	}
@@ -141,10 +141,9 @@
 	}
 }
 
-// log returns the estimated logarithm of the speed, without differences that may be noise.
-func (t *Track) log(deviation float64) float64 {
-	observations := t.weight * observationsPerWeight
-	log := t.logSum / t.weight * observations / (observations + priorWeight)
-	bound := max(alike, deviation/math.Sqrt(observations))
-	return log * max(0, min(1, math.Abs(log)/bound-1))
+// withoutNoise returns a speed without a difference from the mean that may be noise.
+func (t *Track) withoutNoise(speed, deviation float64) float64 {
+	log := math.Log(speed)
+	bound := max(alike, deviation/math.Sqrt(t.weight*observationsPerWeight))
+	return math.Exp(log * max(0, min(1, math.Abs(log)/bound-1)))
 }
