--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 
 	"github.com/linenscale/linenscale/allowance"
 	"github.com/linenscale/linenscale/catalog"
+	"github.com/linenscale/linenscale/fairshare"
 	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/pushback"
 	"github.com/linenscale/linenscale/quarantine"
@@ -99,6 +100,7 @@
 	pushback      *pushback.Table               // backoff and draining announced by engines
 	returns       *returns.Book                 // promises to rejected requests
 	loggedReturns returns.Counts
+	shares        map[uint32]*fairshare.Table // of client accounts, by the hash of service and priority
 }
 
 // New returns a dispatcher without services. They come with the first ledger state.
@@ -107,7 +109,7 @@
 	d := &Dispatcher{
 		Deps: deps, catalog: catalog.NewTable(catalog.Catalog{}), pools: make(map[string]*pool), reported: make(map[*engine]struct{}),
 		evacuationEnded: make(map[string]time.Time), reportingGateways: 1, remotes: make(map[string]*remoteRegion), enginesByHash: make(map[uint64]*engine), callerDemand: make(map[uint32]*callerDemand), accountNames: make(map[uint32]string),
-		crashDetector: quarantine.NewCrashDetector[brokenRun](), suspectEngines: make(chan SuspectEngine, maxSuspectEngines), quarantine: quarantine.New(), parts: quarantine.NewParts(), limits: ratelimit.New(deps.Name), pushback: pushback.New(), returns: returns.New(),
+		crashDetector: quarantine.NewCrashDetector[brokenRun](), suspectEngines: make(chan SuspectEngine, maxSuspectEngines), quarantine: quarantine.New(), parts: quarantine.NewParts(), limits: ratelimit.New(deps.Name), pushback: pushback.New(), returns: returns.New(), shares: make(map[uint32]*fairshare.Table),
 	}
 	d.aggregator = rollup.New(rollup.Deps{Self: self, Hosts: deps.Peers, IsSignificant: d.isSignificantLoad, Clock: deps.Clock})
 	return d
@@ -176,6 +178,7 @@
 		d.parts.Expire(now)
 		d.returns.Expire(now)
 		d.logReturns()
+		d.logShares()
 		d.forgetRemovedEngines(now)
 	}
 	d.clearBegunParts(now)
@@ -264,12 +267,14 @@
 	if err != nil {
 		return nil, err
 	}
-	req.limit, req.promised = p.rank(req, now), d.isPromised(req, now)
+	req.limit, req.promised = d.rank(p, req, now), d.isPromised(req, now)
 	chosen, expected := d.choose(p, req, now)
 	if chosen == nil {
 		return nil, d.noEngineError(p, req, now)
 	}
-	if err := req.checkAdmission(expected); err != nil {
+	err = req.checkAdmission(expected)
+	d.recordShare(req, err == nil, now)
+	if err != nil {
 		return nil, err
 	}
 	ticket := d.issueTicket(p, chosen, req, expected, now)
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -46,7 +46,7 @@
 
 // report returns this gateway's own report. The lock is held.
 func (d *Dispatcher) report(now time.Time) rollup.Report {
-	r := rollup.Report{SentBlocks: d.recentSentBlocks(now), Accounts: d.ownUsage(now), Crashes: d.quarantine.OutgoingLocal(now), Parts: d.parts.OutgoingLocal(now), Limits: d.limits.Outgoing(now), Demand: d.ownDemand(now), LongReads: d.longReads(now), Returns: d.outgoingReturns(now)}
+	r := rollup.Report{SentBlocks: d.recentSentBlocks(now), Accounts: d.ownUsage(now), Crashes: d.quarantine.OutgoingLocal(now), Parts: d.parts.OutgoingLocal(now), Limits: d.limits.Outgoing(now), Demand: d.ownDemand(now), LongReads: d.longReads(now), Returns: d.outgoingReturns(now), Shares: d.ownShares(now)}
 	for e := range d.reported {
 		if !d.addToReport(&r, e, now) {
 			delete(d.reported, e)
@@ -193,6 +193,7 @@
 	d.applyPeerSpeeds(others, d.Clock())
 	d.applyLongReads(others)
 	d.applyLocalUsage(others)
+	d.updateShares(others.Shares)
 	d.applyDemand(d.Region, others.Demand, func(service string) *urgency.Demand { return &d.pools[service].demand }, d.Clock())
 }
 
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -216,7 +216,7 @@
 	best := Placement{Region: d.Region, LocalCost: -1, IsHome: home == d.Region}
 	var localEngine *engine
 	if localPermitted {
-		req.limit, req.promised = p.rank(req, now), d.isPromised(req, now)
+		req.limit, req.promised = d.rank(p, req, now), d.isPromised(req, now)
 		if e, s := d.choose(p, req, now); e != nil {
 			localEngine = e
 			best.LocalCost, best.Queue, best.Refusal = s.cost, s.queue, req.checkAdmission(s)
@@ -234,6 +234,9 @@
 			best = Placement{Region: region, LocalCost: best.LocalCost, Cost: cost, Queue: s.queue, Refusal: req.checkAdmission(s), IsHome: region == home}
 		}
 	}
+	if best.Refusal != nil {
+		d.recordShare(req, false, now)
+	}
 	if best.Region == d.Region {
 		p.throughput.trials = trials{}
 		return best
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -27,12 +27,16 @@
 func (r Request) yields() bool { return urgency.Yields(hashString(r.ID)) }
 
 // rank records that a request was asked for in this region, and returns the limit of the queue
-// behind which it is admitted here. The lock is held.
-func (p *pool) rank(req Request, now time.Time) urgency.Limit {
+// behind which it is admitted here. An account beyond its share goes after all requests of its
+// priority. The lock is held.
+func (d *Dispatcher) rank(p *pool, req Request, now time.Time) urgency.Limit {
 	if !req.isRanked() {
 		return urgency.Limit{}
 	}
 	p.demand.Record(kindOf(req.Priority, req.Target), now)
+	if d.isOverShare(req) {
+		return p.demand.LimitFor(req.Priority+1, now).WithoutYielding()
+	}
 	return p.demand.LimitFor(req.Priority, now)
 }
 
--- a/internal/dispatchbench/contended.go
+++ b/internal/dispatchbench/contended.go
@@ -9,6 +9,7 @@
 	Gateways int
 	// LongFirst makes long prompts the more urgent kind, and Unranked makes both alike.
 	LongFirst, Unranked bool
+	Accounts            []float64 // relative demand of client accounts
 }
 
 // Contended returns a site with one region of ten engines and a steady load of two kinds.
@@ -20,7 +21,7 @@
 	}
 	const engines, perEngine = 10, 13
 	return Options{
-		Seed: c.Seed, Duration: 16 * time.Second, Engine: unevenEngine, ColdTime: 3 * time.Second, ColdRate: 2.7, Kinds: []*RequestKind{long, short}, Strategy: dispatchStrategy{}, OrderedReturns: true,
+		Seed: c.Seed, Duration: 16 * time.Second, Engine: unevenEngine, ColdTime: 3 * time.Second, ColdRate: 2.7, Kinds: []*RequestKind{long, short}, Strategy: dispatchStrategy{}, OrderedReturns: true, Accounts: c.Accounts,
 		Regions: []Region{{Name: "a", Engines: engines, Gateways: c.Gateways, Rate: func(time.Duration) float64 { return c.Load * engines * perEngine }}},
 	}
 }
--- a/internal/dispatchbench/exchange.go
+++ b/internal/dispatchbench/exchange.go
@@ -1,6 +1,7 @@
 package dispatchbench
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -86,7 +87,7 @@
 	}
 	req := dispatch.Request{
 		ID: a.id, Route: a.kind.Name, Service: serviceName, Prompt: p, Deadline: s.start.Add(x.deadline), Tried: x.tried,
-		Target: a.kind.Target, MaxPause: a.kind.MaxPause, Priority: a.kind.Priority, Permitted: func(region string) bool { return s.permitted(a, region) }, Fingerprint: quarantine.Fingerprint(dispatch.Rank("caller", a.id)),
+		Target: a.kind.Target, MaxPause: a.kind.MaxPause, Priority: a.kind.Priority, Account: s.accountOf(a), Permitted: func(region string) bool { return s.permitted(a, region) }, Fingerprint: quarantine.Fingerprint(dispatch.Rank("caller", a.id)),
 	}
 	if s.Unlimited {
 		req.Deadline, req.MaxPause = time.Time{}, 0
@@ -94,6 +95,23 @@
 	return req
 }
 
+// accountOf returns the client account of an arrival; "" if there are none.
+func (s *Simulation) accountOf(a *arrival) string {
+	total := 0.0
+	for _, demand := range s.Accounts {
+		total += demand
+	}
+	drawn := total * float64(dispatch.Rank("account", a.id)>>11) / (1 << 53)
+	for i, demand := range s.Accounts {
+		if drawn -= demand; drawn < 0 {
+			return accountName(i)
+		}
+	}
+	return ""
+}
+
+func accountName(i int) string { return fmt.Sprint("account-", i) }
+
 // sendToEngine sends the request to an engine of the gateway's region. It tries another
 // engine if no connection can be opened.
 func (s *Simulation) sendToEngine(x *exchange, g *gateway) {
--- a/internal/dispatchbench/result.go
+++ b/internal/dispatchbench/result.go
@@ -25,6 +25,8 @@
 	P50, P99        time.Duration // time to the first event
 	SendsPerRequest float64       // engines that a request was sent to, on average
 	EngineTime      time.Duration // that the engines up at the end were busy, added up
+	// Accounts is the work asked for and answered of each client account, in tokens.
+	Accounts []AccountResult
 	// Returns is the number of rejected callers that returned, and LargestReturn that within
 	// the tenth of a second with the most.
 	Returns, LargestReturn int
@@ -52,6 +54,10 @@
 	ServedLargest float64
 }
 
+// AccountResult is the result of the requests of one client account, in tokens of prompts and
+// answers.
+type AccountResult struct{ Asked, Answered int }
+
 // Served returns the share of the requests that were answered, late ones included.
 func (k KindResult) Served() float64 {
 	return 1 - float64(k.Rejected+k.Failed)/float64(max(1, k.Requests))
@@ -153,6 +159,7 @@
 		r.EngineTime += e.busy
 	}
 	r.Returns, r.LargestReturn = s.countReturns()
+	r.Accounts = s.accountResults()
 	slices.Sort(firstEvents)
 	if n := len(firstEvents); n > 0 {
 		r.P50, r.P99 = firstEvents[n/2], firstEvents[n*99/100]
@@ -161,6 +168,22 @@
 	return r
 }
 
+func (s *Simulation) accountResults() []AccountResult {
+	out := make([]AccountResult, len(s.Accounts))
+	for i := range out {
+		for _, a := range s.arrivals {
+			if s.accountOf(a) != accountName(i) {
+				continue
+			}
+			out[i].Asked += a.tokensIn + a.tokensOut
+			if a.answered {
+				out[i].Answered += a.tokensIn + a.tokensOut
+			}
+		}
+	}
+	return out
+}
+
 func (s *Simulation) countReturns() (all, largest int) {
 	const slot = 100 * time.Millisecond
 	slots := make(map[time.Duration]int)
--- a/internal/dispatchbench/simulation.go
+++ b/internal/dispatchbench/simulation.go
@@ -37,6 +37,7 @@
 	ColdRate float64       // requests per second that a cold engine may get
 	Speeds   []float64     // of the engines, in turn, relative to Engine; empty if all are alike
 	Strategy Strategy
+	Accounts []float64 // relative demand of the client accounts; empty for none
 	// OrderedReturns has rejected callers return when package dispatch tells them to, as with
 	// package ingress, rather than when there may be room at the earliest.
 	OrderedReturns bool
--- a/rollup/aggregator.go
+++ b/rollup/aggregator.go
@@ -316,14 +316,15 @@
 	Speeds    map[uint64]EngineSpeed  // by the hash of the engine's incarnation
 	Demand    map[uint32]RouteDemand  // by RouteDemand.Route
 	LongReads map[uint32]ServiceWork  // by the hash of the service's name
-	Reporting int                     // gateways whose reports are included
-	Listed    int                     // other gateways in the list of gateways
+	Shares    map[AccountKey]AccountWork
+	Reporting int // gateways whose reports are included
+	Listed    int // other gateways in the list of gateways
 }
 
 // PeerTotals returns the sum of what the other gateways of the region do.
 func (a *Aggregator) PeerTotals() PeerTotals {
 	s, gateways := a.sumOthers()
-	return PeerTotals{Loads: s.loads, Accounts: s.accounts, Speeds: s.speeds, Demand: s.demand, LongReads: s.longReads, Reporting: gateways, Listed: a.topology.size() - 1}
+	return PeerTotals{Loads: s.loads, Accounts: s.accounts, Speeds: s.speeds, Demand: s.demand, LongReads: s.longReads, Shares: s.shares, Reporting: gateways, Listed: a.topology.size() - 1}
 }
 
 // sumOthers sums the latest valid reports of the other gateways, and counts the gateways
--- a/rollup/hardload.go
+++ b/rollup/hardload.go
@@ -38,6 +38,20 @@
 	Tokens  int      // prompt tokens per second
 }
 
+// AccountKey identifies a client account among those that compete for the same room.
+type AccountKey struct {
+	Kind    uint32 // hash of the service and the priority
+	Account uint32 // hash of its name
+}
+
+// AccountWork is what the callers of a client account lately asked for and got, in tokens per
+// second.
+type AccountWork struct {
+	_               struct{} `cbor:",toarray"`
+	Kind, Account   uint32   // as in AccountKey
+	Asked, Admitted int
+}
+
 // maxSpeeds bounds the engines in one sum to about 10 KB. In larger regions the speeds of
 // those with the most evidence are sent, which are the busiest.
 const maxSpeeds = 512
@@ -71,6 +85,12 @@
 	return d
 }
 
+func (w AccountWork) plus(o AccountWork, factor int) AccountWork {
+	w.Asked += factor * o.Asked
+	w.Admitted += factor * o.Admitted
+	return w
+}
+
 func (w ServiceWork) plus(o ServiceWork, factor int) ServiceWork {
 	w.Tokens += factor * o.Tokens
 	return w
@@ -93,6 +113,12 @@
 		known.Service = work.Service
 		s.longReads[work.Service] = known.plus(work, factor)
 	}
+	for _, work := range r.Shares {
+		key := AccountKey{work.Kind, work.Account}
+		known := s.shares[key]
+		known.Kind, known.Account = work.Kind, work.Account
+		s.shares[key] = known.plus(work, factor)
+	}
 }
 
 // putLoadReports sets the reports of this file in r.
@@ -113,4 +139,7 @@
 	for _, work := range s.longReads {
 		r.LongReads = append(r.LongReads, work)
 	}
+	for _, work := range s.shares {
+		r.Shares = append(r.Shares, work)
+	}
 }
--- a/rollup/report.go
+++ b/rollup/report.go
@@ -41,6 +41,8 @@
 	LongReads []ServiceWork `cbor:"13,keyasint,omitempty"`
 	// Promises recently made to rejected requests.
 	Returns []ReturnPromise `cbor:"15,keyasint,omitempty"`
+	// What client accounts ask for and get, by service and priority.
+	Shares []AccountWork `cbor:"16,keyasint,omitempty"`
 }
 
 // Backoff is an engine that asks for backoff, with the number of gateways that it asked.
@@ -129,7 +131,7 @@
 // additiveFields returns the report with only those fields that can be summed and
 // subtracted; the others are events.
 func (r Report) additiveFields() Report {
-	return Report{Engines: r.Engines, Accounts: r.Accounts, Speeds: r.Speeds, Demand: r.Demand, LongReads: r.LongReads}
+	return Report{Engines: r.Engines, Accounts: r.Accounts, Speeds: r.Speeds, Demand: r.Demand, LongReads: r.LongReads, Shares: r.Shares}
 }
 
 // sum accumulates reports.
@@ -150,6 +152,7 @@
 	speeds    map[uint64]EngineSpeed
 	demand    map[uint32]RouteDemand
 	longReads map[uint32]ServiceWork
+	shares    map[AccountKey]AccountWork
 	returns   map[uint32]ReturnPromise // by request, the one that is due last
 }
 
@@ -185,7 +188,7 @@
 	return &sum{
 		loads: make(map[uint64]EngineLoad), blocks: make(map[SentBlock]bool), unreachable: make(map[uint64]bool), replaced: make(map[uint64]bool), draining: make(map[uint64]bool),
 		backingOff: make(map[uint64]int), accounts: make(map[uint32]AccountUsage), crashes: make(map[crashKey]quarantine.CrashReport), parts: make(map[partKey]quarantine.PartReport),
-		limits: make(map[uint64]ratelimit.LimitReport), speeds: make(map[uint64]EngineSpeed), demand: make(map[uint32]RouteDemand), longReads: make(map[uint32]ServiceWork), returns: make(map[uint32]ReturnPromise),
+		limits: make(map[uint64]ratelimit.LimitReport), speeds: make(map[uint64]EngineSpeed), demand: make(map[uint32]RouteDemand), longReads: make(map[uint32]ServiceWork), returns: make(map[uint32]ReturnPromise), shares: make(map[AccountKey]AccountWork),
 	}
 }
 
--- a/urgency/urgency.go
+++ b/urgency/urgency.go
@@ -132,6 +132,13 @@
 	return Limit{Queue: min(l.Queue, queue), Yielded: min(l.Yielded, longest), After: k.Priority}
 }
 
+// WithoutYielding returns the limit for requests of which no share is judged like the more
+// urgent ones.
+func (l Limit) WithoutYielding() Limit {
+	l.Yielded = l.Queue
+	return l
+}
+
 // Yields reports whether a request is of the share that is judged like the more urgent ones.
 // All gateways agree on it.
 func Yields(requestHash uint64) bool { return requestHash%YieldEvery == 0 }
