fairshare: accounts get their shares of a service while room is short

Cause: whoever asked most often got the room, however little the others asked for. Accounts of the same service and priority now share by what all gateways of the region admit (report field 16), max-min fair; one that has its share already is put after the others.

--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -35,7 +35,7 @@
 	}
 	p.demand.Record(kindOf(req.Priority, req.Target), now)
 	if d.isOverShare(req) {
-		return p.demand.LimitFor(req.Priority+1, now).WithoutYielding()
+		return p.demand.LimitFor(req.Priority+1, now).Beyond()
 	}
 	return p.demand.LimitFor(req.Priority, now)
 }
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -28,6 +28,9 @@
 	shortage = 0.02
 	// minWork is the work per second below which an account counts as not asking.
 	minWork = 0.5
+	// margin is the share of the level from which an account is put after the others, because
+	// its rate is known only after it has risen.
+	margin = 0.85
 )
 
 // Use is what the callers of one account lately asked for and got, in work per second.
@@ -115,8 +118,8 @@
 	return math.Inf(1)
 }
 
-// IsOver reports whether an account has more than its share.
-func (t *Table) IsOver(account uint32) bool { return t.use[account].Admitted > t.level }
+// IsOver reports whether an account has its share already.
+func (t *Table) IsOver(account uint32) bool { return t.use[account].Admitted > margin*t.level }
 
 // UseOf returns the use of an account at all gateways, as of the last update.
 func (t *Table) UseOf(account uint32) Use { return t.use[account] }
--- a/internal/dispatchbench/contended_test.go
+++ b/internal/dispatchbench/contended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -43,3 +44,32 @@
 		}
 	}
 }
+
+// TestAccountsGetTheirShares asks for 1.5 times the room, one account for several times as much
+// as the others. Each must be admitted with at least nine tenths of its max-min fair share.
+func TestAccountsGetTheirShares(t *testing.T) {
+	for _, gateways := range []int{3, 40} {
+		for _, demand := range [][]float64{{1, 1, 4}, {1, 3}, {1, 1, 1}} {
+			t.Run(fmt.Sprint(gateways, " gateways, demand ", demand), func(t *testing.T) {
+				r := dispatchbench.Run(dispatchbench.Contended(dispatchbench.ContendedOptions{Load: 1.5, Gateways: gateways, Unranked: true, Accounts: demand}))
+				var asked []float64
+				left := 0.0
+				for _, a := range r.Accounts {
+					asked = append(asked, float64(a.Asked))
+					left += float64(a.Asked - a.Rejected)
+				}
+				slices.Sort(asked)
+				level := 0.0
+				for i, a := range asked {
+					level = left / float64(len(asked)-i)
+					left -= min(a, level)
+				}
+				for i, a := range r.Accounts {
+					share := min(float64(a.Asked), level)
+					t.Logf("account %d: %.3f of its share", i, float64(a.Asked-a.Rejected)/share)
+					must.GreaterEq(t, 0.9*share, float64(a.Asked-a.Rejected))
+				}
+			})
+		}
+	}
+}
--- a/internal/dispatchbench/result.go
+++ b/internal/dispatchbench/result.go
@@ -55,8 +55,8 @@
 }
 
 // AccountResult is the result of the requests of one client account, in tokens of prompts and
-// answers.
-type AccountResult struct{ Asked, Answered int }
+// answers. What is neither answered nor rejected has failed.
+type AccountResult struct{ Asked, Answered, Rejected int }
 
 // Served returns the share of the requests that were answered, late ones included.
 func (k KindResult) Served() float64 {
@@ -176,8 +176,11 @@
 				continue
 			}
 			out[i].Asked += a.tokensIn + a.tokensOut
-			if a.answered {
+			switch {
+			case a.answered:
 				out[i].Answered += a.tokensIn + a.tokensOut
+			case a.rejections > callerRetries:
+				out[i].Rejected += a.tokensIn + a.tokensOut
 			}
 		}
 	}
--- a/urgency/urgency.go
+++ b/urgency/urgency.go
@@ -132,9 +132,10 @@
 	return Limit{Queue: min(l.Queue, queue), Yielded: min(l.Yielded, longest), After: k.Priority}
 }
 
-// WithoutYielding returns the limit for requests of which no share is judged like the more
-// urgent ones.
-func (l Limit) WithoutYielding() Limit {
+// Beyond returns the limit for requests beyond a fair share, which must not delay those that it
+// was computed for: half of the queue, and no share is judged like more urgent ones.
+func (l Limit) Beyond() Limit {
+	l.Queue = max(minQueue, l.Queue/2)
 	l.Yielded = l.Queue
 	return l
 }
