--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -52,7 +52,10 @@
 		return nil
 	}
 	message := fmt.Sprintf("it is expected to be begun after %v, and %v is the most", s.queue.Round(time.Millisecond), s.maxQueue.Round(time.Millisecond))
-	if s.isPutAfter() {
+	switch {
+	case s.isPutAfter() && s.after >= r.Priority:
+		message += ", because accounts below their shares go first"
+	case s.isPutAfter():
 		message += fmt.Sprintf(", because priority %d goes first", s.after)
 	}
 	return &request.NotRun{Reason: request.ReasonOverload, Message: message, RetryAfter: max(noEngineRetryAfter, s.queue-s.maxQueue/2)}
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -4,7 +4,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,13 +31,17 @@
 	shares.Record(hashAccount(req.Account), req.work(), admitted, now)
 }
 
-// isOverShare reports whether the request's account has more than its share. The lock is held.
-func (d *Dispatcher) isOverShare(req Request) bool {
+// standing returns how the use of the request's account compares with its share. The lock is
+// held.
+func (d *Dispatcher) standing(req Request) fairshare.Standing {
 	if req.Account == "" {
-		return false
+		return fairshare.Below
 	}
 	shares, ok := d.shares[req.kindHash()]
-	return ok && shares.IsOver(hashAccount(req.Account))
+	if !ok {
+		return fairshare.Below
+	}
+	return shares.StandingOf(hashAccount(req.Account))
 }
 
 // ownShares returns what the accounts of this gateway's callers ask for and get.
@@ -75,7 +78,7 @@
 	for _, a := range d.catalog.Accounts() {
 		account := hashAccount(a.Name)
 		for _, shares := range d.shares {
-			if shares.IsOver(account) && !math.IsInf(shares.Level(), 1) {
+			if shares.StandingOf(account) == fairshare.Beyond {
 				d.Log.Info("account over its share", zap.String("account", a.Name), zap.Float64("work_per_second", shares.UseOf(account).Admitted), zap.Float64("share", shares.Level()))
 			}
 		}
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/linenscale/linenscale/fairshare"
 	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/urgency"
 )
@@ -27,17 +28,21 @@
 func (r Request) yields() bool { return urgency.Yields(hashString(r.ID)) }
 
 // rank records that a request was asked for in this region, and returns the limit of the queue
-// behind which it is admitted here. An account beyond its share goes after all requests of its
+// behind which it is admitted here. An account that has its share goes after all requests of its
 // priority. The lock is held.
 func (d *Dispatcher) rank(p *pool, req Request, now time.Time) urgency.Limit {
 	if !req.isRanked() {
 		return urgency.Limit{}
 	}
 	p.demand.Record(kindOf(req.Priority, req.Target), now)
-	if d.isOverShare(req) {
+	switch d.standing(req) {
+	case fairshare.AtShare:
+		return p.demand.LimitFor(req.Priority+1, now).AtShare()
+	case fairshare.Beyond:
 		return p.demand.LimitFor(req.Priority+1, now).Beyond()
+	default:
+		return p.demand.LimitFor(req.Priority, now)
 	}
-	return p.demand.LimitFor(req.Priority, now)
 }
 
 // demandFor returns what is asked for of a service in the other region.
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -28,8 +28,8 @@
 	shortage = 0.02
 	// minWork is the work per second below which an account counts as not asking.
 	minWork = 0.5
-	// margin is the share of the level from which an account is put after the others, because
-	// its rate is known only after it has risen.
+	// margin is the share of the level from which an account counts as having its share. It is
+	// put after the others then, because its rate is known only after it has risen.
 	margin = 0.85
 )
 
@@ -118,8 +118,27 @@
 	return math.Inf(1)
 }
 
-// IsOver reports whether an account has its share already.
-func (t *Table) IsOver(account uint32) bool { return t.use[account].Admitted > margin*t.level }
+// Standing is how an account's use compares with its share.
+type Standing uint8
+
+// The standings.
+const (
+	Below   Standing = iota // has less than its share
+	AtShare                 // has its share
+	Beyond                  // has more
+)
+
+// StandingOf returns the standing of an account.
+func (t *Table) StandingOf(account uint32) Standing {
+	switch admitted := t.use[account].Admitted; {
+	case admitted > t.level:
+		return Beyond
+	case admitted > margin*t.level:
+		return AtShare
+	default:
+		return Below
+	}
+}
 
 // UseOf returns the use of an account at all gateways, as of the last update.
 func (t *Table) UseOf(account uint32) Use { return t.use[account] }
--- a/urgency/urgency.go
+++ b/urgency/urgency.go
@@ -132,14 +132,20 @@
 	return Limit{Queue: min(l.Queue, queue), Yielded: min(l.Yielded, longest), After: k.Priority}
 }
 
-// Beyond returns the limit for requests beyond a fair share, which must not delay those that it
-// was computed for: half of the queue, and no share is judged like more urgent ones.
-func (l Limit) Beyond() Limit {
-	l.Queue = max(minQueue, l.Queue/2)
+// AtShare returns the limit for callers who have their fair share of the room: no share of
+// their requests is judged like more urgent ones.
+func (l Limit) AtShare() Limit {
 	l.Yielded = l.Queue
 	return l
 }
 
+// Beyond returns the limit for callers who have more than their fair share: half of the queue
+// of those who have it, so that these aren't rejected only because others ask more often.
+func (l Limit) Beyond() Limit {
+	l.Queue = min(l.Queue, max(minQueue, l.Queue/2))
+	return l.AtShare()
+}
+
 // Yields reports whether a request is of the share that is judged like the more urgent ones.
 // All gateways agree on it.
 func Yields(requestHash uint64) bool { return requestHash%YieldEvery == 0 }
