--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -246,6 +246,7 @@
 // engine whose exclusion may end before the next refresh is still listed. Engines with a
 // limit count as ready only if there are no others. The lock is held.
 func (d *Dispatcher) classifyEngines(p *pool, now time.Time) {
+	p.meanQueue = p.meanQueueTime()
 	p.readyEngines, p.usable, p.limited, p.pushedBack = 0, p.usable[:0], p.limited[:0], p.pushedBack[:0]
 	for _, e := range p.sorted {
 		reason := d.exclusionOf(p, e, now)
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -128,15 +128,13 @@
 func estimate(in costInputs, req Request, roundTrip time.Duration) score {
 	p := req.Prompt
 	s := score{cached: in.cached, known: in.cached, preferred: in.preferred, load: in.load}
-	queuedPerSlot := float64(in.load.Requests+1-in.slots) / float64(max(1, in.slots))
-	s.queue = time.Duration(max(0, queuedPerSlot) * float64(in.throughput.SlotTime))
+	s.queue = in.queueTime()
 	if in.cacheTokens == 0 {
 		s.wait = s.queue + in.throughput.SlotTime
 		occupancyCost := time.Duration(float64(in.load.Requests) / float64(max(1, in.slots)) * float64(in.throughput.SlotTime))
 		s.cost = s.wait + occupancyCost
 	} else {
 		s.cached = max(s.cached, in.assumedCached(p))
-		s.queue += in.throughput.readTime(in.load.Unread)
 		s.wait, s.cost = in.readCost(p, s.cached)
 		if in.transferable > 0 {
 			wait, cost := in.readCost(p, s.cached+in.transferable)
@@ -177,6 +175,17 @@
 	return s
 }
 
+// queueTime returns how long an engine of the service's mean speed needs before it starts a
+// request.
+func (in costInputs) queueTime() time.Duration {
+	queuedPerSlot := float64(in.load.Requests+1-in.slots) / float64(max(1, in.slots))
+	queue := time.Duration(max(0, queuedPerSlot) * float64(in.throughput.SlotTime))
+	if in.cacheTokens > 0 {
+		queue += in.throughput.readTime(in.load.Unread)
+	}
+	return queue
+}
+
 // readCost returns the time until an engine that has cached so many tokens of the prompt
 // has read the rest, and the cost of that.
 func (in costInputs) readCost(p Prompt, cached int) (wait, cost time.Duration) {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -93,6 +93,7 @@
 	demand           urgency.Demand              // what is asked for in this region
 	maxPause         time.Duration               // shortest limit for pauses of the service's routes; 0 for none
 	long             longPrompts
+	meanQueue        time.Duration // of the engines, as of the last refresh
 }
 
 func newPool(s catalog.Service, budget retry.Policy) *pool {
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -41,10 +41,24 @@
 	case fairshare.Beyond:
 		return p.demand.LimitFor(req.Priority+1, now).Beyond()
 	default:
-		return p.demand.LimitFor(req.Priority, now)
+		return p.demand.LimitFor(req.Priority, now).Where(p.meanQueue)
 	}
 }
 
+// meanQueueTime returns the mean queue of the pool's engines.
+func (p *pool) meanQueueTime() time.Duration {
+	in := costInputs{throughput: p.throughput.current()}
+	if p.service.Model != nil {
+		in.cacheTokens = p.service.Model.CacheTokens
+	}
+	var sum time.Duration
+	for _, e := range p.sorted {
+		in.slots, in.load = e.Slots, e.ownLoad.plus(e.peerLoad)
+		sum += in.queueTime()
+	}
+	return sum / time.Duration(max(1, len(p.sorted)))
+}
+
 // demandFor returns what is asked for of a service in the other region.
 func (r *remoteRegion) demandFor(service string) *urgency.Demand {
 	demand, ok := r.demand[service]
@@ -60,7 +74,9 @@
 	if !req.isRanked() {
 		return urgency.Limit{}
 	}
-	return r.demandFor(req.Service).LimitFor(req.Priority, now)
+	digest := r.digests[req.Service]
+	in := costInputs{load: digest.MeanLoad.load(), slots: digest.Slots, cacheTokens: digest.CacheTokens, throughput: digest.Throughput}
+	return r.demandFor(req.Service).LimitFor(req.Priority, now).Where(in.queueTime())
 }
 
 // recordSent records that a request was sent to the other region.
--- a/urgency/urgency.go
+++ b/urgency/urgency.go
@@ -28,6 +28,9 @@
 	// kept free for them. The rest must absorb what gateways admit before they learn of each
 	// other's requests.
 	reservedShare = 0.2
+	// shortageShare is the mean queue of a region's engines, as a share of the limit, from which
+	// its room is short. Below it, a long queue at one engine means that others have room.
+	shortageShare = 0.75
 	// minQueue is a queue that is never kept free: with a shorter one, engines are idle until
 	// gateways have seen that requests have ended.
 	minQueue = 60 * time.Millisecond
@@ -132,6 +135,16 @@
 	return Limit{Queue: min(l.Queue, queue), Yielded: min(l.Yielded, longest), After: k.Priority}
 }
 
+// Where returns the limit in a region whose engines have such a mean queue: none where it is
+// so short that there is room, though not at each engine. Requests then queue where their
+// prompts are cached.
+func (l Limit) Where(meanQueue time.Duration) Limit {
+	if float64(meanQueue) < shortageShare*float64(l.Queue) {
+		return Limit{}
+	}
+	return l
+}
+
 // AtShare returns the limit for callers who have their fair share of the room: no share of
 // their requests is judged like more urgent ones.
 func (l Limit) AtShare() Limit {
