urgency: room is short where a region's mean queue is, and only that region decides

Cause: less urgent requests were put back behind the queue of one engine though others had room, and by what other regions know of it, a quarter of a second old: they left the engines that had cached their prompts.

--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -11,7 +11,6 @@
 
 	"github.com/linenscale/linenscale/pushback"
 	"github.com/linenscale/linenscale/rollup"
-	"github.com/linenscale/linenscale/urgency"
 )
 
 const (
@@ -194,7 +193,7 @@
 	d.applyLongReads(others)
 	d.applyLocalUsage(others)
 	d.updateShares(others.Shares)
-	d.applyDemand(d.Region, others.Demand, func(service string) *urgency.Demand { return &d.pools[service].demand }, d.Clock())
+	d.applyDemand(others.Demand, d.Clock())
 }
 
 // updateGateways updates the list of this region's gateways, the gateways that share rate
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -14,7 +14,6 @@
 	"github.com/linenscale/linenscale/internal/rendezvous"
 	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/telemetry"
-	"github.com/linenscale/linenscale/urgency"
 )
 
 // Digest summarizes a region's engines of one service. It is sent to other regions.
@@ -169,7 +168,7 @@
 	d.mergeRemoteCrashes(r, now)
 	remote, ok := d.remotes[r.Region]
 	if !ok {
-		remote = &remoteRegion{cached: make(map[string]cachedBlocks), demand: make(map[string]*urgency.Demand)}
+		remote = &remoteRegion{cached: make(map[string]cachedBlocks)}
 		d.remotes[r.Region] = remote
 	}
 	var digests []Digest
@@ -181,7 +180,6 @@
 	remote.applyVersions(r.Versions)
 	remote.applyCallerDemand(r.Demand)
 	d.applyRemoteUsage(r.Region, r.Accounts, now.Add(-r.Age))
-	d.applyDemand(r.Region, remote.callerDemand, remote.demandFor, now.Add(-r.Age))
 }
 
 // Placement is the region chosen for a request.
@@ -261,7 +259,6 @@
 	inFlight.Requests, inFlight.Unread, inFlight.Reserved = inFlight.Requests*senders, inFlight.Unread*senders, inFlight.Reserved*senders
 	in.load = in.load.plus(inFlight.dividedBy(remote.digests[p.service.Name].Engines))
 	in.usualError = p.throughput.usualError()
-	in.limit = remote.limitFor(req, now)
 	return estimate(in, req, d.roundTrip(region)), true
 }
 
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -9,7 +9,6 @@
 
 	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/streams"
-	"github.com/linenscale/linenscale/urgency"
 )
 
 // remoteRegion is the known state of another region.
@@ -20,7 +19,6 @@
 	callerDemand map[uint32]rollup.RouteDemand // of its callers, by class
 	inFlight     []*RemoteRequest              // sent there, and not in its last report yet
 	cached       map[string]cachedBlocks       // by service: prompt blocks sent there
-	demand       map[string]*urgency.Demand    // by service: what is asked for there
 }
 
 // RemoteRequest is a request handed over to another region. It counts as load of that
@@ -52,7 +50,6 @@
 		remote.cachedFor(req.Service).record(req.Prompt, now)
 	}
 	remote.inFlight = append(remote.inFlight, r)
-	remote.recordSent(req, now)
 	return r
 }
 
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -1,5 +1,6 @@
 // This file defines which requests go before others where room is short: it supplies package
-// urgency with what callers of this region and of others ask for.
+// urgency with what is asked for in this region. Only the region where a request is to run
+// decides: what others know of its queues is too old for that.
 
 package dispatch
 
@@ -59,47 +60,19 @@
 	return sum / time.Duration(max(1, len(p.sorted)))
 }
 
-// demandFor returns what is asked for of a service in the other region.
-func (r *remoteRegion) demandFor(service string) *urgency.Demand {
-	demand, ok := r.demand[service]
-	if !ok {
-		demand = &urgency.Demand{}
-		r.demand[service] = demand
-	}
-	return demand
-}
-
-// limitFor returns the limit of the queue behind which the other region admits a request.
-func (r *remoteRegion) limitFor(req Request, now time.Time) urgency.Limit {
-	if !req.isRanked() {
-		return urgency.Limit{}
-	}
-	digest := r.digests[req.Service]
-	in := costInputs{load: digest.MeanLoad.load(), slots: digest.Slots, cacheTokens: digest.CacheTokens, throughput: digest.Throughput}
-	return r.demandFor(req.Service).LimitFor(req.Priority, now).Where(in.queueTime())
-}
-
-// recordSent records that a request was sent to the other region.
-func (r *remoteRegion) recordSent(req Request, now time.Time) {
-	if req.isRanked() {
-		r.demandFor(req.Service).Record(kindOf(req.Priority, req.Target), now)
-	}
-}
-
 // askedForRequests is the reported rate, in hundredths per second, of a class that one request
 // in the last second has asked for. Lower rates are what is left of earlier requests.
 const askedForRequests = 37
 
-// applyDemand records what callers of a region ask for of each service, as reported by its
-// gateways. The lock is held.
-func (d *Dispatcher) applyDemand(region string, reported map[uint32]rollup.RouteDemand, demandFor func(service string) *urgency.Demand, at time.Time) {
+// applyDemand records what callers of this region's other gateways ask for. The lock is held.
+func (d *Dispatcher) applyDemand(reported map[uint32]rollup.RouteDemand, at time.Time) {
 	if len(reported) == 0 {
 		return
 	}
-	for service, p := range d.pools {
+	for _, p := range d.pools {
 		for _, class := range p.classes {
-			if r := class.route; r.PermitsRegion(region) && r.Target > 0 && reported[class.id].Requests >= askedForRequests {
-				demandFor(service).Record(kindOf(class.priority, r.Target), at)
+			if r := class.route; r.PermitsRegion(d.Region) && r.Target > 0 && reported[class.id].Requests >= askedForRequests {
+				p.demand.Record(kindOf(class.priority, r.Target), at)
 			}
 		}
 	}
