--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -42,6 +42,9 @@
 	return max(low, min(high, r.Target-afterStart-errorMargin*usualError))
 }
 
+// isBehindAccounts reports whether the request is put after those of other accounts.
+func (r Request) isBehindAccounts(s score) bool { return s.isPutAfter() && s.after >= r.Priority }
+
 // checkAdmission returns a *request.NotRun if the request would start or end too late,
 // else nil.
 func (r Request) checkAdmission(s score) error {
@@ -53,7 +56,7 @@
 	}
 	message := fmt.Sprintf("it is expected to be begun after %v, and %v is the most", s.queue.Round(time.Millisecond), s.maxQueue.Round(time.Millisecond))
 	switch {
-	case s.isPutAfter() && s.after >= r.Priority:
+	case r.isBehindAccounts(s):
 		message += ", because accounts below their shares go first"
 	case s.isPutAfter():
 		message += fmt.Sprintf(", because priority %d goes first", s.after)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -275,6 +275,7 @@
 	err = req.checkAdmission(expected)
 	d.recordShare(req, err == nil, now)
 	if err != nil {
+		d.countPutAfter(req, expected)
 		return nil, err
 	}
 	ticket := d.issueTicket(p, chosen, req, expected, now)
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -213,10 +213,11 @@
 	home := d.homeRegion(p, req, now)
 	best := Placement{Region: d.Region, LocalCost: -1, IsHome: home == d.Region}
 	var localEngine *engine
+	var localScore score
 	if localPermitted {
 		req.limit, req.promised = d.rank(p, req, now), d.isPromised(req, now)
 		if e, s := d.choose(p, req, now); e != nil {
-			localEngine = e
+			localEngine, localScore = e, s
 			best.LocalCost, best.Queue, best.Refusal = s.cost, s.queue, req.checkAdmission(s)
 		}
 	}
@@ -236,6 +237,9 @@
 		d.recordShare(req, false, now)
 	}
 	if best.Region == d.Region {
+		if best.Refusal != nil {
+			d.countPutAfter(req, localScore)
+		}
 		p.throughput.trials = trials{}
 		return best
 	}
--- a/dispatch/returns.go
+++ b/dispatch/returns.go
@@ -45,9 +45,14 @@
 	return req.isRanked() && d.returns.Returns(req.returnHash(), now)
 }
 
-// logReturns logs what has become of the promises, if anything has. The lock is held.
+// logReturns logs and counts what has become of the promises, if anything has. The lock is held.
 func (d *Dispatcher) logReturns() {
 	if counts := d.returns.Counts(); counts != d.loggedReturns {
+		if d.Metrics != nil {
+			d.Metrics.CountPromises("made", counts.Made-d.loggedReturns.Made)
+			d.Metrics.CountPromises("kept", counts.Kept-d.loggedReturns.Kept)
+			d.Metrics.CountPromises("lapsed", counts.Lapsed-d.loggedReturns.Lapsed)
+		}
 		d.loggedReturns = counts
 		d.Log.Info("promised returns", zap.Int("made", counts.Made), zap.Int("kept", counts.Kept), zap.Int("lapsed", counts.Lapsed))
 	}
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -60,6 +60,17 @@
 	return sum / time.Duration(max(1, len(p.sorted)))
 }
 
+// countPutAfter counts a request that isn't admitted because others go first.
+func (d *Dispatcher) countPutAfter(req Request, s score) {
+	switch {
+	case d.Metrics == nil || !s.isPutAfter():
+	case req.isBehindAccounts(s):
+		d.Metrics.CountPutAfter(req.Service, "account")
+	default:
+		d.Metrics.CountPutAfter(req.Service, "priority")
+	}
+}
+
 // askedForRequests is the reported rate, in hundredths per second, of a class that one request
 // in the last second has asked for. Lower rates are what is left of earlier requests.
 const askedForRequests = 37
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -37,6 +37,8 @@
 	continuations   metric.Int64Counter
 	streamSearches  metric.Int64Counter
 	partQuarantines metric.Int64Counter
+	putAfter        metric.Int64Counter
+	promises        metric.Int64Counter
 	accountLabels   labelSet // the accounts that have counters of their own
 	engineLabels    labelSet // the engines that have counters of their own
 }
@@ -51,7 +53,7 @@
 	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
 	meter := provider.Meter("linenscale")
 	m := &Metrics{provider: provider, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
-	var errs [17]error
+	var errs [19]error
 	m.requests, errs[0] = meter.Int64Counter("linenscale_requests", metric.WithDescription("requests that have ended, by service and outcome"))
 	m.attempts, errs[1] = meter.Int64Counter("linenscale_attempts", metric.WithDescription("attempts sent to engines and entry hosts, by service and outcome"))
 	m.firstByte, errs[2] = meter.Float64Histogram("linenscale_first_byte_seconds", metric.WithDescription("time to the first byte of an answer"), metric.WithUnit("s"))
@@ -69,6 +71,8 @@
 	m.continuations, errs[14] = meter.Int64Counter("linenscale_stream_continuations", metric.WithDescription("attempts that continue a stream, by service and by who resumes it"))
 	m.streamSearches, errs[15] = meter.Int64Counter("linenscale_stream_searches", metric.WithDescription("searches for the origin of a stream that a caller resumes, by service and outcome"))
 	m.partQuarantines, errs[16] = meter.Int64Counter("linenscale_quarantined_parts", metric.WithDescription("parts of prompts that this host has quarantined because engines crashed under them, or learned to be"))
+	m.putAfter, errs[17] = meter.Int64Counter("linenscale_put_after", metric.WithDescription("requests not admitted because others go first, by service and by who does: priority or account"))
+	m.promises, errs[18] = meter.Int64Counter("linenscale_promised_returns", metric.WithDescription("promises to rejected requests that they go before newcomers, by outcome: made, kept or lapsed"))
 	for _, err := range errs {
 		if err != nil {
 			return nil, errors.Annotate(err, "metrics")
@@ -146,6 +150,16 @@
 	m.partQuarantines.Add(context.Background(), int64(parts))
 }
 
+// CountPutAfter counts a request that wasn't admitted because others go first. by says who.
+func (m *Metrics) CountPutAfter(service, by string) {
+	m.putAfter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("by", by)))
+}
+
+// CountPromises counts promises to rejected requests.
+func (m *Metrics) CountPromises(outcome string, n int) {
+	m.promises.Add(context.Background(), int64(n), metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // CountLimitEvent counts an event of an engine that announces a rate limit.
 func (m *Metrics) CountLimitEvent(engine, event string) {
 	m.limitEvents.Add(context.Background(), 1, metric.WithAttributes(attribute.String("engine", m.engineLabels.label(engine)), attribute.String("event", event)))
