--- a/urgency/urgency.go
+++ b/urgency/urgency.go
@@ -30,7 +30,7 @@
 	reservedShare = 0.2
 	// shortageShare is the mean queue of a region's engines, as a share of the limit, from which
 	// its room is short. Below it, a long queue at one engine means that others have room.
-	shortageShare = 0.75
+	shortageShare = 0.5
 	// minQueue is a queue that is never kept free: with a shorter one, engines are idle until
 	// gateways have seen that requests have ended.
 	minQueue = 60 * time.Millisecond
