--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -11,7 +11,6 @@
 
 	"github.com/linenscale/linenscale/pushback"
 	"github.com/linenscale/linenscale/rollup"
-	"github.com/linenscale/linenscale/urgency"
 )
 
 const (
@@ -46,7 +45,7 @@
 
 // report returns this gateway's own report. The lock is held.
 func (d *Dispatcher) report(now time.Time) rollup.Report {
-	r := rollup.Report{SentBlocks: d.recentSentBlocks(now), Accounts: d.ownUsage(now), Crashes: d.quarantine.OutgoingLocal(now), Parts: d.parts.OutgoingLocal(now), Limits: d.limits.Outgoing(now), Demand: d.ownDemand(now), LongReads: d.longReads(now), Returns: d.outgoingReturns(now), Refunds: d.ownRefunds(now)}
+	r := rollup.Report{SentBlocks: d.recentSentBlocks(now), Accounts: d.ownUsage(now), Crashes: d.quarantine.OutgoingLocal(now), Parts: d.parts.OutgoingLocal(now), Limits: d.limits.Outgoing(now), Demand: d.ownDemand(now), LongReads: d.longReads(now), Returns: d.outgoingReturns(now), Refunds: d.ownRefunds(now), Shares: d.ownShares(now)}
 	for e := range d.reported {
 		if !d.addToReport(&r, e, now) {
 			delete(d.reported, e)
@@ -193,7 +192,8 @@
 	d.applyPeerSpeeds(others, d.Clock())
 	d.applyLongReads(others)
 	d.applyLocalUsage(others)
-	d.applyDemand(d.Region, others.Demand, func(service string) *urgency.Demand { return &d.pools[service].demand }, d.Clock())
+	d.updateShares(others.Shares)
+	d.applyDemand(others.Demand, d.Clock())
 }
 
 // updateGateways updates the list of this region's gateways, the gateways that share rate
--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -14,7 +14,6 @@
 	"github.com/linenscale/linenscale/internal/rendezvous"
 	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/telemetry"
-	"github.com/linenscale/linenscale/urgency"
 )
 
 // Digest summarizes a region's engines of one service. It is sent to other regions.
@@ -169,7 +168,7 @@
 	d.mergeRemoteCrashes(r, now)
 	remote, ok := d.remotes[r.Region]
 	if !ok {
-		remote = &remoteRegion{cached: make(map[string]cachedBlocks), demand: make(map[string]*urgency.Demand)}
+		remote = &remoteRegion{cached: make(map[string]cachedBlocks)}
 		d.remotes[r.Region] = remote
 	}
 	var digests []Digest
@@ -181,7 +180,6 @@
 	remote.applyVersions(r.Versions)
 	remote.applyCallerDemand(r.Demand)
 	d.applyRemoteUsage(r.Region, r.Accounts, r.Refunds, now.Add(-r.Age))
-	d.applyDemand(r.Region, remote.callerDemand, remote.demandFor, now.Add(-r.Age))
 }
 
 // Placement is the region chosen for a request.
@@ -215,10 +213,11 @@
 	home := d.homeRegion(p, req, now)
 	best := Placement{Region: d.Region, LocalCost: -1, IsHome: home == d.Region}
 	var localEngine *engine
+	var localScore score
 	if localPermitted {
-		req.limit, req.promised = p.rank(req, now), d.isPromised(req, now)
+		req.limit, req.promised = d.rank(p, req, now), d.isPromised(req, now)
 		if e, s := d.choose(p, req, now); e != nil {
-			localEngine = e
+			localEngine, localScore = e, s
 			best.LocalCost, best.Queue, best.Refusal = s.cost, s.queue, req.checkAdmission(s)
 		}
 	}
@@ -234,7 +233,13 @@
 			best = Placement{Region: region, LocalCost: best.LocalCost, Cost: cost, Queue: s.queue, Refusal: req.checkAdmission(s), IsHome: region == home}
 		}
 	}
+	if best.Refusal != nil {
+		d.recordShare(req, false, now)
+	}
 	if best.Region == d.Region {
+		if best.Refusal != nil {
+			d.countPutAfter(req, localScore)
+		}
 		p.throughput.trials = trials{}
 		return best
 	}
@@ -258,7 +263,6 @@
 	inFlight.Requests, inFlight.Unread, inFlight.Reserved = inFlight.Requests*senders, inFlight.Unread*senders, inFlight.Reserved*senders
 	in.load = in.load.plus(inFlight.dividedBy(remote.digests[p.service.Name].Engines))
 	in.usualError = p.throughput.usualError()
-	in.limit = remote.limitFor(req, now)
 	return estimate(in, req, d.roundTrip(region)), true
 }
 
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -1,11 +1,13 @@
 // This file defines which requests go before others where room is short: it supplies package
-// urgency with what callers of this region and of others ask for.
+// urgency with what is asked for in this region. Only the region where a request is to run
+// decides: what others know of its queues is too old for that.
 
 package dispatch
 
 import (
 	"time"
 
+	"github.com/linenscale/linenscale/fairshare"
 	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/urgency"
 )
@@ -27,37 +29,45 @@
 func (r Request) yields() bool { return urgency.Yields(hashString(r.ID)) }
 
 // rank records that a request was asked for in this region, and returns the limit of the queue
-// behind which it is admitted here. The lock is held.
-func (p *pool) rank(req Request, now time.Time) urgency.Limit {
+// behind which it is admitted here. An account that has its share goes after all requests of its
+// priority. The lock is held.
+func (d *Dispatcher) rank(p *pool, req Request, now time.Time) urgency.Limit {
 	if !req.isRanked() {
 		return urgency.Limit{}
 	}
 	p.demand.Record(kindOf(req.Priority, req.Target), now)
-	return p.demand.LimitFor(req.Priority, now)
-}
-
-// demandFor returns what is asked for of a service in the other region.
-func (r *remoteRegion) demandFor(service string) *urgency.Demand {
-	demand, ok := r.demand[service]
-	if !ok {
-		demand = &urgency.Demand{}
-		r.demand[service] = demand
+	switch d.standing(req) {
+	case fairshare.AtShare:
+		return p.demand.LimitFor(req.Priority+1, now).AtShare()
+	case fairshare.Beyond:
+		return p.demand.LimitFor(req.Priority+1, now).Beyond()
+	default:
+		return p.demand.LimitFor(req.Priority, now).Where(p.meanQueue)
 	}
-	return demand
 }
 
-// limitFor returns the limit of the queue behind which the other region admits a request.
-func (r *remoteRegion) limitFor(req Request, now time.Time) urgency.Limit {
-	if !req.isRanked() {
-		return urgency.Limit{}
+// meanQueueTime returns the mean queue of the pool's engines.
+func (p *pool) meanQueueTime() time.Duration {
+	in := costInputs{throughput: p.throughput.current()}
+	if p.service.Model != nil {
+		in.cacheTokens = p.service.Model.CacheTokens
+	}
+	var sum time.Duration
+	for _, e := range p.sorted {
+		in.slots, in.load = e.Slots, e.ownLoad.plus(e.peerLoad)
+		sum += in.queueTime()
 	}
-	return r.demandFor(req.Service).LimitFor(req.Priority, now)
+	return sum / time.Duration(max(1, len(p.sorted)))
 }
 
-// recordSent records that a request was sent to the other region.
-func (r *remoteRegion) recordSent(req Request, now time.Time) {
-	if req.isRanked() {
-		r.demandFor(req.Service).Record(kindOf(req.Priority, req.Target), now)
+// countPutAfter counts a request that isn't admitted because others go first.
+func (d *Dispatcher) countPutAfter(req Request, s score) {
+	switch {
+	case d.Metrics == nil || !s.isPutAfter():
+	case req.isBehindAccounts(s):
+		d.Metrics.CountPutAfter(req.Service, "account")
+	default:
+		d.Metrics.CountPutAfter(req.Service, "priority")
 	}
 }
 
@@ -65,16 +75,15 @@
 // in the last second has asked for. Lower rates are what is left of earlier requests.
 const askedForRequests = 37
 
-// applyDemand records what callers of a region ask for of each service, as reported by its
-// gateways. The lock is held.
-func (d *Dispatcher) applyDemand(region string, reported map[uint32]rollup.RouteDemand, demandFor func(service string) *urgency.Demand, at time.Time) {
+// applyDemand records what callers of this region's other gateways ask for. The lock is held.
+func (d *Dispatcher) applyDemand(reported map[uint32]rollup.RouteDemand, at time.Time) {
 	if len(reported) == 0 {
 		return
 	}
-	for service, p := range d.pools {
+	for _, p := range d.pools {
 		for _, class := range p.classes {
-			if r := class.route; r.PermitsRegion(region) && r.Target > 0 && reported[class.id].Requests >= askedForRequests {
-				demandFor(service).Record(kindOf(class.priority, r.Target), at)
+			if r := class.route; r.PermitsRegion(d.Region) && r.Target > 0 && reported[class.id].Requests >= askedForRequests {
+				p.demand.Record(kindOf(class.priority, r.Target), at)
 			}
 		}
 	}
