--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -280,7 +280,9 @@
 	}
 	ticket := d.issueTicket(p, chosen, req, expected, now)
 	ticket.partTrials = trials
-	d.returns.Admitted(req.returnHash(), req.kindHash(), now)
+	if req.Target > 0 {
+		d.returns.Admitted(req.returnHash(), req.kindHash(), now)
+	}
 	d.parts.BeginTrials(trials)
 	return ticket, nil
 }
