allowance: hold an account that begins at many gateways at once

Cause: a gateway held a surge from the seventh request of an unused account on, and took the six before it for chance. At 36 gateways with a limit of 130 requests in the window seven each are more than the limit.

Change: where nobody used the account before, a surge starts with the request that exceeds the gateway's share of what is left, after two that always pass. Where the share is larger than six requests nothing changes.

Conclusion: holds up to some 65 gateways with that limit; beyond, the two that always pass are more than the limit.

--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -182,11 +182,13 @@
 	s := m.updateState(name, a, now)
 	a.requested.add(cost, now)
 	a.demand.add(cost, now)
-	if a.surge.observe(now) {
-		recent := a.admitted.sumOver(now, surgePeriod)
-		available := max(0, s.limit-s.used) + recent + s.expiryRate*propagationTime.Seconds()
-		inUse := a.othersRate >= inUseShare*s.limit/m.Policy.Window.Seconds()
-		a.surge.begin(recent, available/float64(max(1, m.gatewayCount)), inUse, now)
+	recent := a.admitted.sumOver(now, surgePeriod)
+	available := max(0, s.limit-s.used) + recent + s.expiryRate*propagationTime.Seconds()
+	share := available / float64(max(1, m.gatewayCount))
+	usualRate := s.limit / m.Policy.Window.Seconds()
+	exceedsUnused := recent+cost > share && a.othersRate < unusedShare*usualRate && a.ownSum(now) <= recent*(1+sumError)
+	if a.surge.observe(now, exceedsUnused) {
+		a.surge.begin(recent, share, a.othersRate >= inUseShare*usualRate, now)
 	}
 	ratio := s.admitRatio(cost)
 	if !a.surge.admits(cost, a.requested.perSecond(now), m.awaitsReports(a.surge.start, now)) {
--- a/allowance/surge.go
+++ b/allowance/surge.go
@@ -29,6 +29,15 @@
 	// which happens by chance once in six days.
 	surgeDeviations  = 4
 	minSurgeRequests = 3
+	// unusedShare is the fraction of an account's rate below which nobody else uses it, by
+	// the same average. It is above zero because the reports of the gateways that began
+	// first arrive while others begin.
+	unusedShare = 0.05
+	// minUnusedRequests is how many requests of an unused account pass within surgePeriod
+	// even if as many at every gateway exceed the limit: callers often send a pair.
+	minUnusedRequests = 2
+	// sumError is the relative error of a sum of units.
+	sumError = 1e-9
 )
 
 // surge detects that a gateway's callers suddenly request much more of an account than
@@ -47,14 +56,18 @@
 	inUse    bool      // other gateways used the account before the surge
 }
 
-// observe counts a request, and reports whether a surge starts with it.
-func (s *surge) observe(now time.Time) (starts bool) {
+// observe counts a request, and reports whether a surge starts with it. exceedsShare means
+// that nobody used the account before, and that the request would exceed this gateway's
+// share of what is left: chance may explain the few requests so far, but not if all
+// gateways receive as many.
+func (s *surge) observe(now time.Time, exceedsShare bool) (starts bool) {
 	s.recent.add(1, now)
 	s.usual.timeConstant = usualTimeConstant
 	s.usual.add(1, now)
 	usual := s.usual.perSecond(now) * surgePeriod.Seconds()
-	excess := s.recent.sumOver(now, surgePeriod) - usual
-	starts = !s.active && excess >= surgeDeviations*math.Sqrt(usual)+minSurgeRequests
+	requests := s.recent.sumOver(now, surgePeriod)
+	excess := requests - usual
+	starts = !s.active && (excess >= surgeDeviations*math.Sqrt(usual)+minSurgeRequests || exceedsShare && requests > minUnusedRequests)
 	// The surge ends only when requests are back to the usual rate, so that one surge
 	// isn't counted as several.
 	s.active = starts || (s.active && excess > math.Sqrt(usual))
--- a/allowance/surge_test.go
+++ b/allowance/surge_test.go
@@ -74,3 +74,25 @@
 	}
 	must.Eq(t, 0, rejected)
 }
+
+// TestStartAtManyGatewaysIsHeld guards against gateways that each admit a few requests of an
+// account that nobody used before they detect a surge: at 36 gateways that are more than the
+// limit.
+func TestStartAtManyGatewaysIsHeld(t *testing.T) {
+	for _, perGateway := range []float64{3, 6, 12, 25, 50} {
+		t.Run(fmt.Sprint(perGateway, " a second each"), func(t *testing.T) {
+			limit := catalog.Allowance{Unit: catalog.UnitRequests, Rate: 20, Burst: 20}
+			sim := newSimulation(36, limit, func(sim *simulation, region int) limiter {
+				sim.policy = allowance.Policy{Window: 4 * time.Second, Overage: 0.1, Slack: 20}
+				return newMeterLimiter(sim, region)
+			})
+			sim.run(6 * time.Second)
+			for region := range regions {
+				sim.demand[region] = perGateway * 36 / regions
+			}
+			sim.run(10 * time.Second)
+			t.Log(sim)
+			must.LessEq(t, 1, sim.fullestWindow())
+		})
+	}
+}
