controller: name gateways to callers by what they can bear

Cause: the directory named all gateways of a data centre alike, also where one has 0.3 of another's processor and link, or is slow, full or without a catalog.

Change: settings cpu_share, cores and link_mbps; hosts announce their size, gateways a level of load (delay of tasks, buffers in use, readiness) in two new optional fields of roster.Host; the control host draws each answer by them (package entryweight). Which gateways are eligible is chosen as before. A log line and a gauge for the level. ChooseGateways returns hosts instead of addresses; its test compares their addresses, as strictly as before.

Figures: go test -run TestCallersFollowWhatGatewaysCanBear ./controller: a gateway of 0.3 of the size is named 0.3 times as often within 0.01, over 10,000 answers; all seven while reports are older than 3 s. Computed: where half the gateways have 0.3 of the size, a quarter of callers' connections move per answer, since callers drop those to addresses not named.

Conclusion: works in the tests; what the moved connections cost is to be measured.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -100,6 +100,8 @@
 	Seed         uint64
 
 	RolloutPolicy rollout.Policy
+
+	Random func() float64 // uniform over [0, 1), to draw the gateways named to callers
 }
 
 // Controller runs the control role of a host. It is safe for concurrent use.
--- a/controller/entries.go
+++ b/controller/entries.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/linenscale/linenscale/entryweight"
 	"github.com/linenscale/linenscale/roster"
 )
 
@@ -20,17 +21,36 @@
 func (c *Controller) Entries(name, region, dataCentre string) []string {
 	gateways := c.roster.Hosts(roster.RoleGateway)
 	homes := c.table.Load().BoundRoutesByRegion(name)
-	chosen, why := ChooseGateways(gateways, homes, region, dataCentre)
+	candidates, why := ChooseGateways(gateways, homes, region, dataCentre)
+	chosen := c.drawEntries(candidates)
 	if why == SameDataCentre || why == SameRegion {
 		return chosen
 	}
 	if c.Clock().Sub(c.startedAt) < rosterSettleTime {
 		chosen = nil
 	}
-	c.Log.Info("caller directed to gateways outside its region", zap.String("name", name), zap.String("for_region", region), zap.Stringer("why", why), zap.Int("gateways", len(chosen)))
+	c.Log.Info("caller directed to gateways outside its region", zap.String("name", name), zap.String("for_region", region), zap.Stringer("why", why), zap.Int("gateways", len(chosen)), zap.Int("of", len(candidates)))
 	return chosen
 }
 
+// MaxEntries is the maximum number of addresses that callers accept.
+const MaxEntries = 64
+
+// drawEntries draws the gateways of one answer, so that over many answers callers follow
+// what each can bear, and returns their addresses.
+func (c *Controller) drawEntries(candidates []roster.Host) []string {
+	now := c.Clock()
+	states := make([]entryweight.Gateway, len(candidates))
+	for i, h := range candidates {
+		states[i] = entryweight.Gateway{Size: h.Size, Load: h.Load, Age: now.Sub(c.roster.LastHeard(h.Name))}
+	}
+	var out []string
+	for _, i := range entryweight.Draw(states, MaxEntries, c.Random()) {
+		out = append(out, candidates[i].Callers)
+	}
+	return out
+}
+
 // Proximity is why gateways were chosen for a caller.
 type Proximity uint8
 
@@ -47,11 +67,11 @@
 	return [...]string{"data_centre", "region", "home", "none"}[p]
 }
 
-// ChooseGateways returns the addresses of the gateways for a caller: those in its data
-// centre, else those in its region, else those in the regions where most of the host
-// name's routes with home regions may run, else all. homes counts those routes by region.
-// Gateways that are stopping are excluded.
-func ChooseGateways(gateways []roster.Host, homes map[string]int, region, dataCentre string) ([]string, Proximity) {
+// ChooseGateways returns the gateways for a caller: those in its data centre, else those in its
+// region, else those in the regions where most of the host name's routes with home
+// regions may run, else all. homes counts those routes by region. Gateways that are
+// stopping are excluded.
+func ChooseGateways(gateways []roster.Host, homes map[string]int, region, dataCentre string) ([]roster.Host, Proximity) {
 	eligible := func(h roster.Host) bool { return !h.Stopping && h.Callers != "" }
 	most := 0
 	for _, h := range gateways {
@@ -66,10 +86,10 @@
 		AnyGateway:     func(roster.Host) bool { return true },
 	}
 	for why, matches := range preferences {
-		var out []string
+		var out []roster.Host
 		for _, h := range gateways {
 			if matches(h) && eligible(h) {
-				out = append(out, h.Callers)
+				out = append(out, h)
 			}
 		}
 		if len(out) > 0 {
--- a/controller/entries_test.go
+++ b/controller/entries_test.go
@@ -1,12 +1,19 @@
 package controller_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
 
 	"github.com/linenscale/linenscale/controller"
+	"github.com/linenscale/linenscale/disk"
+	"github.com/linenscale/linenscale/entryweight"
+	"github.com/linenscale/linenscale/internal/steady"
+	"github.com/linenscale/linenscale/raft"
 	"github.com/linenscale/linenscale/roster"
 )
 
@@ -23,6 +30,13 @@
 	return out
 }
 
+func addressesOf(gateways []roster.Host) (out []string) {
+	for _, g := range gateways {
+		out = append(out, g.Callers)
+	}
+	return out
+}
+
 // TestChooseGateways checks the order of preference: data centre, region, home region,
 // any.
 func TestChooseGateways(t *testing.T) {
@@ -46,12 +60,62 @@
 	for i, c := range cases {
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
 			got, why := controller.ChooseGateways(testGateways(c.stopping...), c.homes, "lagos", "a")
-			must.Eq(t, c.want, got)
+			must.Eq(t, c.want, addressesOf(got))
 			must.Eq(t, c.why, why)
 		})
 	}
 }
 
+// TestCallersFollowWhatGatewaysCanBear checks that a gateway of 0.3 of the size is named 0.3 times
+// as often, one that announces no size as often as the median, and that all are named
+// while their reports are too old.
+func TestCallersFollowWhatGatewaysCanBear(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const answers = 10_000
+	drawn := 0
+	c, err := controller.New(controller.Deps{
+		Self: roster.Host{Name: "control", Role: roster.RoleControl, Region: "lagos", DataCentre: "a", Life: "life", Peer: "127.0.0.1:1"}, Replica: raft.ID("127.0.0.1:1#1"),
+		Folder: disk.NewMemory(), Voters: 3, Regions: regions, Heartbeat: time.Minute, DrainTimeout: time.Millisecond, Seeds: func() []string { return nil },
+		Send: func(raft.Envelope) {}, Log: zap.NewNop(), Clock: func() time.Time { return now }, SteadyClock: steady.Now, Seed: 1,
+		Random: func() float64 { drawn++; return float64(drawn%answers) / answers },
+	})
+	must.NoError(t, err)
+	service := controller.NewService(context.Background(), c)
+	large, small := entryweight.Size{Millicores: 480, LinkKbps: 25_000}, entryweight.Size{Millicores: 144, LinkKbps: 7500}
+	for i, size := range []entryweight.Size{large, large, large, large, small, small, {}} {
+		name := fmt.Sprint("g", i)
+		gateway := newSession(roster.Host{Name: name, Role: roster.RoleGateway, Region: "lagos", DataCentre: "a", Life: name, Peer: name, Callers: name, Size: size}, false)
+		must.NoError(t, gateway.sync(service))
+	}
+	named := make(map[string]float64)
+	for range answers {
+		for _, name := range c.Entries("h", "lagos", "a") {
+			named[name]++
+		}
+	}
+	must.InDelta(t, 0.3, named["g4"]/named["g0"], 0.01)
+	must.InDelta(t, 1, named["g6"]/named["g0"], 0.01)
+	now = now.Add(3500 * time.Millisecond)
+	must.SliceLen(t, 7, c.Entries("h", "lagos", "a"))
+}
+
+// TestOverloadedGatewayIsNamedLess checks the way of a load level from a gateway to the answers of
+// a control host.
+func TestOverloadedGatewayIsNamedLess(t *testing.T) {
+	t.Parallel()
+	n, hosts := newHosts(t)
+	var gateways []*gatewayHost
+	for i := range 4 {
+		gateways = append(gateways, newGateway(t, n, hosts[0].ip+fmt.Sprint(i), "a", hosts[0].seeds))
+	}
+	eventually(t, stepTimeout, "all are named", func() bool { return len(hosts[0].c.Entries("h", "lagos", "a")) == 4 })
+	gateways[0].mu.Lock()
+	gateways[0].load = entryweight.CannotServe
+	gateways[0].mu.Unlock()
+	eventually(t, stepTimeout, "one is left out", func() bool { return len(hosts[0].c.Entries("h", "lagos", "a")) == 3 })
+	must.SliceNotContains(t, hosts[0].c.Entries("h", "lagos", "a"), hosts[0].ip+"0:80")
+}
+
 // TestNewControlHostNamesNoRemoteGateways guards against a restarted control host that
 // directs callers of other regions to the few gateways that have called it so far.
 func TestNewControlHostNamesNoRemoteGateways(t *testing.T) {
--- a/controller/gateways_test.go
+++ b/controller/gateways_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/linenscale/linenscale/controller"
+	"github.com/linenscale/linenscale/entryweight"
 	"github.com/linenscale/linenscale/follow"
 	"github.com/linenscale/linenscale/internal/steady"
 	"github.com/linenscale/linenscale/ledger"
@@ -33,6 +34,7 @@
 	mu       sync.Mutex
 	states   []ledger.State
 	stopping bool
+	load     entryweight.Load
 }
 
 func newGateway(t *testing.T, n *network, ip, centre string, seeds []string) *gatewayHost {
@@ -44,7 +46,7 @@
 		Self: func() roster.Host {
 			g.mu.Lock()
 			defer g.mu.Unlock()
-			return roster.Host{Name: ip, Role: roster.RoleGateway, Region: regions[centre], DataCentre: centre, Life: ip, Peer: peer(ip), Callers: ip + ":80", Stopping: g.stopping}
+			return roster.Host{Name: ip, Role: roster.RoleGateway, Region: regions[centre], DataCentre: centre, Life: ip, Peer: peer(ip), Callers: ip + ":80", Stopping: g.stopping, Load: g.load}
 		},
 		Seeds: func() []string { return seeds }, Client: wire.NewClient(dialer{n, ip}), Engines: g.engines,
 		OnState: func(s ledger.State) {
--- a/controller/hosts_test.go
+++ b/controller/hosts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -203,6 +204,7 @@
 		Seeds: func() []string { return h.seeds }, SyncCalls: wire.NewClient(dialer{h.network, h.ip}), Commands: wire.NewClient(dialer{h.network, h.ip}),
 		Send: func(e raft.Envelope) { sender.Enqueue(controller.PeerAddress(e.To), e) },
 		Log:  h.log, Clock: time.Now, SteadyClock: steady.Now, ConfirmState: true, Seed: uint64(h.incarnation),
+		Random: rand.Float64,
 	})
 	must.NoError(h.t, err)
 	server := wire.NewServer()
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -183,6 +183,7 @@
 	return roster.Host{
 		Name: m.settings.Name, Role: m.settings.Role, Region: m.settings.Region, DataCentre: m.settings.DataCentre,
 		Life: m.incarnation, Peer: m.settings.PeerAddress(), Callers: m.settings.Listen.Callers, Operators: m.settings.Listen.Operators,
+		Size: m.settings.Size(),
 	}
 }
 
--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -17,6 +17,7 @@
 	"github.com/linenscale/linenscale/controller"
 	"github.com/linenscale/linenscale/disk"
 	"github.com/linenscale/linenscale/dispatch"
+	"github.com/linenscale/linenscale/entryweight"
 	"github.com/linenscale/linenscale/follow"
 	"github.com/linenscale/linenscale/ingress"
 	"github.com/linenscale/linenscale/internal/steady"
@@ -49,7 +50,7 @@
 		Heartbeat: m.settings.Heartbeat, GatherTime: controller.DefaultGatherTime, DrainTimeout: controller.DefaultDrainTimeout, Seeds: m.seedPeers, SyncCalls: m.calls, Commands: m.commands,
 		Send: func(e raft.Envelope) { sender.Enqueue(controller.PeerAddress(e.To), e) },
 		Log:  m.log, Clock: steady.Time, SteadyClock: steady.Now, ConfirmState: m.settings.KeysRevokedWithin > 0, Seed: rand.Uint64(),
-		RolloutPolicy: rollout.Policy(m.settings.Rollouts),
+		RolloutPolicy: rollout.Policy(m.settings.Rollouts), Random: rand.Float64,
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -119,12 +120,14 @@
 	engines := registry.New(m.incarnation, m.settings.Heartbeat, steady.Time)
 	self := m.rosterEntry()
 	self.Handover = m.settings.HandoverAddress()
+	load := &ownLoad{log: m.log, metrics: m.metrics, clock: steady.Time, started: steady.Time()}
 	var server *ingress.Server
 	var dispatcher *dispatch.Dispatcher
 	follower := follow.New(follow.Deps{
 		Self: func() roster.Host {
 			entry := self
 			entry.Stopping = server.Stopping()
+			entry.Load = load.level(entryweight.Measurement{Delay: m.suspensions.Delay(), Buffers: server.BufferShare(), Ready: server.Ready() || server.Stopping()})
 			return entry
 		},
 		Seeds: m.seedPeers, Client: m.calls, Engines: engines,
--- a/ingress/buffers.go
+++ b/ingress/buffers.go
@@ -41,6 +41,9 @@
 	return false
 }
 
+// share returns the fraction of the limit that is in use.
+func (b *bufferBudget) share() float64 { return float64(b.used.Load()) / float64(b.limit) }
+
 func (b *bufferBudget) release(n int) { b.used.Add(-int64(n)) }
 
 // firstBuffer is the initial size of a buffer for data of unknown length.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -121,6 +121,9 @@
 // Stopping reports whether the gateway is shutting down.
 func (s *Server) Stopping() bool { return s.stopping.Load() }
 
+// BufferShare returns the fraction of the memory for bodies and answers that is in use.
+func (s *Server) BufferShare() float64 { return s.buffers.share() }
+
 // Run serves both listeners until ctx ends, then finishes the requests in flight within
 // StopTimeout. Connections wait in the listeners until the first catalog arrives, or
 // firstCatalogTimeout has passed.
--- a/internal/suspension/suspension.go
+++ b/internal/suspension/suspension.go
@@ -21,6 +21,8 @@
 	// limited to a share of a core is scheduled ten times a second, and a busy processor
 	// delays a note as well.
 	maxGap = 400 * time.Millisecond
+	// delayWeight is the inverse of the weight of the latest note in the average delay.
+	delayWeight = 8
 )
 
 // Detector detects suspensions of more than maxGap. It is safe for concurrent use. New
@@ -30,6 +32,8 @@
 	report func(length time.Duration)
 
 	mu        sync.Mutex
+	tickedAt  time.Time
+	delay     time.Duration // average
 	notedAt   time.Time
 	resumedAt time.Time // end of the last suspension
 }
@@ -52,6 +56,19 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.note()
+	if !d.tickedAt.IsZero() {
+		late := max(0, d.notedAt.Sub(d.tickedAt)-interval)
+		d.delay += (late - d.delay) / delayWeight
+	}
+	d.tickedAt = d.notedAt
+}
+
+// Delay returns how late regular notes have been on average within about the last second:
+// for how long tasks of this process wait until they run.
+func (d *Detector) Delay() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.delay
 }
 
 // note is Note with the lock held.
--- a/internal/suspension/suspension_test.go
+++ b/internal/suspension/suspension_test.go
@@ -54,3 +54,24 @@
 		})
 	}
 }
+
+// TestDelayAveragesLateNotes checks that the delay follows how late notes are, and isn't
+// lowered by questions between them.
+func TestDelayAveragesLateNotes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := suspension.New(func() time.Time { return now }, func(time.Duration) {})
+	run := func(notes int, gap time.Duration) {
+		for range notes {
+			now = now.Add(gap / 2)
+			d.SuspendedSince(now)
+			now = now.Add(gap / 2)
+			d.Note()
+		}
+	}
+	run(30, 100*time.Millisecond)
+	must.Eq(t, 0, d.Delay())
+	run(30, 300*time.Millisecond)
+	must.Between(t, 190*time.Millisecond, d.Delay(), 200*time.Millisecond)
+	run(60, 100*time.Millisecond)
+	must.Less(t, time.Millisecond, d.Delay())
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/linenscale/linenscale/entryweight"
 	"github.com/linenscale/linenscale/internal/recent"
 )
 
@@ -38,6 +39,8 @@
 	Replica    string    // on a control host: its replica's identity in the ledger's log
 	Stopping   bool      // the host accepts no new requests
 	Heard      time.Time // when the last report arrived
+	Size       entryweight.Size
+	Load       entryweight.Load // on a gateway
 }
 
 // removalRetention is how long after its removal the entry of a host is retained, so that
@@ -214,6 +217,24 @@
 	return Host{}
 }
 
+// LastHeard returns when the host itself last reported, or a control host last answered that
+// forwards it; zero if the host isn't known. Unlike Hosts, it isn't as of the last change.
+func (r *Roster) LastHeard(name string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.hosts[name]
+	if !ok || e.removed {
+		return time.Time{}
+	}
+	out := e.Heard
+	for _, f := range e.forwards {
+		if at := r.sources[f.source]; at.After(out) {
+			out = at
+		}
+	}
+	return out
+}
+
 // Expire removes the hosts that have sent no report within the timeout or, if it is
 // longer, their own timeout, and returns them.
 func (r *Roster) Expire(timeout time.Duration) []Host {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -101,6 +101,22 @@
 	must.Eq(t, []string{"g"}, removed)
 }
 
+// TestLastHeardCountsForwards checks that a host which reports elsewhere was heard when its home
+// last answered, and one that is unknown never.
+func TestLastHeardCountsForwards(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := roster.New(func() time.Time { return now })
+	must.True(t, r.LastHeard("g").IsZero())
+	r.ReceiveForwarded("home", []roster.Host{{Name: "g", Role: roster.RoleGateway, Life: "1"}}, nil)
+	must.Eq(t, now, r.LastHeard("g"))
+	now = now.Add(time.Second)
+	r.ReceiveForwarded("home", nil, nil)
+	must.Eq(t, now, r.LastHeard("g"))
+	now = now.Add(time.Second)
+	r.Receive(roster.Host{Name: "g", Role: roster.RoleGateway, Life: "1"})
+	must.Eq(t, now, r.LastHeard("g"))
+}
+
 // TestExpiredForwardsAreReported guards against a control host that goes on with changes only
 // after what they change has been dropped.
 func TestExpiredForwardsAreReported(t *testing.T) {
--- a/settings/member.go
+++ b/settings/member.go
@@ -3,6 +3,8 @@
 package settings
 
 import (
+	"cmp"
+	"math"
 	"net"
 	"net/netip"
 	"os"
@@ -11,6 +13,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/linenscale/linenscale/entryweight"
 	"github.com/linenscale/linenscale/rollout"
 	"github.com/linenscale/linenscale/roster"
 )
@@ -53,8 +56,14 @@
 	// in flight.
 	StopTime time.Duration `yaml:"stop_time"`
 	// MemoryMiB is the memory limit of the process, in units of 2^20 bytes; 0 for none.
-	MemoryMiB int         `yaml:"memory_mb"`
-	Retries   RetryBudget `yaml:"retries"`
+	MemoryMiB int `yaml:"memory_mb"`
+	// CPUShare is the share of a core that the process gets, Cores how many times as fast as
+	// usual that core is, and LinkMbps the bandwidth of the host's link; 0 if unknown.
+	// Callers are directed to gateways in proportion to them.
+	CPUShare float64     `yaml:"cpu_share"`
+	Cores    float64     `yaml:"cores"`
+	LinkMbps float64     `yaml:"link_mbps"`
+	Retries  RetryBudget `yaml:"retries"`
 	// KeysRevokedWithin bounds how long any host may still serve requests with a revoked
 	// key, counted from the acknowledgement of the catalog that removes the key; 0 for no
 	// bound.
@@ -160,6 +169,12 @@
 // PeerAddress returns this host's address for net/rpc and datagrams between hosts.
 func (m Member) PeerAddress() string { return m.portAddress(m.IP, peerPortOffset) }
 
+// Size returns what the host has, as it announces it.
+func (m Member) Size() entryweight.Size {
+	clamped := func(amount float64) int32 { return int32(min(amount*1000, math.MaxInt32)) }
+	return entryweight.Size{Millicores: clamped(m.CPUShare * cmp.Or(m.Cores, 1)), LinkKbps: clamped(m.LinkMbps)}
+}
+
 // HandoverAddress returns this gateway's address for requests from other gateways.
 func (m Member) HandoverAddress() string { return m.portAddress(m.IP, handoverPortOffset) }
 
@@ -218,6 +233,14 @@
 	if m.Allowances.Window < 0 || m.Allowances.Overage < 0 || m.Allowances.Slack < 0 {
 		c.addFault("$.allowances", "must not be negative")
 	}
+	for _, f := range []struct {
+		path  string
+		value float64
+	}{{"$.cpu_share", m.CPUShare}, {"$.cores", m.Cores}, {"$.link_mbps", m.LinkMbps}} {
+		if !(f.value >= 0) { // nor NaN
+			c.addFault(f.path, "must be 0 for unknown, or more, is %v", f.value)
+		}
+	}
 	if m.Rollouts.Exposure < 0 || m.Rollouts.Exposure > 1 {
 		c.addFault("$.rollouts.exposure", "must be above 0 and up to 1, is %v", m.Rollouts.Exposure)
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/shoenig/test/must"
 
+	"github.com/linenscale/linenscale/entryweight"
 	"github.com/linenscale/linenscale/settings"
 )
 
@@ -67,6 +68,8 @@
 	must.Eq(t, []string{"10.1.0.38:7660", "10.2.0.31:7660"}, m.SeedPeerAddresses())
 	must.Eq(t, 3, m.VoterCount())
 	must.Eq(t, 1200*time.Millisecond, m.Heartbeat)
+	must.Eq(t, entryweight.Size{Millicores: 288, LinkKbps: 7500}, m.Size())
+	must.Eq(t, entryweight.Size{}, settings.Member{}.Size())
 	must.Eq(t, settings.RetryBudget{Share: 0.2, Extra: 56, Window: 10 * time.Second}, m.Retries)
 	must.Eq(t, "10.1.0.35:1", m.BindAddress("10.1.0.35:1"))
 	m.Bind = "127.0.0.1"
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -37,6 +37,7 @@
 	continuations   metric.Int64Counter
 	streamSearches  metric.Int64Counter
 	partQuarantines metric.Int64Counter
+	ownLoad         metric.Int64Gauge
 	accountLabels   labelSet // the accounts that have counters of their own
 	engineLabels    labelSet // the engines that have counters of their own
 }
@@ -51,7 +52,7 @@
 	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
 	meter := provider.Meter("linenscale")
 	m := &Metrics{provider: provider, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
-	var errs [17]error
+	var errs [18]error
 	m.requests, errs[0] = meter.Int64Counter("linenscale_requests", metric.WithDescription("requests that have ended, by service and outcome"))
 	m.attempts, errs[1] = meter.Int64Counter("linenscale_attempts", metric.WithDescription("attempts sent to engines and entry hosts, by service and outcome"))
 	m.firstByte, errs[2] = meter.Float64Histogram("linenscale_first_byte_seconds", metric.WithDescription("time to the first byte of an answer"), metric.WithUnit("s"))
@@ -69,6 +70,7 @@
 	m.continuations, errs[14] = meter.Int64Counter("linenscale_stream_continuations", metric.WithDescription("attempts that continue a stream, by service and by who resumes it"))
 	m.streamSearches, errs[15] = meter.Int64Counter("linenscale_stream_searches", metric.WithDescription("searches for the origin of a stream that a caller resumes, by service and outcome"))
 	m.partQuarantines, errs[16] = meter.Int64Counter("linenscale_quarantined_parts", metric.WithDescription("parts of prompts that this host has quarantined because engines crashed under them, or learned to be"))
+	m.ownLoad, errs[17] = meter.Int64Gauge("linenscale_own_load", metric.WithDescription("load that this gateway announces: 0 normal, 1 busy, 2 overloaded, 3 can't serve"))
 	for _, err := range errs {
 		if err != nil {
 			return nil, errors.Annotate(err, "metrics")
@@ -166,6 +168,11 @@
 	m.revision.Record(context.Background(), revision)
 }
 
+// RecordOwnLoad records the level of load that this gateway announces.
+func (m *Metrics) RecordOwnLoad(level int64) {
+	m.ownLoad.Record(context.Background(), level)
+}
+
 // Traffic counts the bytes of one kind that are exchanged with hosts at one distance.
 type Traffic struct {
 	counter metric.Int64Counter
