ingress: an answer that its caller left unread isn't held against the engine

Cause: engines cut off answers that are unread for some seconds. The gateway waits for a slow caller while it relays a stream or a long answer, so the engine's cut came as its failure or a broken connection: a healthy engine got fewer requests and was suspected of a crash.

Change: relay.Writer notes writes that stalled for more than a second; an answer that ends early within five seconds after one is an *UnreadError, outcome abandoned. Retries and the continuation of streams stay as they were.

--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -149,7 +149,7 @@
 	Unreached           // no connection could be opened
 	Shed                // the engine rejected the request because of overload
 	Misdirected         // another incarnation answered
-	Abandoned           // the caller disconnected, which says nothing about the engine
+	Abandoned           // the caller disconnected or didn't read, which says nothing about the engine
 	Broken              // the connection ended before the answer did
 	Unsent              // nothing was sent: the engine stopped accepting requests
 	Unconfirmed         // answered, but nothing showed whether the answer is complete
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -174,12 +174,12 @@
 		}
 		if err == io.EOF {
 			if endErr := x.checkStreamEnd(resp, &splitter, source); endErr != nil {
-				return endErr
+				return out.Blame(endErr)
 			}
 			return s.writeEvents(x, resp, out, splitter.remainder(), source)
 		}
 		if err != nil {
-			return &truncatedAnswer{cause: errors.Annotate(err, "stream")}
+			return out.Blame(&truncatedAnswer{cause: errors.Annotate(err, "stream")})
 		}
 	}
 }
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -207,7 +207,8 @@
 	}
 	s.Log.Warn("attempt failed", x.logFields(zap.String("engine", ticket.Engine), zap.String("outcome", outcome.String()),
 		zap.Bool("not_run", notRun), zap.Int("sends", p.sends), zap.String("last_event", p.lastEventID), zap.String("parts", x.meta.Prompt.SharedIDs()), zap.Stringer("fingerprint", x.fingerprint), telemetry.ErrorField(err))...)
-	if outcome == dispatch.Abandoned {
+	var unread *relay.UnreadError
+	if outcome == dispatch.Abandoned && !errors.As(err, &unread) {
 		return false
 	}
 	return (notRun || x.route.Repeatable()) && x.mayContinue() && p.sends < x.route.Attempts && p.unreachable < maxUnreachable
@@ -221,6 +222,7 @@
 	var failure *relay.Failure
 	var callerErr *relay.CallerError
 	var unusable *dispatch.EngineUnusable
+	var unread *relay.UnreadError
 	switch {
 	case err == nil && x.endUnconfirmed:
 		return dispatch.Unconfirmed, false
@@ -239,6 +241,10 @@
 		p.sends++
 		p.mayHaveRun = true
 		return dispatch.Abandoned, false
+	case errors.As(err, &unread):
+		p.sends++
+		p.mayHaveRun = true
+		return dispatch.Abandoned, false
 	case failure != nil && failure.NotRun:
 		p.unreachable++
 		return dispatch.Unreached, true
--- a/ingress/buffers_test.go
+++ b/ingress/buffers_test.go
@@ -5,14 +5,19 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/linenscale/linenscale/catalog"
 	"github.com/linenscale/linenscale/ingress"
+	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/platform/platformtest"
 )
 
@@ -133,6 +138,34 @@
 	})
 }
 
+// TestUnreadAnswerIsNotTheEnginesFault guards against a caller that reads nothing for a while, so
+// that the engine cuts the answer off, and an engine that counts as crashed or failing for it.
+func TestUnreadAnswerIsNotTheEnginesFault(t *testing.T) {
+	opts := platformtest.EngineOptions{Padding: 400_000, Events: 20, Pause: 100 * time.Millisecond, Unread: 3 * time.Second}
+	for path, headers := range map[string]string{
+		"/safe/x": "Content-Length: 0", // longer than what is read whole
+		"/chat/x": "Content-Length: 0\r\nX-Linenscale-Model: m",
+	} {
+		t.Run(path, func(t *testing.T) {
+			core, logs := observer.New(zap.InfoLevel)
+			inMemory(t, func(deps *ingress.Deps) { deps.Log = zap.New(core) }, opts, func(t *testing.T, g *memoryGateway) {
+				patient := testCatalog
+				patient.Routes = slices.Clone(patient.Routes)
+				for i := range patient.Routes {
+					patient.Routes[i].Timeout, patient.Routes[i].Backends = time.Minute, []catalog.Backend{{Service: "portal", Weight: 1}}
+				}
+				g.server.ApplyState(ledger.State{Index: 2, Catalog: patient})
+				conn := g.startRequest(t, http.MethodGet, path, "slow", headers)
+				time.Sleep(6 * time.Second)
+				_, _ = io.Copy(io.Discard, conn)
+				failed := logs.FilterMessage("attempt failed").All()
+				must.Positive(t, len(failed))
+				must.Eq(t, "abandoned", failed[0].ContextMap()["outcome"].(string), must.Sprint(failed[0].ContextMap()))
+			})
+		})
+	}
+}
+
 func TestBufferBytesFollowTheMemory(t *testing.T) {
 	must.Eq(t, 46<<20, ingress.BufferBytesFor(184<<20))
 	must.Eq(t, ingress.DefaultBufferBytes, ingress.BufferBytesFor(0))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -313,7 +313,7 @@
 			return total, nil
 		}
 		if err != nil {
-			return total, errors.Annotate(err, "answer")
+			return total, out.Blame(errors.Annotate(err, "answer"))
 		}
 	}
 }
@@ -334,6 +334,35 @@
 	controller   *http.ResponseController
 	writeTimeout time.Duration
 	deadline     time.Time // write deadline last set on the connection
+	stalledAt    time.Time // end of the last write that took longer than maxWriteTime
+}
+
+const (
+	// maxWriteTime is how long a write to a caller that reads takes at most. Engines cut off
+	// answers that are unread for some seconds.
+	maxWriteTime = time.Second
+	// stallEffect is how long after a stalled write the end of an answer may be due to it:
+	// what had arrived before is written first.
+	stallEffect = 5 * time.Second
+)
+
+// UnreadError is the error for an answer that ended early after the caller had not read for a
+// while. Its engine may have cut it off for that, so it says nothing about the engine.
+type UnreadError struct{ Cause error }
+
+// Error implements error.
+func (e *UnreadError) Error() string { return "unread by the caller: " + e.Cause.Error() }
+
+// Unwrap returns the read error.
+func (e *UnreadError) Unwrap() error { return e.Cause }
+
+// Blame returns the error for an answer whose body failed with err: an *UnreadError if that may
+// be because the caller didn't read, else err.
+func (p *Writer) Blame(err error) error {
+	if p.stalledAt.IsZero() || time.Since(p.stalledAt) > stallEffect {
+		return err
+	}
+	return &UnreadError{Cause: err}
 }
 
 // NewWriter returns a Writer to w that fails if a write takes longer than
@@ -347,8 +376,9 @@
 // timeout has elapsed. A write may therefore take between three quarters of the
 // timeout and all of it.
 func (p *Writer) WriteFlush(data []byte) error {
-	if now := time.Now(); p.deadline.Sub(now) < p.writeTimeout*3/4 {
-		p.deadline = now.Add(p.writeTimeout)
+	started := time.Now()
+	if p.deadline.Sub(started) < p.writeTimeout*3/4 {
+		p.deadline = started.Add(p.writeTimeout)
 		// Ignore the error: a ResponseWriter without deadlines, as in tests, works too.
 		_ = p.controller.SetWriteDeadline(p.deadline)
 	}
@@ -358,5 +388,8 @@
 	if err := p.controller.Flush(); err != nil {
 		return &CallerError{Cause: err}
 	}
+	if ended := time.Now(); ended.Sub(started) > maxWriteTime {
+		p.stalledAt = ended
+	}
 	return nil
 }
