ingress: a send after the answer's head is made only once the first gateway has counted it

Cause: a gateway that a stream was handed over to may send it again after its answer has begun. The head says how often it was sent, but may be lost with the connection; the first gateway then counts one send and hands over again, so that three engines got the stream.

Change: a hand-over names a counter at its gateway; sends after the head are counted there by a call of their own first, and not made without. Nothing changes for sends before the head, and between gateways of which one is older.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -73,11 +73,15 @@
 	if err != nil {
 		return false, err
 	}
+	if err := s.announceSend(x); err != nil {
+		ticket.Done(dispatch.Unsent)
+		s.Log.Warn("send not counted by the other gateway, not sending again", x.logFields(telemetry.ErrorField(err))...)
+		return false, err
+	}
 	p.triedEngines = append(p.triedEngines, ticket.Engine)
 	s.Log.Info("engine chosen", x.logFields(zap.String("engine", ticket.Engine), zap.String("engine_version", ticket.Version), zap.String("address", ticket.Address), zap.String("resumes", x.meta.Resumes), zap.String("last_event", p.lastEventID), x.originField(),
 		zap.Int("attempt", p.sends+p.unreachable+1), zap.String("why", ticket.Explanation), zap.String("part", x.meta.Prompt.AffinityKey()), zap.String("parts", x.meta.Prompt.SharedIDs()), zap.Bool("cold", ticket.Cold), zap.String("copy_from", ticket.TransferFrom), zap.Duration("remaining", s.remaining(x)), zap.Stringer("fingerprint", x.fingerprint), zap.String("limit", ticket.Limit()))...)
 	s.countContinuation(x)
-	x.announceSend()
 	err = s.send(x, p, ticket)
 	retry = s.finishAttempt(x, p, ticket, err)
 	return retry, err
--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -78,6 +78,8 @@
 		header = s.Dialect.ResumeHeader(header, x.progress.lastEventID)
 	}
 	handover := request.Request{ID: x.meta.ID, Deadline: x.deadline, PriorSends: x.progress.sends, Origin: x.origin}.WithVisitedHost(s.Self.Name)
+	number := s.sendCounters.begin()
+	handover.Counter = request.SendCounter{Address: s.Self.Handover, Number: number}
 	handover.SetHandoverHeaders(header, s.Clock(), uint64(x.catalog.table.Version()))
 	sendsBefore := x.progress.sends
 	remote := s.Dispatcher.BeginRemote(gateway.Region, x.dispatchRequest(nil))
@@ -96,6 +98,7 @@
 		defer resp.Body.Close()
 		err = s.relayAnswer(x, resp, answerSource{fromGateway: true, origin: remoteOrigin(resp)})
 	}
+	x.progress.sends = max(x.progress.sends, s.sendCounters.end(number))
 	if err == nil {
 		s.countOutcome(x, "answered_elsewhere")
 		return false, nil
@@ -183,16 +186,21 @@
 	return sends
 }
 
-// announceSend announces to the gateway that handed the request over, in an informational
-// response, that this gateway is about to send it to one more engine. If this gateway is
-// then lost, the other one has still counted the send. A first send needs no announcement:
-// the other gateway counts one if a hand-over that may have arrived fails without an answer.
-func (x *exchange) announceSend() {
-	if !x.handedOver || x.answerStarted || x.progress.sends == 0 {
-		return
+// announceSend tells the gateway that handed the request over that this gateway is about to send
+// it to one more engine: in an informational response, or by a call once its answer has
+// begun. If this gateway is then lost, the other one has still counted the send. A first
+// send needs no announcement: the other gateway counts one if a hand-over that may have
+// arrived fails without an answer. The error means that the request must not be sent.
+func (s *Server) announceSend(x *exchange) error {
+	if !x.handedOver || x.progress.sends == 0 {
+		return nil
+	}
+	if x.answerStarted {
+		return s.confirmSend(x)
 	}
 	x.w.Header().Set(request.HeaderSends, strconv.Itoa(x.progress.sends+1))
 	x.w.WriteHeader(http.StatusEarlyHints)
+	return nil
 }
 
 // checkTrailer returns the rejection that another gateway put into the trailer of a stream
--- a/ingress/handover_test.go
+++ b/ingress/handover_test.go
@@ -206,3 +206,56 @@
 	_, arrived := countRuns(engines, result.ID)
 	must.LessEq(t, 2, arrived, must.Sprint(result.Status, result.Body))
 }
+
+// TestSendsAfterALostHeadAreCounted guards against a resumable stream that reaches more engines
+// than its route allows: the gateway that it was handed over to sends it again after its answer
+// has begun, and is lost before the other gateway gets the answer's head.
+func TestSendsAfterALostHeadAreCounted(t *testing.T) {
+	lagos, kano, engines := twoRegions(t)
+	lagos.server.Self.Handover = hostPort(lagos.handover)
+	arrivals := func() (n int) {
+		for _, e := range engines {
+			n += len(e.Arrivals())
+		}
+		return n
+	}
+	lost := lagos.peers[0]
+	lost.Name, lost.Handover = "g3", startProxy(t, hostPort(kano.handover), func(io.Writer, io.Reader) {
+		for deadline := time.Now().Add(3 * time.Second); arrivals() < 2 && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	lagos.peers = append(lagos.peers, lost)
+	injectFault(engines, platformtest.FaultTruncate, 1)
+	result := do(t, lagos, platformtest.Request{Path: "/review/1", IsPrompt: true, Deadline: 5 * time.Second})
+	must.Eq(t, 2, arrivals(), must.Sprint(result.Status, result.Body))
+}
+
+// TestUncountedSendIsNotMade hands over a stream whose first engine breaks it off, from a gateway
+// that has given the hand-over up.
+func TestUncountedSendIsNotMade(t *testing.T) {
+	lagos, kano, engines := twoRegions(t)
+	injectFault(engines, platformtest.FaultTruncate, 1)
+	header := make(http.Header)
+	handover := request.Request{ID: "r1", Deadline: time.Now().Add(5 * time.Second), Counter: request.SendCounter{Address: hostPort(lagos.handover), Number: 7}}.WithVisitedHost("g1")
+	handover.SetHandoverHeaders(header, time.Now(), 1)
+	var caller platformtest.Caller
+	result, err := caller.Do(context.Background(), hostPort(kano.handover), platformtest.Request{Host: "h", Path: "/review/1", IsPrompt: true, Header: header})
+	must.NoError(t, err)
+	must.False(t, result.FramedAsComplete() && result.Body == streamBody(5))
+	_, arrived := countRuns(engines, result.ID)
+	must.Eq(t, 1, arrived)
+}
+
+// TestHandedOverStreamGoesOnOnceCounted guards against streams that break off although the gateway
+// that handed them over is there to count.
+func TestHandedOverStreamGoesOnOnceCounted(t *testing.T) {
+	lagos, _, engines := twoRegions(t)
+	lagos.server.Self.Handover = hostPort(lagos.handover)
+	injectFault(engines, platformtest.FaultTruncate, 1)
+	result := do(t, lagos, platformtest.Request{Path: "/review/1", IsPrompt: true, Deadline: 5 * time.Second})
+	must.True(t, result.Complete)
+	must.Eq(t, streamBody(5), result.Body)
+	_, arrived := countRuns(engines, result.ID)
+	must.Eq(t, 2, arrived)
+}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -74,8 +74,10 @@
 	applying sync.Mutex // held while a state is applied
 	catalog  atomic.Pointer[catalogSnapshot]
 	buffers  bufferBudget
-	inFlight atomic.Int64
-	stopping atomic.Bool
+
+	sendCounters sendCounters
+	inFlight     atomic.Int64
+	stopping     atomic.Bool
 
 	remotePaths pathTable
 }
@@ -217,5 +219,9 @@
 // HandoverHandler returns the handler for requests that other gateways hand over. Those
 // are not handed over again.
 func (s *Server) HandoverHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, true) })
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.serveCount(w, r) {
+			s.serve(w, r, true)
+		}
+	})
 }
--- a/ingress/receive.go
+++ b/ingress/receive.go
@@ -40,7 +40,8 @@
 	fingerprint    quarantine.Fingerprint
 	startedAt      time.Time
 	deadline       time.Time
-	handedOver     bool // by another gateway; the request runs in the local region
+	handedOver     bool                // by another gateway; the request runs in the local region
+	counter        request.SendCounter // where that gateway counts sends
 	triedRegions   []string
 	answerStarted  bool    // the answer's head was sent to the caller
 	framing        framing // of the last answer that arrived
@@ -92,6 +93,7 @@
 	} else {
 		x.progress.sends = request.ParseSends(x.r.Header)
 		origin = request.ParseOrigin(x.r.Header)
+		x.counter = request.ParseCounter(x.r.Header)
 		var err error
 		if _, remaining, err = request.ExtractHandover(x.r.Header); err != nil {
 			return err
--- a/request/handover.go
+++ b/request/handover.go
@@ -5,6 +5,7 @@
 package request
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -23,6 +24,8 @@
 	headerRevision  = handoverPrefix + "Revision"  // configuration revision that the sender admitted the request under
 	headerSends     = handoverPrefix + "Sends"     // number of sends to engines so far
 	headerOrigin    = handoverPrefix + "Origin"    // origin of the stream that the request continues
+	headerCounter   = handoverPrefix + "Counter"   // where further sends are to be counted; see SendCounter
+	headerCount     = handoverPrefix + "Count"     // on a request of its own: the counter's number and the sends
 )
 
 // HeaderSends is set on every answer to a request that was handed over. Its value is
@@ -79,6 +82,37 @@
 	if r.Origin != nil {
 		header.Set(headerOrigin, r.Origin.String())
 	}
+	if r.Counter.Address != "" {
+		header.Set(headerCounter, fmt.Sprint(r.Counter.Address, " ", r.Counter.Number))
+	}
+}
+
+// SendCounter is where the entry host that handed a request over counts its sends. The zero
+// value is that of a host which counts none there.
+type SendCounter struct {
+	Address string // of that host's listener for entry hosts
+	Number  uint64 // of the hand-over, unique for a life of that host
+}
+
+// ParseCounter returns the counter of a handed-over request. Call it before ExtractHandover,
+// which removes the header.
+func ParseCounter(header http.Header) (c SendCounter) {
+	if _, err := fmt.Sscan(header.Get(headerCounter), &c.Address, &c.Number); err != nil {
+		return SendCounter{}
+	}
+	return c
+}
+
+// CountHeader returns the header of a request that asks the counter's host to count so many
+// sends.
+func (c SendCounter) CountHeader(sends int) http.Header {
+	return http.Header{headerCount: {fmt.Sprint(c.Number, " ", sends)}}
+}
+
+// ParseCount returns the counter's number and the sends to count if the request asks for that.
+func ParseCount(header http.Header) (number uint64, sends int, ok bool) {
+	_, err := fmt.Sscan(header.Get(headerCount), &number, &sends)
+	return number, sends, err == nil
 }
 
 // ParseSends returns how many times a request was sent to engines before it was
--- a/request/request.go
+++ b/request/request.go
@@ -72,6 +72,7 @@
 	VisitedHosts   []string        // entry hosts visited so far, in order
 	Repeatable     bool            // the request may run more than once
 	PriorSends     int             // number of sends to engines before the request was handed over
+	Counter        SendCounter     // of the host that hands the request over
 	Origin         *streams.Origin // of the stream that the request continues; nil if it begins one
 	PrefixChain    []uint64        // hashes of the prompt's prefixes, each one block longer
 }
