ingress: hand-overs go to gateways by what they can bear

Cause: a hand-over picked any gateway of the other region, alike for a small and a large one.

Change: entryweight.Pick, by the weights that the directory uses; alike weights pick as before.

Figures: go test ./entryweight: picks follow 0.3, 1, 0.5 (busy) and 0 (can't serve) within 0.01 over 100,000. Conclusion: with control hosts all lost the last loads stay.

--- a/entryweight/entryweight.go
+++ b/entryweight/entryweight.go
@@ -75,6 +75,32 @@
 	return sample(inclusion(weights, named), random)
 }
 
+// Pick picks one of the gateways, each as often as it can bear. random is uniform over all
+// values.
+func Pick(gateways []Gateway, random uint64) int {
+	weights := Weights(gateways)
+	sum, alike := 0.0, true
+	for _, w := range weights {
+		sum += w
+		alike = alike && w == weights[0]
+	}
+	if alike {
+		return int(random % uint64(len(gateways)))
+	}
+	position := float64(random>>11) / (1 << 53) * sum
+	last := 0
+	for i, w := range weights {
+		if w == 0 {
+			continue
+		}
+		last = i
+		if position -= w; position < 0 {
+			break
+		}
+	}
+	return last
+}
+
 func all(n int) []int {
 	out := make([]int, n)
 	for i := range out {
--- a/entryweight/entryweight_test.go
+++ b/entryweight/entryweight_test.go
@@ -239,6 +239,23 @@
 	must.Positive(t, share(entryweight.Overloaded))
 }
 
+// TestPickFollowsWeights checks that single picks follow sizes and loads as answers do, and that
+// alike gateways are picked by the random number alone.
+func TestPickFollowsWeights(t *testing.T) {
+	const picks = 100_000
+	gateways := gatewaysOf(small, large, large, large)
+	gateways[2].Load, gateways[3].Load = entryweight.Busy, entryweight.CannotServe
+	counts := make([]float64, len(gateways))
+	random := rand.New(rand.NewPCG(5, 6))
+	for range picks {
+		counts[entryweight.Pick(gateways, random.Uint64())] += 1.0 / picks
+	}
+	for i, want := range []float64{0.3 / 1.8, 1 / 1.8, 0.5 / 1.8, 0} {
+		must.InDelta(t, want, counts[i], 0.01)
+	}
+	must.Eq(t, 1, entryweight.Pick(gatewaysOf(large, large, large), 4))
+}
+
 // TestLevelsChangeSeldom checks that a level rises at once, ends only when the cause has clearly
 // passed, and lasts as long as callers need to act upon it.
 func TestLevelsChangeSeldom(t *testing.T) {
--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"github.com/linenscale/linenscale/entryweight"
 	"github.com/linenscale/linenscale/relay"
 	"github.com/linenscale/linenscale/request"
 	"github.com/linenscale/linenscale/roster"
@@ -54,7 +55,7 @@
 	return err
 }
 
-// pickGateway picks a random gateway of a region.
+// pickGateway picks a gateway of a region, each as often as it can bear.
 func (s *Server) pickGateway(region string) (roster.Host, bool) {
 	var candidates []roster.Host
 	for _, h := range s.Gateways() {
@@ -65,7 +66,13 @@
 	if len(candidates) == 0 {
 		return roster.Host{}, false
 	}
-	return candidates[s.Random()%uint64(len(candidates))], true
+	// The list is of connected control hosts, which drop a gateway that is silent. Its Heard times
+	// are as of the last change, so they say nothing about the age of a load.
+	states := make([]entryweight.Gateway, len(candidates))
+	for i, h := range candidates {
+		states[i] = entryweight.Gateway{Size: h.Size, Load: h.Load}
+	}
+	return candidates[entryweight.Pick(states, s.Random())], true
 }
 
 // handOver sends the request to a gateway of another region and relays its answer.
--- a/ingress/handover_test.go
+++ b/ingress/handover_test.go
@@ -12,7 +12,10 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/linenscale/linenscale/entryweight"
 	"github.com/linenscale/linenscale/platform/platformtest"
 	"github.com/linenscale/linenscale/request"
 	"github.com/linenscale/linenscale/retry"
@@ -259,3 +262,20 @@
 	_, arrived := countRuns(engines, result.ID)
 	must.Eq(t, 2, arrived)
 }
+
+// TestHandOversFollowWhatGatewaysCanBear checks that a gateway of the other region that can't serve
+// gets no hand-overs while another can.
+func TestHandOversFollowWhatGatewaysCanBear(t *testing.T) {
+	lagos, kano, _ := twoRegions(t)
+	other := startProxy(t, hostPort(kano.handover), func(to io.Writer, from io.Reader) { _, _ = io.Copy(to, from) })
+	for load, want := range map[entryweight.Load]string{entryweight.CannotServe: "g2", entryweight.Normal: "g3"} { // the random number 1 picks the second of two alike
+		core, logs := observer.New(zap.InfoLevel)
+		lagos.server.Log = zap.New(core)
+		lagos.peers = []roster.Host{
+			{Name: "g2", Role: roster.RoleGateway, Region: "kano", Handover: hostPort(kano.handover)},
+			{Name: "g3", Role: roster.RoleGateway, Region: "kano", Handover: other, Load: load},
+		}
+		must.Eq(t, http.StatusOK, do(t, lagos, platformtest.Request{Path: "/safe/1"}).Status)
+		must.Eq(t, want, logs.FilterMessage("handing over request").All()[0].ContextMap()["gateway"].(string))
+	}
+}
