ingress: a test waits for no idle connections

Cause: the test of hand-overs ended only when an idle connection through its proxy had timed out, after 90 s. Change: a second gateway instead of the proxy. Conclusion: the same check.

--- a/ingress/handover_test.go
+++ b/ingress/handover_test.go
@@ -267,13 +267,15 @@
 // gets no hand-overs while another can.
 func TestHandOversFollowWhatGatewaysCanBear(t *testing.T) {
 	lagos, kano, _ := twoRegions(t)
-	other := startProxy(t, hostPort(kano.handover), func(to io.Writer, from io.Reader) { _, _ = io.Copy(to, from) })
+	other := newGateway(t, "g3", "kano")
+	other.declare()
+	other.start(t, "portal", "b")
 	for load, want := range map[entryweight.Load]string{entryweight.CannotServe: "g2", entryweight.Normal: "g3"} { // the random number 1 picks the second of two alike
 		core, logs := observer.New(zap.InfoLevel)
 		lagos.server.Log = zap.New(core)
 		lagos.peers = []roster.Host{
 			{Name: "g2", Role: roster.RoleGateway, Region: "kano", Handover: hostPort(kano.handover)},
-			{Name: "g3", Role: roster.RoleGateway, Region: "kano", Handover: other, Load: load},
+			{Name: "g3", Role: roster.RoleGateway, Region: "kano", Handover: hostPort(other.handover), Load: load},
 		}
 		must.Eq(t, http.StatusOK, do(t, lagos, platformtest.Request{Path: "/safe/1"}).Status)
 		must.Eq(t, want, logs.FilterMessage("handing over request").All()[0].ContextMap()["gateway"].(string))
