ingress: a hand-over that its caller left unread isn't held against the other gateway

Cause: an *relay.UnreadError fell to pathBroken, so a healthy gateway got no hand-overs for 1.5 s. Change: the path isn't broken then. TestUnreadAnswerIsNotTheOtherGatewaysFault failed before (503 for the next request), passes now (go test -run TestUnreadAnswer ./ingress). Conclusion: slow callers take no gateway from others.

--- a/ingress/buffers_test.go
+++ b/ingress/buffers_test.go
@@ -19,6 +19,7 @@
 	"github.com/linenscale/linenscale/ingress"
 	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/platform/platformtest"
+	"github.com/linenscale/linenscale/roster"
 )
 
 // TestSlowCallersHoldNoMoreThanTheirBuffers guards against callers that announce long bodies
@@ -166,6 +167,29 @@
 	}
 }
 
+// TestUnreadAnswerIsNotTheOtherGatewaysFault is TestUnreadAnswerIsNotTheEnginesFault for a
+// hand-over: the other gateway still gets hand-overs.
+func TestUnreadAnswerIsNotTheOtherGatewaysFault(t *testing.T) {
+	opts := platformtest.EngineOptions{Padding: 400_000, Unread: 3 * time.Second}
+	core, logs := observer.New(zap.InfoLevel)
+	inMemory(t, func(deps *ingress.Deps) { deps.Log = zap.New(core) }, opts, func(t *testing.T, g *memoryGateway) {
+		remote := testCatalog
+		remote.Routes = slices.Clone(remote.Routes)
+		for i := range remote.Routes { // a service without engines here
+			remote.Routes[i].Timeout, remote.Routes[i].Backends = time.Minute, []catalog.Backend{{Service: "model2", Weight: 1}}
+		}
+		g.server.ApplyState(ledger.State{Index: 2, Catalog: remote})
+		// An engine plays the gateway: it cuts unread answers off in the same way.
+		g.peers = []roster.Host{{Name: "g2", Role: roster.RoleGateway, Region: "kano", Handover: "engine1:80"}}
+		conn := g.startRequest(t, http.MethodGet, "/safe/x", "slow", "Content-Length: 0")
+		time.Sleep(6 * time.Second)
+		_, _ = io.Copy(io.Discard, conn)
+		must.SliceLen(t, 1, logs.FilterMessage("hand-over failed").All())
+		must.Eq(t, http.StatusOK, g.do(t, platformtest.Request{Path: "/safe/x"}).Status)
+		must.SliceLen(t, 2, logs.FilterMessage("handing over request").All())
+	})
+}
+
 func TestBufferBytesFollowTheMemory(t *testing.T) {
 	must.Eq(t, 46<<20, ingress.BufferBytesFor(184<<20))
 	must.Eq(t, ingress.DefaultBufferBytes, ingress.BufferBytesFor(0))
--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -119,7 +119,7 @@
 
 // classifyHandOverError turns the error of a hand-over into the one for the caller. The
 // path is not broken if the other gateway itself rejected the request, or if the caller has
-// disconnected. sendsBefore is how often the request had been sent to engines before the
+// disconnected or left the answer unread. sendsBefore is how often the request had been sent to engines before the
 // hand-over.
 func (x *exchange) classifyHandOverError(err error, sendsBefore int) (pathBroken bool, final error) {
 	var rejection request.Refusal
@@ -137,7 +137,8 @@
 	if x.progress.sends == sendsBefore {
 		x.progress.sends++ // the other gateway announced no send, but may have made one
 	}
-	return x.r.Context().Err() == nil, &request.OutcomeUnknown{Message: err.Error()}
+	var unread *relay.UnreadError
+	return x.r.Context().Err() == nil && !errors.As(err, &unread), &request.OutcomeUnknown{Message: err.Error()}
 }
 
 // checkRemoteAnswer turns a rejection or failure that another gateway reports into an error
