entryweight: gateways that can bear most are in every answer

Cause: as soon as one of several alike gateways was busy, or sizes differed, healthy gateways dropped out of some answers, and callers no longer used their connections to those. Change: all of the largest weight are named, the lighter ones drawn so that callers' new connections stay in proportion to the weights. The sampling of before is kept where one gateway alone has the largest weight. Conclusion: a busy or small gateway moves no connections to others.

--- a/entryweight/entryweight.go
+++ b/entryweight/entryweight.go
@@ -4,10 +4,10 @@
 // and link, and any may be slow for a while. Callers open each new connection to an address
 // that they pick by chance from their last answer, and keep an answer for up to three
 // times its time to live. So the only way to lead them is how often a gateway is named.
-// Draw names as many gateways in each answer as the smallest can be left out of, each with
-// a probability in proportion to what it can bear: as all answers have the same length,
-// the callers' new connections have the same proportion. Where all gateways are alike, all
-// are named.
+// Draw names all that can bear most in each answer, because callers no longer use their
+// connections to a gateway that a new answer lacks, and draws the others so that callers'
+// new connections are in proportion to what each gateway can bear. Where all gateways are
+// alike, all are named.
 //
 // The package is pure: the state of the gateways and the random number are passed in.
 package entryweight
@@ -58,23 +58,63 @@
 	for _, w := range weights {
 		largest, sum = max(largest, w), sum+w
 	}
-	serving := 0
-	alike := true
+	serving, heavy := 0, 0
 	for _, w := range weights {
 		if w > 0 {
 			serving++
 		}
-		alike = alike && w == largest
+		if w == largest {
+			heavy++
+		}
 	}
-	if alike {
+	if heavy == len(weights) {
 		return all(len(gateways))
 	}
+	if named := heavy + int(math.Ceil(sum/largest-float64(heavy)-roundingError)); heavy >= minNamed && named <= limit {
+		return drawLighter(weights, largest, random)
+	}
 	// With more than this, a list would have to name the largest gateway more than once.
 	named := int(sum/largest + roundingError)
 	named = min(max(named, minNamed), limit, serving)
 	return sample(inclusion(weights, named), random)
 }
 
+// drawLighter names all gateways of the largest weight, and draws the others so that a caller
+// who picks one of an answer gets each as often as its weight says. Answers have one of two
+// lengths. A gateway in the longer one is picked less often, so that one is drawn more often
+// than a mean length of the sum of the weights would ask for.
+func drawLighter(weights []float64, largest, random float64) []int {
+	lighter := slices.Clone(weights)
+	heavy, sum := 0.0, 0.0
+	for i, w := range weights {
+		if w == largest {
+			lighter[i] = 0
+			heavy++
+		} else {
+			sum += w / largest
+		}
+	}
+	fewer := math.Floor(sum + roundingError)
+	fraction := max(0, sum-fewer)
+	longer := fraction * (heavy + fewer + 1)
+	longer /= longer + (1-fraction)*(heavy+fewer)
+	drawn := int(fewer)
+	if random < longer {
+		drawn++
+		random /= longer
+	} else {
+		random = (random - longer) / (1 - longer)
+	}
+	chosen := sample(inclusion(lighter, drawn), random)
+	for i, w := range weights {
+		if w == largest {
+			chosen = append(chosen, i)
+		}
+	}
+	slices.Sort(chosen)
+	return chosen
+}
+
 // Pick picks one of the gateways, each as often as it can bear. random is uniform over all
 // values.
 func Pick(gateways []Gateway, random uint64) int {
