ingress: a stopping gateway counts sends while its callers' requests run

Cause: both servers shut down 2.5 s after SIGTERM, so the call that counts a send was refused, and a handed-over stream that lost its engine broke off while its caller was still connected. Change: the callers' server shuts down first, the one for other gateways after it. New hand-overs are refused meanwhile as not run with the reason stopping, for which the other gateway tries another one of the region, as for a refused connection. TestStoppingGatewayStillCountsSends (virtual time) and TestHandOverRefusedByStoppingGatewayRunsAtAnother failed before. Conclusion: a stop of the first gateway breaks no handed-over stream within its stop time.

--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -118,10 +118,14 @@
 }
 
 // classifyHandOverError turns the error of a hand-over into the one for the caller. The
-// path is not broken if the other gateway itself rejected the request, or if the caller has
+// path is not broken if the other gateway itself rejected the request, unless it is stopping, or if the caller has
 // disconnected or left the answer unread. sendsBefore is how often the request had been sent to engines before the
 // hand-over.
 func (x *exchange) classifyHandOverError(err error, sendsBefore int) (pathBroken bool, final error) {
+	var notRun *request.NotRun
+	if errors.As(err, &notRun) && notRun.Reason == request.ReasonStopping {
+		return true, &request.NotRun{Reason: request.ReasonNoEngine, Message: notRun.Message, RetryAfter: notRun.RetryAfter}
+	}
 	var rejection request.Refusal
 	if errors.As(err, &rejection) {
 		return false, rejection
@@ -170,12 +174,15 @@
 
 // remoteReason maps the reason of another gateway's rejection to one for this gateway. Most
 // reasons apply to that region only, so another region may be tried. A request that
-// crashes engines would crash those of the other regions as well.
+// crashes engines would crash those of the other regions as well, and one that a stopping
+// gateway refuses may run at another one of its region.
 func remoteReason(header http.Header) request.Reason {
-	if reason := request.Reason(header.Get(request.HeaderReason)); reason == request.ReasonQuarantined {
+	switch reason := request.Reason(header.Get(request.HeaderReason)); reason {
+	case request.ReasonQuarantined, request.ReasonStopping:
 		return reason
+	default:
+		return request.ReasonNoEngine
 	}
-	return request.ReasonNoEngine
 }
 
 // mergeSends adopts the number of sends that another gateway reports in header, if it is
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -75,9 +75,10 @@
 	catalog  atomic.Pointer[catalogSnapshot]
 	buffers  bufferBudget
 
-	sendCounters sendCounters
-	inFlight     atomic.Int64
-	stopping     atomic.Bool
+	sendCounters     sendCounters
+	inFlight         atomic.Int64
+	stopping         atomic.Bool
+	refusesHandovers atomic.Bool // only sends are still counted
 
 	remotePaths pathTable
 }
@@ -143,7 +144,7 @@
 	}
 	group.Go(func() error {
 		<-ctx.Done()
-		s.stop(servers)
+		s.stop(servers[0], servers[1])
 		return nil
 	})
 	return group.Wait()
@@ -171,8 +172,9 @@
 }
 
 // stop shuts the servers down. It first keeps serving for callers that haven't learned of
-// the stop yet, then finishes the requests in flight.
-func (s *Server) stop(servers []*http.Server) {
+// the stop yet, then finishes the requests in flight. While callers' requests run, gateways that
+// they were handed over to must be able to have sends counted, or they break streams off.
+func (s *Server) stop(callers, handover *http.Server) {
 	s.stopping.Store(true)
 	s.Log.Info("stopping", zap.Int64("in_flight", s.inFlight.Load()), zap.Duration("at_most", s.StopTimeout))
 	s.Streams.HandOff()
@@ -181,16 +183,13 @@
 	// Until Shutdown, answers tell callers to close their connections. The server must not close
 	// idle ones by itself: a request that arrives at that moment would be lost.
 	time.Sleep(min(drainDelay, s.StopTimeout/2))
-	group := pool.New()
-	for _, server := range servers {
-		group.Go(func() {
-			if err := server.Shutdown(stopCtx); err != nil {
-				s.Log.Warn("stop timeout reached, closing connections with requests in flight", zap.Int64("in_flight", s.inFlight.Load()), telemetry.ErrorField(err))
-				server.Close()
-			}
-		})
+	s.refusesHandovers.Store(true)
+	for _, server := range []*http.Server{callers, handover} {
+		if err := server.Shutdown(stopCtx); err != nil {
+			s.Log.Warn("stop timeout reached, closing connections with requests in flight", zap.Int64("in_flight", s.inFlight.Load()), telemetry.ErrorField(err))
+			server.Close()
+		}
 	}
-	group.Wait()
 }
 
 // announceClose makes an answer tell the caller to close its connection if the gateway is stopping.
--- a/ingress/receive.go
+++ b/ingress/receive.go
@@ -98,6 +98,9 @@
 		if _, remaining, err = request.ExtractHandover(x.r.Header); err != nil {
 			return err
 		}
+		if s.refusesHandovers.Load() {
+			return &request.NotRun{Reason: request.ReasonStopping, Message: "the gateway is stopping", RetryAfter: regionRetryAfter}
+		}
 	}
 	var err error
 	if x.meta, err = s.Dialect.DecodeRequest(x.r.Header); err != nil {
--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -7,13 +7,20 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/linenscale/linenscale/ingress"
+	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/platform/platformtest"
+	"github.com/linenscale/linenscale/request"
+	"github.com/linenscale/linenscale/roster"
 )
 
 // keptConnection is a caller's connection that stays open between requests.
@@ -85,3 +92,83 @@
 		group.Wait()
 	}
 }
+
+// TestStoppingGatewayStillCountsSends guards against a stream that breaks off because its gateway,
+// which handed it over and is stopping, can't be asked to count one more send. The stopping
+// gateway refuses new hand-overs meanwhile.
+func TestStoppingGatewayStillCountsSends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newMemoryNetwork()
+		lagos, kano := newUnservedGateway(t, "g1", "lagos", time.Now, network), newUnservedGateway(t, "g2", "kano", time.Now, network)
+		lagos.peers = []roster.Host{{Name: "g2", Role: roster.RoleGateway, Region: "kano", Handover: "g2:81"}}
+		kano.peers = []roster.Host{{Name: "g1", Role: roster.RoleGateway, Region: "lagos", Handover: "g1:81"}}
+		group := pool.New()
+		stop := make(map[*gateway]context.CancelFunc)
+		for _, g := range []*gateway{lagos, kano} {
+			deps := g.server.Deps
+			deps.Self.Handover, deps.StopTimeout = deps.Self.Name+":81", 8*time.Second
+			g.server = ingress.New(deps)
+			patient := testCatalog
+			patient.Routes = slices.Clone(patient.Routes)
+			for i := range patient.Routes {
+				patient.Routes[i].Timeout = time.Minute
+			}
+			g.server.ApplyState(ledger.State{Index: 1, Catalog: patient})
+			var ctx context.Context
+			ctx, stop[g] = context.WithCancel(context.Background())
+			callers, handover := network.listen(deps.Self.Name+":80"), network.listen(deps.Self.Handover)
+			group.Go(func() { _ = g.server.Run(ctx, callers, handover) })
+		}
+		const events = 12
+		running, end := context.WithCancel(context.Background())
+		var engines []*platformtest.Engine
+		for _, address := range []string{"engine1:80", "engine2:80"} {
+			e := platformtest.ServeEngine(running, group, network.listen(address), platformtest.EngineOptions{Service: "model", DataCentre: "b", Events: events, Pause: 500 * time.Millisecond})
+			kano.register(e, "model", "b")
+			engines = append(engines, e)
+		}
+		injectFault(engines, platformtest.FaultTruncate, 1) // after three seconds
+		caller := platformtest.Caller{Client: http.Client{Transport: &http.Transport{DialContext: network.DialContext, DisableKeepAlives: true}}}
+		var result platformtest.Result
+		var err error
+		stream := pool.New()
+		stream.Go(func() {
+			result, err = caller.Do(context.Background(), "g1:80", platformtest.Request{Host: "h", Path: "/review/1", IsPrompt: true, Deadline: 20 * time.Second})
+		})
+		time.Sleep(100 * time.Millisecond)
+		stop[lagos]()
+		time.Sleep(2800 * time.Millisecond)
+		header := make(http.Header)
+		request.Request{ID: "r1", Deadline: time.Now().Add(5 * time.Second)}.WithVisitedHost("g3").SetHandoverHeaders(header, time.Now(), 1)
+		refused, refusedErr := caller.Do(context.Background(), "g1:81", platformtest.Request{Host: "h", Path: "/safe/1", Header: header})
+		stream.Wait()
+		stop[kano]()
+		end()
+		group.Wait()
+		for _, g := range []*gateway{lagos, kano} {
+			g.server.Engines.Close()
+			g.server.Peers.Close()
+		}
+		must.NoError(t, err)
+		must.True(t, result.Complete, must.Sprint(result.Body))
+		must.Eq(t, streamBody(events), result.Body)
+		_, arrived := countRuns(engines, result.ID)
+		must.Eq(t, 2, arrived)
+		must.NoError(t, refusedErr)
+		must.True(t, refused.GuaranteesNotRun(), must.Sprint(refused.Status))
+	})
+}
+
+// TestHandOverRefusedByStoppingGatewayRunsAtAnother guards against a request that is refused to its
+// caller because one gateway of the region is stopping.
+func TestHandOverRefusedByStoppingGatewayRunsAtAnother(t *testing.T) {
+	lagos, _, _ := twoRegions(t)
+	stopping := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(request.HeaderOutcome, request.OutcomeValueNotRun)
+		w.Header().Set(request.HeaderReason, string(request.ReasonStopping))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(stopping.Close)
+	lagos.peers = append(lagos.peers, roster.Host{Name: "g3", Role: roster.RoleGateway, Region: "kano", Handover: hostPort(stopping)}) // the random number 1 picks the second of two
+	must.Eq(t, http.StatusOK, do(t, lagos, platformtest.Request{Path: "/home/1"}).Status)
+}
