--- a/settings/member.go
+++ b/settings/member.go
@@ -237,8 +237,8 @@
 		path  string
 		value float64
 	}{{"$.cpu_share", m.CPUShare}, {"$.cores", m.Cores}, {"$.link_mbps", m.LinkMbps}} {
-		if !(f.value >= 0) { // nor NaN
-			c.addFault(f.path, "must be 0 for unknown, or more, is %v", f.value)
+		if !(f.value >= 0) || math.IsInf(f.value, 1) { // nor NaN
+			c.addFault(f.path, "must be 0 for unknown, or a positive number, is %v", f.value)
 		}
 	}
 	if m.Rollouts.Exposure < 0 || m.Rollouts.Exposure > 1 {
