--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -268,7 +268,7 @@
 		GatherTime: controller.DefaultGatherTime, DrainTimeout: controller.DefaultDrainTimeout, Seeds: func() []string { return seeds },
 		SyncCalls: wire.NewClient(dialer), Commands: wire.NewClient(dialer),
 		Send: func(e raft.Envelope) { sender.Enqueue(controller.PeerAddress(e.To), e) },
-		Log:  zap.NewNop(), Clock: time.Now, SteadyClock: f.steady, Seed: 1,
+		Log:  zap.NewNop(), Clock: time.Now, SteadyClock: f.steady, Seed: 1, Random: rand.Float64,
 	})
 	must.NoError(tb, err)
 	server := wire.NewServer()
--- a/controller/scale_test.go
+++ b/controller/scale_test.go
@@ -6,6 +6,7 @@
 	"encoding/gob"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -71,7 +72,7 @@
 	c, err := controller.New(controller.Deps{
 		Self: roster.Host{Name: "control", Role: roster.RoleControl, Region: "lagos", DataCentre: "a", Life: "life", Peer: "127.0.0.1:1"}, Replica: raft.ID("127.0.0.1:1#1"),
 		Folder: disk.NewMemory(), Voters: 3, Regions: regions, Heartbeat: time.Minute, DrainTimeout: time.Millisecond, Seeds: func() []string { return nil },
-		Send: func(raft.Envelope) {}, Log: zap.NewNop(), Clock: time.Now, SteadyClock: steady.Now, Seed: 1,
+		Send: func(raft.Envelope) {}, Log: zap.NewNop(), Clock: time.Now, SteadyClock: steady.Now, Seed: 1, Random: rand.Float64,
 	})
 	must.NoError(t, err)
 	service = controller.NewService(context.Background(), c)
