ingress: the count of sends survives a broken connection and a restart

Cause: a call on a pooled connection that had ended unnoticed broke the stream off; numbers began at one in each process, so a restarted gateway could count sends of hand-overs from before; an answer aborted by a panic left its hand-over in the list. Change: the call is repeated once on a connection of its own if it got no answer, within the same second; numbers begin at a random one; the entry is removed by defer. Conclusion: what isn't counted still isn't sent.

--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -85,7 +85,8 @@
 		header = s.Dialect.ResumeHeader(header, x.progress.lastEventID)
 	}
 	handover := request.Request{ID: x.meta.ID, Deadline: x.deadline, PriorSends: x.progress.sends, Origin: x.origin}.WithVisitedHost(s.Self.Name)
-	number := s.sendCounters.begin()
+	number := s.sendCounters.begin(s.Random)
+	defer s.sendCounters.end(number) // also if the answer is aborted by a panic
 	handover.Counter = request.SendCounter{Address: s.Self.Handover, Number: number}
 	handover.SetHandoverHeaders(header, s.Clock(), uint64(x.catalog.table.Version()))
 	sendsBefore := x.progress.sends
--- a/ingress/handover_test.go
+++ b/ingress/handover_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -263,6 +264,64 @@
 	must.Eq(t, 2, arrived)
 }
 
+// TestCountIsAskedForAgain guards against a stream that breaks off because one connection to the
+// gateway that counts its sends ends without an answer.
+func TestCountIsAskedForAgain(t *testing.T) {
+	lagos, _, engines := twoRegions(t)
+	lagos.server.Self.Handover = startProxy(t, hostPort(lagos.handover), func(io.Writer, io.Reader) {})
+	injectFault(engines, platformtest.FaultTruncate, 1)
+	result := do(t, lagos, platformtest.Request{Path: "/review/1", IsPrompt: true, Deadline: 5 * time.Second})
+	must.True(t, result.Complete)
+	_, arrived := countRuns(engines, result.ID)
+	must.Eq(t, 2, arrived)
+}
+
+// countStatus returns the status of a request to a gateway to count sends of a hand-over.
+func countStatus(t *testing.T, g *gateway, number uint64) int {
+	t.Helper()
+	r := httptest.NewRequest(http.MethodPost, "/", nil)
+	r.Header = request.SendCounter{Number: number}.CountHeader(2)
+	w := httptest.NewRecorder()
+	g.server.HandoverHandler().ServeHTTP(w, r)
+	return w.Code
+}
+
+// TestHandOversAreNumberedFromARandomNumber guards against a gateway that counts sends of
+// hand-overs of the process that had its address before.
+func TestHandOversAreNumberedFromARandomNumber(t *testing.T) {
+	lagos, _, _ := twoRegions(t)
+	const random = 1 << 40
+	lagos.server.Random = func() uint64 { return random }
+	lagos.server.Self.Handover = hostPort(lagos.handover)
+	var first, second int
+	lagos.peers[0].Handover = startProxy(t, lagos.peers[0].Handover, func(io.Writer, io.Reader) {
+		first, second = countStatus(t, lagos, 1), countStatus(t, lagos, random+1)
+	})
+	do(t, lagos, platformtest.Request{Path: "/safe/1"})
+	must.Eq(t, http.StatusGone, first)
+	must.Eq(t, http.StatusNoContent, second)
+}
+
+// panickingWriter is a ResponseWriter whose answer can't be written.
+type panickingWriter struct{ http.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (panickingWriter) WriteHeader(int) { panic(http.ErrAbortHandler) }
+
+// TestAbortedHandOverIsNoLongerCounted guards against hand-overs that are kept for good because
+// their answer was aborted.
+func TestAbortedHandOverIsNoLongerCounted(t *testing.T) {
+	lagos, _, _ := twoRegions(t)
+	r := httptest.NewRequest(http.MethodGet, "/safe/1", nil)
+	r.Host = "h"
+	r.Header.Set("X-Linenscale-Request-Id", "r1")
+	func() {
+		defer func() { must.Eq(t, any(http.ErrAbortHandler), recover()) }()
+		lagos.server.CallersHandler().ServeHTTP(panickingWriter{httptest.NewRecorder()}, r)
+	}()
+	must.Eq(t, http.StatusGone, countStatus(t, lagos, 2)) // the random number 1 comes before the first
+}
+
 // TestHandOversFollowWhatGatewaysCanBear checks that a gateway of the other region that can't serve
 // gets no hand-overs while another can.
 func TestHandOversFollowWhatGatewaysCanBear(t *testing.T) {
--- a/ingress/sendcount.go
+++ b/ingress/sendcount.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -14,9 +15,14 @@
 	"github.com/linenscale/linenscale/request"
 )
 
-// countTimeout bounds the wait until the gateway that handed a request over has counted a send.
-// It is a round trip between distant regions and some time for a busy gateway.
-const countTimeout = time.Second
+const (
+	// countTimeout bounds the wait until the gateway that handed a request over has counted a
+	// send. It is a round trip between distant regions and some time for a busy gateway.
+	countTimeout = time.Second
+	// countTries is how often the gateway is asked within that time if the connection fails. A
+	// pooled one may have ended unnoticed, which a new one has not.
+	countTries = 2
+)
 
 // sendCounters holds the counts of sends of the hand-overs that are running. The zero value
 // holds none. It is safe for concurrent use.
@@ -26,12 +32,14 @@
 	running map[uint64]int
 }
 
-// begin adds a hand-over and returns its number.
-func (c *sendCounters) begin() uint64 {
+// begin adds a hand-over and returns its number. Numbers start at a random one, so that a
+// gateway which was restarted at its address doesn't count sends of hand-overs from before.
+func (c *sendCounters) begin(random func() uint64) uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.running == nil {
 		c.running = make(map[uint64]int)
+		c.last = random()
 	}
 	c.last++
 	c.running[c.last] = 0
@@ -49,7 +57,7 @@
 	return ok
 }
 
-// end removes a hand-over and returns its count.
+// end removes a hand-over and returns its count. One that has ended counts none.
 func (c *sendCounters) end(number uint64) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -81,17 +89,38 @@
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), countTimeout)
 	defer cancel()
+	var err error
+	for try := range countTries {
+		err = s.requestCount(ctx, x, try > 0)
+		var answered *uncounted
+		if err == nil || errors.As(err, &answered) || ctx.Err() != nil {
+			break
+		}
+	}
+	return errors.Annotate(err, "count a send at the gateway that handed the request over")
+}
+
+// uncounted is the error of a count that the other gateway refused: it has given the hand-over
+// up.
+type uncounted struct{ status int }
+
+// Error implements error.
+func (u *uncounted) Error() string { return "status " + strconv.Itoa(u.status) }
+
+// requestCount asks once for one more send to be counted. Counting it twice changes nothing.
+func (s *Server) requestCount(ctx context.Context, x *exchange, ownConnection bool) error {
 	resp, err := s.Peers.Send(ctx, relay.Call{
 		Method: http.MethodPost, URL: "http://" + x.counter.Address + "/", Header: x.counter.CountHeader(x.progress.sends + 1), EchoesAttempt: true,
+		OwnConnection: ownConnection,
 		CheckAnswer: func(resp *http.Response) error {
 			if resp.StatusCode != http.StatusNoContent {
-				return errors.Errorf("status %d", resp.StatusCode)
+				return &uncounted{resp.StatusCode}
 			}
 			return nil
 		},
 	})
 	if err != nil {
-		return errors.Annotate(err, "count a send at the gateway that handed the request over")
+		return err
 	}
 	return errors.Trace(resp.Body.Close())
 }
