--- a/ingress/handover_test.go
+++ b/ingress/handover_test.go
@@ -293,13 +293,14 @@
 	const random = 1 << 40
 	lagos.server.Random = func() uint64 { return random }
 	lagos.server.Self.Handover = hostPort(lagos.handover)
-	var first, second int
+	statuses := make(chan int, 2)
 	lagos.peers[0].Handover = startProxy(t, lagos.peers[0].Handover, func(io.Writer, io.Reader) {
-		first, second = countStatus(t, lagos, 1), countStatus(t, lagos, random+1)
+		statuses <- countStatus(t, lagos, 1)
+		statuses <- countStatus(t, lagos, random+1)
 	})
 	do(t, lagos, platformtest.Request{Path: "/safe/1"})
-	must.Eq(t, http.StatusGone, first)
-	must.Eq(t, http.StatusNoContent, second)
+	must.Eq(t, http.StatusGone, <-statuses)
+	must.Eq(t, http.StatusNoContent, <-statuses)
 }
 
 // panickingWriter is a ResponseWriter whose answer can't be written.
