--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"github.com/linenscale/linenscale/entryweight"
 	"github.com/linenscale/linenscale/relay"
 	"github.com/linenscale/linenscale/request"
 	"github.com/linenscale/linenscale/roster"
@@ -54,7 +55,7 @@
 	return err
 }
 
-// pickGateway picks a random gateway of a region.
+// pickGateway picks a gateway of a region, each as often as it can bear.
 func (s *Server) pickGateway(region string) (roster.Host, bool) {
 	var candidates []roster.Host
 	for _, h := range s.Gateways() {
@@ -65,7 +66,13 @@
 	if len(candidates) == 0 {
 		return roster.Host{}, false
 	}
-	return candidates[s.Random()%uint64(len(candidates))], true
+	// The list is of connected control hosts, which drop a gateway that is silent. Its Heard times
+	// are as of the last change, so they say nothing about the age of a load.
+	states := make([]entryweight.Gateway, len(candidates))
+	for i, h := range candidates {
+		states[i] = entryweight.Gateway{Size: h.Size, Load: h.Load}
+	}
+	return candidates[entryweight.Pick(states, s.Random())], true
 }
 
 // handOver sends the request to a gateway of another region and relays its answer.
@@ -78,6 +85,9 @@
 		header = s.Dialect.ResumeHeader(header, x.progress.lastEventID)
 	}
 	handover := request.Request{ID: x.meta.ID, Deadline: x.deadline, PriorSends: x.progress.sends, Origin: x.origin}.WithVisitedHost(s.Self.Name)
+	number := s.sendCounters.begin(s.Random)
+	defer s.sendCounters.end(number) // also if the answer is aborted by a panic
+	handover.Counter = request.SendCounter{Address: s.Self.Handover, Number: number}
 	handover.SetHandoverHeaders(header, s.Clock(), uint64(x.catalog.table.Version()))
 	sendsBefore := x.progress.sends
 	remote := s.Dispatcher.BeginRemote(gateway.Region, x.dispatchRequest(nil))
@@ -96,6 +106,7 @@
 		defer resp.Body.Close()
 		err = s.relayAnswer(x, resp, answerSource{fromGateway: true, origin: remoteOrigin(resp)})
 	}
+	x.progress.sends = max(x.progress.sends, s.sendCounters.end(number))
 	if err == nil {
 		s.countOutcome(x, "answered_elsewhere")
 		return false, nil
@@ -108,10 +119,14 @@
 }
 
 // classifyHandOverError turns the error of a hand-over into the one for the caller. The
-// path is not broken if the other gateway itself rejected the request, or if the caller has
-// disconnected. sendsBefore is how often the request had been sent to engines before the
+// path is not broken if the other gateway itself rejected the request, unless it is stopping, or if the caller has
+// disconnected or left the answer unread. sendsBefore is how often the request had been sent to engines before the
 // hand-over.
 func (x *exchange) classifyHandOverError(err error, sendsBefore int) (pathBroken bool, final error) {
+	var notRun *request.NotRun
+	if errors.As(err, &notRun) && notRun.Reason == request.ReasonStopping {
+		return true, &request.NotRun{Reason: request.ReasonNoEngine, Message: notRun.Message, RetryAfter: notRun.RetryAfter}
+	}
 	var rejection request.Refusal
 	if errors.As(err, &rejection) {
 		return false, rejection
@@ -127,7 +142,8 @@
 	if x.progress.sends == sendsBefore {
 		x.progress.sends++ // the other gateway announced no send, but may have made one
 	}
-	return x.r.Context().Err() == nil, &request.OutcomeUnknown{Message: err.Error()}
+	var unread *relay.UnreadError
+	return x.r.Context().Err() == nil && !errors.As(err, &unread), &request.OutcomeUnknown{Message: err.Error()}
 }
 
 // checkRemoteAnswer turns a rejection or failure that another gateway reports into an error
@@ -159,12 +175,15 @@
 
 // remoteReason maps the reason of another gateway's rejection to one for this gateway. Most
 // reasons apply to that region only, so another region may be tried. A request that
-// crashes engines would crash those of the other regions as well.
+// crashes engines would crash those of the other regions as well, and one that a stopping
+// gateway refuses may run at another one of its region.
 func remoteReason(header http.Header) request.Reason {
-	if reason := request.Reason(header.Get(request.HeaderReason)); reason == request.ReasonQuarantined {
+	switch reason := request.Reason(header.Get(request.HeaderReason)); reason {
+	case request.ReasonQuarantined, request.ReasonStopping:
 		return reason
+	default:
+		return request.ReasonNoEngine
 	}
-	return request.ReasonNoEngine
 }
 
 // mergeSends adopts the number of sends that another gateway reports in header, if it is
@@ -183,16 +202,21 @@
 	return sends
 }
 
-// announceSend announces to the gateway that handed the request over, in an informational
-// response, that this gateway is about to send it to one more engine. If this gateway is
-// then lost, the other one has still counted the send. A first send needs no announcement:
-// the other gateway counts one if a hand-over that may have arrived fails without an answer.
-func (x *exchange) announceSend() {
-	if !x.handedOver || x.answerStarted || x.progress.sends == 0 {
-		return
+// announceSend tells the gateway that handed the request over that this gateway is about to send
+// it to one more engine: in an informational response, or by a call once its answer has
+// begun. If this gateway is then lost, the other one has still counted the send. A first
+// send needs no announcement: the other gateway counts one if a hand-over that may have
+// arrived fails without an answer. The error means that the request must not be sent.
+func (s *Server) announceSend(x *exchange) error {
+	if !x.handedOver || x.progress.sends == 0 {
+		return nil
+	}
+	if x.answerStarted {
+		return s.confirmSend(x)
 	}
 	x.w.Header().Set(request.HeaderSends, strconv.Itoa(x.progress.sends+1))
 	x.w.WriteHeader(http.StatusEarlyHints)
+	return nil
 }
 
 // checkTrailer returns the rejection that another gateway put into the trailer of a stream
--- a/ingress/handover_test.go
+++ b/ingress/handover_test.go
@@ -6,13 +6,17 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/linenscale/linenscale/entryweight"
 	"github.com/linenscale/linenscale/platform/platformtest"
 	"github.com/linenscale/linenscale/request"
 	"github.com/linenscale/linenscale/retry"
@@ -206,3 +210,134 @@
 	_, arrived := countRuns(engines, result.ID)
 	must.LessEq(t, 2, arrived, must.Sprint(result.Status, result.Body))
 }
+
+// TestSendsAfterALostHeadAreCounted guards against a resumable stream that reaches more engines
+// than its route allows: the gateway that it was handed over to sends it again after its answer
+// has begun, and is lost before the other gateway gets the answer's head.
+func TestSendsAfterALostHeadAreCounted(t *testing.T) {
+	lagos, kano, engines := twoRegions(t)
+	lagos.server.Self.Handover = hostPort(lagos.handover)
+	arrivals := func() (n int) {
+		for _, e := range engines {
+			n += len(e.Arrivals())
+		}
+		return n
+	}
+	lost := lagos.peers[0]
+	lost.Name, lost.Handover = "g3", startProxy(t, hostPort(kano.handover), func(io.Writer, io.Reader) {
+		for deadline := time.Now().Add(3 * time.Second); arrivals() < 2 && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	lagos.peers = append(lagos.peers, lost)
+	injectFault(engines, platformtest.FaultTruncate, 1)
+	result := do(t, lagos, platformtest.Request{Path: "/review/1", IsPrompt: true, Deadline: 5 * time.Second})
+	must.Eq(t, 2, arrivals(), must.Sprint(result.Status, result.Body))
+}
+
+// TestUncountedSendIsNotMade hands over a stream whose first engine breaks it off, from a gateway
+// that has given the hand-over up.
+func TestUncountedSendIsNotMade(t *testing.T) {
+	lagos, kano, engines := twoRegions(t)
+	injectFault(engines, platformtest.FaultTruncate, 1)
+	header := make(http.Header)
+	handover := request.Request{ID: "r1", Deadline: time.Now().Add(5 * time.Second), Counter: request.SendCounter{Address: hostPort(lagos.handover), Number: 7}}.WithVisitedHost("g1")
+	handover.SetHandoverHeaders(header, time.Now(), 1)
+	var caller platformtest.Caller
+	result, err := caller.Do(context.Background(), hostPort(kano.handover), platformtest.Request{Host: "h", Path: "/review/1", IsPrompt: true, Header: header})
+	must.NoError(t, err)
+	must.False(t, result.FramedAsComplete() && result.Body == streamBody(5))
+	_, arrived := countRuns(engines, result.ID)
+	must.Eq(t, 1, arrived)
+}
+
+// TestHandedOverStreamGoesOnOnceCounted guards against streams that break off although the gateway
+// that handed them over is there to count.
+func TestHandedOverStreamGoesOnOnceCounted(t *testing.T) {
+	lagos, _, engines := twoRegions(t)
+	lagos.server.Self.Handover = hostPort(lagos.handover)
+	injectFault(engines, platformtest.FaultTruncate, 1)
+	result := do(t, lagos, platformtest.Request{Path: "/review/1", IsPrompt: true, Deadline: 5 * time.Second})
+	must.True(t, result.Complete)
+	must.Eq(t, streamBody(5), result.Body)
+	_, arrived := countRuns(engines, result.ID)
+	must.Eq(t, 2, arrived)
+}
+
+// TestCountIsAskedForAgain guards against a stream that breaks off because one connection to the
+// gateway that counts its sends ends without an answer.
+func TestCountIsAskedForAgain(t *testing.T) {
+	lagos, _, engines := twoRegions(t)
+	lagos.server.Self.Handover = startProxy(t, hostPort(lagos.handover), func(io.Writer, io.Reader) {})
+	injectFault(engines, platformtest.FaultTruncate, 1)
+	result := do(t, lagos, platformtest.Request{Path: "/review/1", IsPrompt: true, Deadline: 5 * time.Second})
+	must.True(t, result.Complete)
+	_, arrived := countRuns(engines, result.ID)
+	must.Eq(t, 2, arrived)
+}
+
+// countStatus returns the status of a request to a gateway to count sends of a hand-over.
+func countStatus(t *testing.T, g *gateway, number uint64) int {
+	t.Helper()
+	r := httptest.NewRequest(http.MethodPost, "/", nil)
+	r.Header = request.SendCounter{Number: number}.CountHeader(2)
+	w := httptest.NewRecorder()
+	g.server.HandoverHandler().ServeHTTP(w, r)
+	return w.Code
+}
+
+// TestHandOversAreNumberedFromARandomNumber guards against a gateway that counts sends of
+// hand-overs of the process that had its address before.
+func TestHandOversAreNumberedFromARandomNumber(t *testing.T) {
+	lagos, _, _ := twoRegions(t)
+	const random = 1 << 40
+	lagos.server.Random = func() uint64 { return random }
+	lagos.server.Self.Handover = hostPort(lagos.handover)
+	statuses := make(chan int, 2)
+	lagos.peers[0].Handover = startProxy(t, lagos.peers[0].Handover, func(io.Writer, io.Reader) {
+		statuses <- countStatus(t, lagos, 1)
+		statuses <- countStatus(t, lagos, random+1)
+	})
+	do(t, lagos, platformtest.Request{Path: "/safe/1"})
+	must.Eq(t, http.StatusGone, <-statuses)
+	must.Eq(t, http.StatusNoContent, <-statuses)
+}
+
+// panickingWriter is a ResponseWriter whose answer can't be written.
+type panickingWriter struct{ http.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (panickingWriter) WriteHeader(int) { panic(http.ErrAbortHandler) }
+
+// TestAbortedHandOverIsNoLongerCounted guards against hand-overs that are kept for good because
+// their answer was aborted.
+func TestAbortedHandOverIsNoLongerCounted(t *testing.T) {
+	lagos, _, _ := twoRegions(t)
+	r := httptest.NewRequest(http.MethodGet, "/safe/1", nil)
+	r.Host = "h"
+	r.Header.Set("X-Linenscale-Request-Id", "r1")
+	func() {
+		defer func() { must.Eq(t, any(http.ErrAbortHandler), recover()) }()
+		lagos.server.CallersHandler().ServeHTTP(panickingWriter{httptest.NewRecorder()}, r)
+	}()
+	must.Eq(t, http.StatusGone, countStatus(t, lagos, 2)) // the random number 1 comes before the first
+}
+
+// TestHandOversFollowWhatGatewaysCanBear checks that a gateway of the other region that can't serve
+// gets no hand-overs while another can.
+func TestHandOversFollowWhatGatewaysCanBear(t *testing.T) {
+	lagos, kano, _ := twoRegions(t)
+	other := newGateway(t, "g3", "kano")
+	other.declare()
+	other.start(t, "portal", "b")
+	for load, want := range map[entryweight.Load]string{entryweight.CannotServe: "g2", entryweight.Normal: "g3"} { // the random number 1 picks the second of two alike
+		core, logs := observer.New(zap.InfoLevel)
+		lagos.server.Log = zap.New(core)
+		lagos.peers = []roster.Host{
+			{Name: "g2", Role: roster.RoleGateway, Region: "kano", Handover: hostPort(kano.handover)},
+			{Name: "g3", Role: roster.RoleGateway, Region: "kano", Handover: hostPort(other.handover), Load: load},
+		}
+		must.Eq(t, http.StatusOK, do(t, lagos, platformtest.Request{Path: "/safe/1"}).Status)
+		must.Eq(t, want, logs.FilterMessage("handing over request").All()[0].ContextMap()["gateway"].(string))
+	}
+}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -74,8 +74,11 @@
 	applying sync.Mutex // held while a state is applied
 	catalog  atomic.Pointer[catalogSnapshot]
 	buffers  bufferBudget
-	inFlight atomic.Int64
-	stopping atomic.Bool
+
+	sendCounters     sendCounters
+	inFlight         atomic.Int64
+	stopping         atomic.Bool
+	refusesHandovers atomic.Bool // only sends are still counted
 
 	remotePaths pathTable
 }
@@ -121,6 +124,9 @@
 // Stopping reports whether the gateway is shutting down.
 func (s *Server) Stopping() bool { return s.stopping.Load() }
 
+// BufferShare returns the fraction of the memory for bodies and answers that is in use.
+func (s *Server) BufferShare() float64 { return s.buffers.share() }
+
 // Run serves both listeners until ctx ends, then finishes the requests in flight within
 // StopTimeout. Connections wait in the listeners until the first catalog arrives, or
 // firstCatalogTimeout has passed.
@@ -138,7 +144,7 @@
 	}
 	group.Go(func() error {
 		<-ctx.Done()
-		s.stop(servers)
+		s.stop(servers[0], servers[1])
 		return nil
 	})
 	return group.Wait()
@@ -166,8 +172,9 @@
 }
 
 // stop shuts the servers down. It first keeps serving for callers that haven't learned of
-// the stop yet, then finishes the requests in flight.
-func (s *Server) stop(servers []*http.Server) {
+// the stop yet, then finishes the requests in flight. While callers' requests run, gateways that
+// they were handed over to must be able to have sends counted, or they break streams off.
+func (s *Server) stop(callers, handover *http.Server) {
 	s.stopping.Store(true)
 	s.Log.Info("stopping", zap.Int64("in_flight", s.inFlight.Load()), zap.Duration("at_most", s.StopTimeout))
 	s.Streams.HandOff()
@@ -176,16 +183,13 @@
 	// Until Shutdown, answers tell callers to close their connections. The server must not close
 	// idle ones by itself: a request that arrives at that moment would be lost.
 	time.Sleep(min(drainDelay, s.StopTimeout/2))
-	group := pool.New()
-	for _, server := range servers {
-		group.Go(func() {
-			if err := server.Shutdown(stopCtx); err != nil {
-				s.Log.Warn("stop timeout reached, closing connections with requests in flight", zap.Int64("in_flight", s.inFlight.Load()), telemetry.ErrorField(err))
-				server.Close()
-			}
-		})
+	s.refusesHandovers.Store(true)
+	for _, server := range []*http.Server{callers, handover} {
+		if err := server.Shutdown(stopCtx); err != nil {
+			s.Log.Warn("stop timeout reached, closing connections with requests in flight", zap.Int64("in_flight", s.inFlight.Load()), telemetry.ErrorField(err))
+			server.Close()
+		}
 	}
-	group.Wait()
 }
 
 // announceClose makes an answer tell the caller to close its connection if the gateway is stopping.
@@ -214,5 +218,9 @@
 // HandoverHandler returns the handler for requests that other gateways hand over. Those
 // are not handed over again.
 func (s *Server) HandoverHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, true) })
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.serveCount(w, r) {
+			s.serve(w, r, true)
+		}
+	})
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -40,6 +40,7 @@
 	unusualEngines  metric.Int64Gauge
 	putAfter        metric.Int64Counter
 	promises        metric.Int64Counter
+	ownLoad         metric.Int64Gauge
 	accountLabels   labelSet // the accounts that have counters of their own
 	engineLabels    labelSet // the engines that have counters of their own
 }
@@ -54,7 +55,7 @@
 	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
 	meter := provider.Meter("linenscale")
 	m := &Metrics{provider: provider, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
-	var errs [20]error
+	var errs [21]error
 	m.requests, errs[0] = meter.Int64Counter("linenscale_requests", metric.WithDescription("requests that have ended, by service and outcome"))
 	m.attempts, errs[1] = meter.Int64Counter("linenscale_attempts", metric.WithDescription("attempts sent to engines and entry hosts, by service and outcome"))
 	m.firstByte, errs[2] = meter.Float64Histogram("linenscale_first_byte_seconds", metric.WithDescription("time to the first byte of an answer"), metric.WithUnit("s"))
@@ -75,6 +76,7 @@
 	m.unusualEngines, errs[17] = meter.Int64Gauge("linenscale_unusual_engines", metric.WithDescription("engines a quarter slower or faster than their service's mean, by service and kind"))
 	m.putAfter, errs[18] = meter.Int64Counter("linenscale_put_after", metric.WithDescription("requests not admitted because others go first, by service and by who does: priority or account"))
 	m.promises, errs[19] = meter.Int64Counter("linenscale_promised_returns", metric.WithDescription("promises to rejected requests that they go before newcomers, by outcome: made, kept or lapsed"))
+	m.ownLoad, errs[20] = meter.Int64Gauge("linenscale_own_load", metric.WithDescription("load that this gateway announces: 0 normal, 1 busy, 2 overloaded, 3 can't serve"))
 	for _, err := range errs {
 		if err != nil {
 			return nil, errors.Annotate(err, "metrics")
@@ -189,6 +191,11 @@
 	m.revision.Record(context.Background(), revision)
 }
 
+// RecordOwnLoad records the level of load that this gateway announces.
+func (m *Metrics) RecordOwnLoad(level int64) {
+	m.ownLoad.Record(context.Background(), level)
+}
+
 // Traffic counts the bytes of one kind that are exchanged with hosts at one distance.
 type Traffic struct {
 	counter metric.Int64Counter
