rollup: leaders' links aren't filled by what they pass on

Cause: on the second deployment a gateway has 10 Mbit/s. Change: groups of about the square root of the region's gateways; at most 32 promises in a report.

--- a/dispatch/returns.go
+++ b/dispatch/returns.go
@@ -64,7 +64,7 @@
 	for _, p := range d.returns.Outgoing(now) {
 		out = append(out, rollup.ReturnPromise{Request: p.Request, Kind: p.Kind, DueMillis: int(p.Due.Sub(now).Milliseconds())})
 	}
-	return out
+	return rollup.LimitReturns(out)
 }
 
 // mergeReturns adds the promises that other gateways report. The lock is held.
--- a/rollup/group.go
+++ b/rollup/group.go
@@ -17,9 +17,11 @@
 	// maxFullMeshPeers is the number of peer gateways up to which each gateway sends its
 	// reports to all of them directly. With more, leaders cost less.
 	maxFullMeshPeers = 8
-	// maxGroupSize bounds the mean size of a data centre's groups; as hashes are uneven,
-	// a group may be larger. 100 gateways in two data centres form eight groups of about
-	// twelve, near the square root of 100, where a leader sends the fewest messages.
+	// minGroupSize and maxGroupSize bound the mean size of a data centre's groups; as hashes
+	// are uneven, a group may be larger. A leader sends the fewest messages where the size is
+	// near the square root of the region's gateways. With larger groups the link of a leader is
+	// full while those of the other gateways aren't, and what it should pass on is lost.
+	minGroupSize = 4
 	maxGroupSize = 16
 	// leaderCandidates is how many gateways of a group may lead it, in order of rank.
 	leaderCandidates = 3
@@ -56,10 +58,21 @@
 	return Group{DataCentre: h.DataCentre, Low: hash, High: hash}
 }
 
-// groupOf returns a gateway's group in a data centre with that number of gateways. The
-// number of groups is a power of two, so that the ranges nest when it changes.
-func groupOf(h roster.Host, gateways int) Group {
-	halvings := bits.Len(uint(max(0, gateways-1) / maxGroupSize))
+// groupSize returns the mean size of groups in a region with that number of gateways: the
+// smallest power of two from its square root on, within the bounds.
+func groupSize(gateways int) int {
+	size := minGroupSize
+	for size < maxGroupSize && size*size < gateways {
+		size *= 2
+	}
+	return size
+}
+
+// groupOf returns a gateway's group in a data centre with that number of gateways, for groups
+// of a mean size. The number of groups is a power of two, so that the ranges nest when it
+// changes.
+func groupOf(h roster.Host, gateways, size int) Group {
+	halvings := bits.Len(uint(max(0, gateways-1) / size))
 	width := 32 - halvings
 	low := uint32(uint64(hashOf(h.Name)) >> width << width)
 	return Group{DataCentre: h.DataCentre, Low: low, High: low + uint32(1<<width-1)}
@@ -118,7 +131,7 @@
 		if t.fullMesh {
 			return singletonGroup(h)
 		}
-		return groupOf(h, perDataCentre[h.DataCentre])
+		return groupOf(h, perDataCentre[h.DataCentre], groupSize(len(local)))
 	}
 	t.ownGroup = groupFor(self)
 	byGroup := make(map[Group][]roster.Host)
--- a/rollup/returns.go
+++ b/rollup/returns.go
@@ -2,7 +2,11 @@
 
 package rollup
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // ReturnPromise states when a rejected request goes before newcomers of its kind.
 type ReturnPromise struct {
@@ -12,9 +16,21 @@
 	DueMillis int      // time left until then
 }
 
-// maxReturns bounds the promises in one sum to about 4 KB. A promise that is left out counts
-// only at the gateways of the same group.
-const maxReturns = 256
+// maxReturns bounds the promises in one report to about 0.5 KB: in an overload there are
+// hundreds a second, just when the links of leaders are needed for loads and usage. A promise
+// that is left out counts only at the gateways of the same group, or at the one that made it.
+const maxReturns = 32
+
+// LimitReturns returns the promises that are due first, at most as many as a report holds.
+func LimitReturns(promises []ReturnPromise) []ReturnPromise {
+	if len(promises) <= maxReturns {
+		return promises
+	}
+	slices.SortFunc(promises, func(a, b ReturnPromise) int {
+		return cmp.Or(cmp.Compare(a.DueMillis, b.DueMillis), cmp.Compare(a.Request, b.Request))
+	})
+	return promises[:maxReturns]
+}
 
 // agedReturns returns promises that were received that long ago, ready to be forwarded.
 func agedReturns(promises []ReturnPromise, by time.Duration) []ReturnPromise {
@@ -36,8 +52,7 @@
 
 func (s *sum) putReturns(r *Report) {
 	for _, p := range s.returns {
-		if len(r.Returns) < maxReturns {
-			r.Returns = append(r.Returns, p)
-		}
+		r.Returns = append(r.Returns, p)
 	}
+	r.Returns = LimitReturns(r.Returns)
 }
