--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -160,7 +160,9 @@
 	s.accepted = req.maxQueueTime(s.wait-s.queue, in.usualError)
 	s.maxQueue, s.after = in.limit.For(s.accepted, req.yields()), in.limit.After
 	if in.promised {
-		s.accepted, s.maxQueue = returns.Queue(s.accepted), returns.Queue(s.maxQueue)
+		// An answer that is expected to begin too late is no kept promise.
+		inTime := max(s.accepted, req.Target-(s.wait-s.queue))
+		s.accepted, s.maxQueue = min(returns.Queue(s.accepted), inTime), min(returns.Queue(s.maxQueue), inTime)
 	}
 	if in.cacheTokens > 0 {
 		s.risks = in.streamRisks(p, s.wait, max(0, p.InputTokens-s.cached))
--- a/dispatch/engine_speed.go
+++ b/dispatch/engine_speed.go
@@ -73,12 +73,18 @@
 	return true
 }
 
+// maxReportedLog bounds the mean logarithm of speeds that is taken from reports, in hundredths:
+// a factor of eight in both directions, as for single observations. A gateway that reports more
+// is wrong.
+const maxReportedLog = 208
+
 // reportedSpeed returns the evidence in a sum of reports. What subtracting this gateway's own
 // report leaves may be slightly negative.
 func reportedSpeed(r rollup.EngineSpeed) enginespeed.Sum {
 	if r.Weight <= 0 {
 		r.LogSum, r.Weight = 0, 0
 	}
+	r.LogSum = max(-maxReportedLog*r.Weight/100, min(maxReportedLog*r.Weight/100, r.LogSum))
 	if r.TokenMicros <= 0 || r.Tokens <= 0 {
 		r.TokenMicros, r.Tokens = 0, 0
 	}
--- a/rollup/rollup_test.go
+++ b/rollup/rollup_test.go
@@ -430,3 +430,17 @@
 		})
 	}
 }
+
+// TestLeadersLeaveTheirLinksToCallers guards against leaders whose links are full of reports
+// when callers need them: with 30 gateways of 10 Mbit/s, reports take a sixth of a link at most.
+func TestLeadersLeaveTheirLinksToCallers(t *testing.T) {
+	const linkBytesPerSecond = 10e6 / 8
+	r := newTestRegion(30)
+	r.extraEngines = 8
+	r.advance(time.Second)
+	clear(r.bytes)
+	r.advance(time.Second)
+	for gateway, bytes := range r.bytes {
+		must.LessEq(t, linkBytesPerSecond/6, float64(bytes), must.Sprint(gateway))
+	}
+}
