--- a/controller/entries.go
+++ b/controller/entries.go
@@ -37,7 +37,7 @@
 const MaxEntries = 64
 
 // drawEntries draws the gateways of one answer, so that over many answers callers follow
-// what each can bear, and returns their addresses.
+// the capacity of each, and returns their addresses.
 func (c *Controller) drawEntries(candidates []roster.Host) []string {
 	now := c.Clock()
 	states := make([]entryweight.Gateway, len(candidates))
--- a/daemon/ownload.go
+++ b/daemon/ownload.go
@@ -1,4 +1,4 @@
-// This file announces how much of what it can bear this gateway bears.
+// This file announces the load of this gateway relative to its capacity.
 
 package daemon
 
--- a/entryweight/entryweight.go
+++ b/entryweight/entryweight.go
@@ -4,9 +4,9 @@
 // and link, and any may be slow for a while. Callers open each new connection to an address
 // that they pick by chance from their last answer, and keep an answer for up to three
 // times its time to live. So the only way to lead them is how often a gateway is named.
-// Draw names all that can bear most in each answer, because callers no longer use their
+// Draw names all of the largest capacity in each answer, because callers no longer use their
 // connections to a gateway that a new answer lacks, and draws the others so that callers'
-// new connections are in proportion to what each gateway can bear. Where all gateways are
+// new connections are in proportion to the capacity of each gateway. Where all gateways are
 // alike, all are named.
 //
 // The package is pure: the state of the gateways and the random number are passed in.
@@ -37,7 +37,7 @@
 
 // Size is what a host has of the resources that are used up by each request. What is used
 // for as long as a request lasts, memory, shows in the Load: where it is plenty, it says nothing
-// about how much a host can bear. A field that isn't positive is unknown.
+// about a host's capacity. A field that isn't positive is unknown.
 type Size struct {
 	Millicores int32 // of a core of the usual speed
 	LinkKbps   int32
@@ -51,7 +51,7 @@
 }
 
 // Draw draws the gateways to name in one answer and returns their indices in ascending
-// order: up to limit, or all of them if they can bear the same. random is uniform over [0, 1).
+// order: up to limit, or all of them if their capacities are equal. random is uniform over [0, 1).
 func Draw(gateways []Gateway, limit int, random float64) []int {
 	weights := Weights(gateways)
 	largest, sum := 0.0, 0.0
@@ -115,7 +115,7 @@
 	return chosen
 }
 
-// Pick picks one of the gateways, each as often as it can bear. random is uniform over all
+// Pick picks one of the gateways, in proportion to its capacity. random is uniform over all
 // values.
 func Pick(gateways []Gateway, random uint64) int {
 	weights := Weights(gateways)
@@ -149,7 +149,7 @@
 	return out
 }
 
-// Weights returns what each gateway can bear, relative to the others. It is zero for one
+// Weights returns the capacity of each gateway that is left, relative to the others. It is zero for one
 // that can't serve while others can.
 func Weights(gateways []Gateway) []float64 {
 	out := sizes(gateways)
--- a/entryweight/entryweight_test.go
+++ b/entryweight/entryweight_test.go
@@ -206,7 +206,7 @@
 }
 
 // TestScarcestResourceDecides checks that a gateway gets no more than its link or its processor
-// can bear, whichever is less.
+// capacity allows, whichever is less.
 func TestScarcestResourceDecides(t *testing.T) {
 	sizes := repeat(large, 9)
 	sizes[0].LinkKbps, sizes[1].LinkKbps = small.LinkKbps, 40*large.LinkKbps
--- a/entryweight/load.go
+++ b/entryweight/load.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Load is how much of what it can bear a gateway bears at present. It has few values
+// Load is the load of a gateway relative to its capacity at present. It has few values
 // because each change is told to all hosts.
 type Load uint8
 
--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -55,7 +55,7 @@
 	return err
 }
 
-// pickGateway picks a gateway of a region, each as often as it can bear.
+// pickGateway picks a gateway of a region, each in proportion to its capacity.
 func (s *Server) pickGateway(region string) (roster.Host, bool) {
 	var candidates []roster.Host
 	for _, h := range s.Gateways() {
