dispatch: a cached block is reported once in ten seconds

Change: a block that any gateway reported for an engine within the last ten seconds isn't reported again. Tests of dispatch and rollup pass.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -87,6 +87,7 @@
 	reported       map[*engine]struct{}
 	accountNames   map[uint32]string                    // account names by hash
 	sentBlocks     []sentBlock                          // recently sent prompt blocks, for the next reports
+	reportedBlocks map[rollup.SentBlock]time.Time       // when each was last reported, by any gateway
 	lastCleanup    time.Time                            // when expired entries were last removed
 	crashDetector  *quarantine.CrashDetector[brokenRun] // distinguishes crashes from broken connections
 	suspectEngines chan SuspectEngine
@@ -108,7 +109,7 @@
 	self := roster.Host{Name: deps.Name, Role: roster.RoleGateway, Region: deps.Region, DataCentre: deps.DataCentre}
 	d := &Dispatcher{
 		Deps: deps, catalog: catalog.NewTable(catalog.Catalog{}), pools: make(map[string]*pool), reported: make(map[*engine]struct{}),
-		evacuationEnded: make(map[string]time.Time), reportingGateways: 1, remotes: make(map[string]*remoteRegion), enginesByHash: make(map[uint64]*engine), callerDemand: make(map[uint32]*callerDemand), accountNames: make(map[uint32]string),
+		evacuationEnded: make(map[string]time.Time), reportingGateways: 1, remotes: make(map[string]*remoteRegion), enginesByHash: make(map[uint64]*engine), callerDemand: make(map[uint32]*callerDemand), reportedBlocks: make(map[rollup.SentBlock]time.Time), accountNames: make(map[uint32]string),
 		crashDetector: quarantine.NewCrashDetector[brokenRun](), suspectEngines: make(chan SuspectEngine, maxSuspectEngines), quarantine: quarantine.New(), parts: quarantine.NewParts(), limits: ratelimit.New(deps.Name), pushback: pushback.New(), returns: returns.New(), shares: make(map[uint32]*fairshare.Table),
 	}
 	d.aggregator = rollup.New(rollup.Deps{Self: self, Hosts: deps.Peers, IsSignificant: d.isSignificantLoad, Clock: deps.Clock})
@@ -174,6 +175,7 @@
 	d.applyPeerReports()
 	if cleanup {
 		d.forgetRemoteBlocks(now)
+		d.forgetReportedBlocks(now)
 		d.quarantine.Expire(now)
 		d.parts.Expire(now)
 		d.returns.Expire(now)
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -142,6 +142,7 @@
 	for _, sent := range m.Report.SentBlocks {
 		if e, ok := d.enginesByHash[sent.Engine]; ok {
 			e.pool.recordBlock(e, sent.Block, now)
+			d.reportedBlocks[sent] = now
 		}
 	}
 	for _, hash := range m.Report.Unreachable {
--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -3,6 +3,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -140,14 +141,31 @@
 	minSharedTokens = 500
 )
 
+// sentBlockInterval is how long after a block was reported as sent to an engine, by this gateway
+// or another, this one doesn't report it again. It is assumed to be cached for much longer. With
+// a report for each send, the reports of a region would grow with its requests, and fill the
+// links of leaders when callers need them.
+const sentBlockInterval = cacheLifetime / 4
+
 // recordSentBlock records the deepest shared block of a prompt for the next reports. The
 // dispatcher's lock is held.
 func (d *Dispatcher) recordSentBlock(p Prompt, e *engine, now time.Time) {
-	if key := p.AffinityKey(); key != "" && p.sharedTokens() >= minSharedTokens {
-		d.sentBlocks = append(d.sentBlocks, sentBlock{now, hashBlock(key), e.hash})
+	key := p.AffinityKey()
+	if key == "" || p.sharedTokens() < minSharedTokens {
+		return
+	}
+	sent := rollup.SentBlock{Block: hashBlock(key), Engine: e.hash}
+	if at, known := d.reportedBlocks[sent]; !known || now.Sub(at) > sentBlockInterval {
+		d.reportedBlocks[sent] = now
+		d.sentBlocks = append(d.sentBlocks, sentBlock{now, sent.Block, sent.Engine})
 	}
 }
 
+// forgetReportedBlocks removes blocks that would be reported again. The lock is held.
+func (d *Dispatcher) forgetReportedBlocks(now time.Time) {
+	maps.DeleteFunc(d.reportedBlocks, func(_ rollup.SentBlock, at time.Time) bool { return now.Sub(at) > sentBlockInterval })
+}
+
 // recentSentBlocks removes blocks that were reported for long enough, and returns the
 // others.
 func (d *Dispatcher) recentSentBlocks(now time.Time) []rollup.SentBlock {
