review/2: a control host that was away answers reads with an older config

A read that is confirmed with the leader meanwhile returns the state from before.

The harness can read the name of the newest log file and a field of a host's log, and starts its processes so that none outlives it. Nothing outside review/ changes.

--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -13,6 +13,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -66,6 +68,7 @@
 	dir     string
 	network string // the first three numbers of the hosts' addresses
 	engines int
+	starts  chan func()
 }
 
 // Start starts the program as one control host and so many gateways in each zone.
@@ -74,7 +77,8 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Deployment{record: record, program: program, dir: dir, ExtraSettings: extraSettings}
+	d := &Deployment{record: record, program: program, dir: dir, ExtraSettings: extraSettings, starts: make(chan func())}
+	go d.startProcesses()
 	if d.network, err = freeNetwork(); err != nil {
 		return d, err
 	}
@@ -181,6 +185,21 @@
 // StartHost starts a host's process with the command of the deploy file. Only its first start
 // is one of the whole system.
 func (d *Deployment) StartHost(h *Host) error {
+	started := make(chan error)
+	d.starts <- func() { started <- d.startProcess(h) }
+	return <-started
+}
+
+// startProcesses runs starts on one thread that never ends: the kernel ends a process when the
+// thread that started it does.
+func (d *Deployment) startProcesses() {
+	runtime.LockOSThread()
+	for start := range d.starts {
+		start()
+	}
+}
+
+func (d *Deployment) startProcess(h *Host) error {
 	path := filepath.Join(h.dir, "settings.yaml")
 	if err := os.WriteFile(path, []byte(d.settings(h)), 0o600); err != nil {
 		return err
@@ -194,6 +213,7 @@
 	h.cmd = exec.Command(d.program, "member")
 	h.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LINENSCALE_SETTINGS=" + path}
 	h.cmd.Stdout, h.cmd.Stderr = log, log
+	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none outlives the case
 	if err := h.cmd.Start(); err != nil {
 		return err
 	}
@@ -263,9 +283,14 @@
 
 // Put sends a config to the control hosts in turn, as the operator does, until one confirms it.
 func (d *Deployment) Put(config Config, within time.Duration) error {
+	return d.PutAt(config, within, d.Controls)
+}
+
+// PutAt is Put for some control hosts, in their order.
+func (d *Deployment) PutAt(config Config, within time.Duration, hosts []*Host) error {
 	body := []byte(toJSON(config))
 	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
-		for _, h := range d.Controls {
+		for _, h := range hosts {
 			status, err := d.call(http.MethodPost, "http://"+h.ControlAddress()+"/config/put", body, nil)
 			d.record.Printf("config %d sent to %s: status %d, error %v", config.ConfigVersion, h.Name, status, err)
 			if err == nil && status == http.StatusOK {
@@ -344,3 +369,30 @@
 	}
 	return nil, lastErr
 }
+
+// Dir returns the temporary folder, in which each host has a folder of its name.
+func (d *Deployment) Dir() string { return d.dir }
+
+// LogNumber returns the number of a control host's newest log file. A snapshot begins a new one.
+func (d *Deployment) LogNumber(h *Host) (string, error) {
+	names, err := filepath.Glob(filepath.Join(h.dir, "data", "log-????????????????"))
+	if err != nil || len(names) == 0 {
+		return "", fmt.Errorf("%s has no log file (error %v)", h.Name, err)
+	}
+	return slices.Max(names), nil
+}
+
+// LastLogField returns the value of a field in the last line with that message that a host's
+// process has written; "" if there is none.
+func (d *Deployment) LastLogField(h *Host, message, field string) string {
+	value := ""
+	for line := range strings.Lines(d.Log(h)) {
+		if !strings.Contains(line, message) {
+			continue
+		}
+		if _, rest, ok := strings.Cut(line, " "+field+"="); ok {
+			value, _, _ = strings.Cut(strings.TrimSpace(rest), " ")
+		}
+	}
+	return value
+}
