--- a/review/1/main.go
+++ b/review/1/main.go
@@ -4,12 +4,14 @@
 package main
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/linenscale/linenscale/review/harness"
@@ -20,8 +22,11 @@
 	host    = "ficu95.example"
 	// answerBytes is the length of a whole answer.
 	answerBytes = 600_000
-	// requests is the number of requests of each kind.
-	requests = 6
+	// requests is the number of requests.
+	requests = 400
+	// cutEvery is how many answers of one of the two engines there are for one that it breaks
+	// off: a share of 0.02, as for garble.
+	cutEvery = 50
 )
 
 func main() {
@@ -38,26 +43,32 @@
 	return strings.Repeat(line, answerBytes/len(line)+1)
 }
 
-// engineHandler answers with neither a length nor a surprise: in chunks for paths that begin
-// with /lohu930/chunks/, else without any framing. With trouble, the engine breaks off each
-// second answer when two thirds of it are sent.
-func engineHandler(record *harness.Record, trouble bool) func(http.ResponseWriter, *http.Request, []byte) {
-	return func(w http.ResponseWriter, r *http.Request, _ []byte) {
-		id := r.Header.Get("X-Linenscale-Request-Id")
-		body := wholeAnswer(id)
-		part := body
-		if trouble && strings.HasSuffix(r.URL.Path, "/cut") {
-			part = body[:len(body)*2/3]
-		}
-		if strings.HasPrefix(r.URL.Path, "/lohu930/chunks/") {
-			answerInChunks(w, part)
-		} else {
-			answerUnframed(w, part, len(part) < len(body))
-		}
-		record.Printf("engine sent %d of %d bytes of the answer to request %s", len(part), len(body), id)
-		if len(part) < len(body) {
-			panic(http.ErrAbortHandler) // the channel closes without the last chunk
-		}
+// answers counts the answers of the engine that breaks some off.
+type answers struct {
+	record    *harness.Record
+	breaksOff bool
+	sent, cut atomic.Int64
+}
+
+// handle answers in chunks on paths that begin with /lohu930/chunks/, else with neither a length
+// nor chunks. An engine that breaks answers off does so with each cutEvery-th, when two thirds of
+// it are sent.
+func (a *answers) handle(w http.ResponseWriter, r *http.Request, _ []byte) {
+	id := r.Header.Get("X-Linenscale-Request-Id")
+	body := wholeAnswer(id)
+	part := body
+	if a.breaksOff && a.sent.Add(1)%cutEvery == 0 {
+		part = body[:len(body)*2/3]
+		a.cut.Add(1)
+	}
+	if strings.HasPrefix(r.URL.Path, "/lohu930/chunks/") {
+		answerInChunks(w, part)
+	} else {
+		answerUnframed(w, part, len(part) < len(body))
+	}
+	a.record.Printf("engine sent %d of %d bytes of the answer to request %s", len(part), len(body), id)
+	if len(part) < len(body) {
+		panic(http.ErrAbortHandler) // the channel closes without the last chunk
 	}
 }
 
@@ -128,12 +139,15 @@
 	if err := d.Put(config, 15*time.Second); err != nil {
 		return 0, err
 	}
-	// The service has its engine in sfax; the clients are in marseille.
-	engine, err := d.StartEngine(service, harness.Zones[1], 6, engineHandler(record, trouble))
-	if err != nil {
-		return 0, err
+	// The service has its two engines in sfax; the clients are in marseille.
+	faulty, sound := &answers{record: record, breaksOff: trouble}, &answers{record: record}
+	for _, a := range []*answers{faulty, sound} {
+		engine, err := d.StartEngine(service, harness.Zones[1], 6, a.handle)
+		if err != nil {
+			return 0, err
+		}
+		defer engine.Stop()
 	}
-	defer engine.Stop()
 	if err := d.WaitReady(15 * time.Second); err != nil {
 		return 0, err
 	}
@@ -144,20 +158,20 @@
 	if err := awaitService(d, gateways[0]); err != nil {
 		return 0, err
 	}
-	for i := range 2 * requests {
-		framing, ending := "chunks", "whole"
+	for i := range requests {
+		framing := "chunks"
 		if i%2 == 1 {
 			framing = "channel"
 		}
-		if i/2%2 == 1 {
-			ending = "cut"
-		}
-		answer := d.Send(gateways[i%len(gateways)], http.MethodGet, host, "/lohu930/"+framing+"/"+ending, harness.NewID(), "", 5*time.Second)
+		answer := d.Send(gateways[i%len(gateways)], http.MethodGet, host, "/lohu930/"+framing+"/x", harness.NewID(), "", 5*time.Second)
 		if answer.Status == http.StatusOK && answer.Complete() && answer.Body != wholeAnswer(answer.ID) {
 			broken++
 			record.Printf("BROKEN: request %s: the client has a complete answer with status 200 and %d bytes; the engine's has %d", answer.ID, len(answer.Body), len(wholeAnswer(answer.ID)))
 		}
-		time.Sleep(100 * time.Millisecond)
+	}
+	record.Printf("one engine broke off %d of its %d answers; the clients took %d for complete", faulty.cut.Load(), faulty.sent.Load(), broken)
+	if trouble && faulty.cut.Load() == 0 {
+		return 0, errors.New("no answer was broken off")
 	}
 	return broken, nil
 }
@@ -166,7 +180,7 @@
 func awaitService(d *harness.Deployment, gateway string) error {
 	var last harness.Answer
 	for until := time.Now().Add(15 * time.Second); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
-		last = d.Send(gateway, http.MethodGet, host, "/lohu930/chunks/whole", harness.NewID(), "", 5*time.Second)
+		last = d.Send(gateway, http.MethodGet, host, "/lohu930/chunks/x", harness.NewID(), "", 5*time.Second)
 		if last.Status == http.StatusOK && last.Complete() && last.Body == wholeAnswer(last.ID) {
 			return nil
 		}
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -33,12 +33,14 @@
 	readerGap = 3 * time.Millisecond
 	// readTime is how long the host that came back is asked.
 	readTime = 2 * time.Second
+	// changeGap is the pause between two changes: gap_s of config_storm in the site file.
+	changeGap = 60 * time.Millisecond
 	// changesPerSnapshot is after how many changes the program writes a snapshot.
 	changesPerSnapshot = 64
-	// lastRoundStarts is when no further round begins, as one takes some ten seconds.
-	lastRoundStarts = 95 * time.Second
+	// lastRoundStarts is when no further round begins, as one takes some 20 seconds.
+	lastRoundStarts = 85 * time.Second
 	// calmRounds is the number of rounds without the disruption.
-	calmRounds = 3
+	calmRounds = 2
 )
 
 func main() {
@@ -187,6 +189,7 @@
 
 // change sends the next version to a control host, and to others in turn until it is confirmed.
 func (p *play) change(first *harness.Host) error {
+	time.Sleep(changeGap)
 	p.version++
 	config := harness.Config{
 		ConfigVersion: p.version,
