--- a/review/2/main.go
+++ b/review/2/main.go
@@ -28,9 +28,9 @@
 	// applyTime is ConfigApplyMs.
 	applyTime = 4 * time.Second
 	// readers is how many reads of the operator are under way at once.
-	readers = 16
+	readers = 24
 	// readerGap is how long after one reader the next begins.
-	readerGap = 3 * time.Millisecond
+	readerGap = 2 * time.Millisecond
 	// readTime is how long the host that came back is asked.
 	readTime = 2 * time.Second
 	// changeGap is the pause between two changes: gap_s of config_storm in the site file.
