--- a/review/2/main.go
+++ b/review/2/main.go
@@ -31,6 +31,8 @@
 	readers = 24
 	// readerGap is how long after one reader the next begins.
 	readerGap = 2 * time.Millisecond
+	// recordedReads is how many answered reads of a round are recorded one by one.
+	recordedReads = 100
 	// readTime is how long the host that came back is asked.
 	readTime = 2 * time.Second
 	// changeGap is the pause between two changes: gap_s of config_storm in the site file.
@@ -172,9 +174,10 @@
 		reads.Go(func() {
 			time.Sleep(time.Duration(i) * readerGap)
 			for time.Now().Before(until) {
+				sentAt := time.Now()
 				version, tooOld := p.read(h)
-				if version > 0 {
-					answers.Add(1)
+				if version > 0 && answers.Add(1) <= recordedReads {
+					p.record.Printf("read at %s, sent %.3f s ago, answered with version %d", h.Name, time.Since(sentAt).Seconds(), version)
 				}
 				if tooOld {
 					stale.Add(1)
