ingress: log how the answer of a hand-over ended

Cause: the gateway that hands a request over logged nothing once it had relayed the answer, so its log couldn't tell why an answer that an engine broke off reached the caller as complete: whether the other gateway took the end for whole, the link between them lost the failure, or the other gateway stated it and this one ignored it.

Change: "answer of the other gateway relayed" with the framing and the failure that the answer's trailer states; the same field on "hand-over failed".

--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -101,17 +101,20 @@
 	})
 	remote.End()
 	x.progress.sends = max(x.progress.sends, int(announcedSends.Load()))
+	statedFailure := "" // in the answer's trailer
 	if err == nil {
 		s.remotePaths.recordAnswer(gateway, s.Clock())
 		defer resp.Body.Close()
 		err = s.relayAnswer(x, resp, answerSource{fromGateway: true, origin: remoteOrigin(resp)})
+		statedFailure = resp.Trailer.Get(request.HeaderOutcome)
 	}
 	x.progress.sends = max(x.progress.sends, s.sendCounters.end(number))
 	if err == nil {
 		s.countOutcome(x, "answered_elsewhere")
+		s.Log.Info("answer of the other gateway relayed", x.logFields(zap.String("gateway", gateway.Name), zap.Stringer("framing", x.framing), zap.Bool("end_confirmed", !x.endUnconfirmed), zap.String("stated_failure", statedFailure), zap.Duration("took", s.Clock().Sub(x.startedAt)))...)
 		return false, nil
 	}
-	s.Log.Warn("hand-over failed", x.logFields(zap.String("gateway", gateway.Name), zap.Bool("started", x.answerStarted), telemetry.ErrorField(err))...)
+	s.Log.Warn("hand-over failed", x.logFields(zap.String("gateway", gateway.Name), zap.Bool("started", x.answerStarted), zap.String("stated_failure", statedFailure), telemetry.ErrorField(err))...)
 	pathBroken, err = x.classifyHandOverError(err, sendsBefore)
 	var unknown *request.OutcomeUnknown
 	x.progress.mayHaveRun = x.progress.mayHaveRun || errors.As(err, &unknown)
