ingress: a failure behind a hand-over ends every kind of answer

Callers saw: status 200, the engine's stamp, a part of the body and a sound end of it, where the engine had broken its answer off. Plain answers only, if a gateway of another region ran the request and had passed on the first byte before it knew the end: more than 256 KiB, or any length while its buffers were full.

Cause: the serving gateway can't take its status back. It ends the body properly and states the failure in a trailer. The gateway that handed the request over looked at that trailer in one of the paths that read an answer, that of event streams; the two others, for plain answers that are buffered and for those that are passed on, took the end of the body for the end of the answer.

The length isn't what decides: with buffers of 10 kB an answer of 100 kB ends early in the same way.

Change: remoteBody wraps the body of every answer of another gateway and turns an end with a stated failure into an error of the read. So every reader, also one that is added later, sees a failed read as it does for an engine that breaks off: the caller's connection is aborted or reset, or another attempt is made if nothing has been sent yet.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -508,3 +508,32 @@
 	}
 	must.LessEq(t, 2, draining.Stats().Started)
 }
+
+// TestLongAnswerBrokenOffBehindAHandOverIsVisible guards against an answer that the service of
+// another region broke off and that ends like a whole one for its caller.
+func TestLongAnswerBrokenOffBehindAHandOverIsVisible(t *testing.T) {
+	const half = 300 << 10
+	framings := map[string]func(w http.ResponseWriter){
+		"length": func(w http.ResponseWriter) { w.Header().Set("Content-Length", strconv.Itoa(2*half)) },
+		"chunks": func(http.ResponseWriter) {},
+	}
+	for name, setFraming := range framings {
+		t.Run(name, func(t *testing.T) {
+			service := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				setFraming(w)
+				_, _ = io.WriteString(w, strings.Repeat("x", half))
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			})
+			all := declarations(bothRegions, newEngine("p1", plainService, "db", serveLoopback(t, service)))
+			a, b := newTestHost(t, "a", all), newTestHost(t, "b", all)
+			a.peers = []declare.Host{b.declaration()}
+			a.remoteDigests = []route.Digest{{Region: "b", Slots: 8, At: time.Now(), RoundTrip: time.Millisecond}}
+			for _, method := range []string{http.MethodGet, http.MethodPost} {
+				got := a.call(t, method, "/services/portal/x", "", request.HeaderHome, "b")
+				must.Positive(t, len(got.body), must.Sprint("the answer begins"))
+				must.Error(t, got.err)
+			}
+		})
+	}
+}
--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -104,6 +104,7 @@
 	statedFailure := "" // in the answer's trailer
 	if err == nil {
 		s.remotePaths.recordAnswer(gateway, s.Clock())
+		resp.Body = &remoteBody{ReadCloser: resp.Body, resp: resp, x: x}
 		defer resp.Body.Close()
 		err = s.relayAnswer(x, resp, answerSource{fromGateway: true, origin: remoteOrigin(resp)})
 		statedFailure = resp.Trailer.Get(request.HeaderOutcome)
