ingress: an engine's trailers aren't taken for a gateway's

Callers saw: a whole event stream that breaks off, if its engine sends a trailer that has the name of the one in which gateways state a failure.

Cause: the end of a stream was checked for that trailer whoever had sent the answer, an engine or another gateway.

Change: the check in the path of event streams goes. remoteBody, which only answers of other gateways have, is the one place that reads the trailer; a gateway passes on none of its engine's trailers.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -173,7 +173,7 @@
 			x.progress.lastEventID = splitter.lastIDOr(x.progress.lastEventID)
 		}
 		if err == io.EOF {
-			if endErr := x.checkStreamEnd(resp, &splitter, source); endErr != nil {
+			if endErr := x.checkStreamEnd(&splitter, source); endErr != nil {
 				return out.Blame(endErr)
 			}
 			return s.writeEvents(x, resp, out, splitter.remainder(), source)
@@ -198,10 +198,7 @@
 }
 
 // checkStreamEnd returns an error if a stream whose body has ended was cut short.
-func (x *exchange) checkStreamEnd(resp *http.Response, splitter *eventSplitter, source answerSource) error {
-	if err := x.checkTrailer(resp); err != nil {
-		return err
-	}
+func (x *exchange) checkStreamEnd(splitter *eventSplitter, source answerSource) error {
 	x.trailingBytes = len(splitter.remainder())
 	if splitter.endsInsideEvent() {
 		return &truncatedAnswer{cause: errors.Errorf("the stream ended inside an event, framed by its %s, %d bytes after the last whole one", x.framing, x.trailingBytes), byEngine: true}
--- a/ingress/framing_test.go
+++ b/ingress/framing_test.go
@@ -157,11 +157,12 @@
 }
 
 // TestWholeAnswersArriveWhole guards against whole answers that are taken for broken ones: without
-// framing, or with other line ends than LF.
+// framing, with other line ends than LF, or with trailers of the engine's that have the names of
+// a gateway's.
 func TestWholeAnswersArriveWhole(t *testing.T) {
 	forEachFraming(t, func(t *testing.T, kind answerKind, handedOver bool) {
 		for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
-			for _, fault := range []platformtest.Fault{platformtest.FaultNone, platformtest.FaultNoLength} {
+			for _, fault := range []platformtest.Fault{platformtest.FaultNone, platformtest.FaultNoLength, platformtest.FaultForgedTrailers} {
 				env := newFramingEnv(t, kind, handedOver, lineEnd)
 				injectFault(env.engines, fault, -1)
 				result := env.do(t)
--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -222,13 +222,3 @@
 	x.w.WriteHeader(http.StatusEarlyHints)
 	return nil
 }
-
-// checkTrailer returns the rejection that another gateway put into the trailer of a stream
-// that it couldn't finish, or nil for a complete stream.
-func (x *exchange) checkTrailer(resp *http.Response) error {
-	if resp.Trailer.Get(request.HeaderOutcome) == "" {
-		return nil
-	}
-	x.mergeSends(resp.Trailer)
-	return &request.OutcomeUnknown{Message: "the gateway of the other region broke the stream off"}
-}
