ingress: an engine's headers aren't taken for a gateway's

Callers saw: of an engine whose answer carries the headers in which gateways state an outcome to each other, an error instead of the answer over a hand-over (status 502 with an outcome of an unknown value), and the headers themselves otherwise.

Cause: the serving gateway relayed these headers of its engine, and the one that handed the request over can't tell who set them.

Change: request.RemoveAnswerHeaders names all of them; the head of every answer passes it before the gateway sets its own.

Before: TestWholeAnswersArriveWhole, which now has such answers, failed in 8 of 8 cases. After: it passes, as do all tests of the package.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -128,13 +128,13 @@
 		header["Date"] = nil
 	}
 	header.Del("Content-Length")
+	request.RemoveAnswerHeaders(header)
 	x.setFraming(header, length)
 	if x.callerFraming == framedByLength {
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	x.setOriginHeader(header)
 	s.announceClose(header)
-	header.Del(request.HeaderSends)
 	if x.handedOver {
 		header.Set(request.HeaderSends, strconv.Itoa(x.progress.sends+1))
 	}
--- a/ingress/continuation.go
+++ b/ingress/continuation.go
@@ -179,10 +179,8 @@
 	return &origin
 }
 
-// setOriginHeader states the stream's origin to the gateway that handed the request over. It
-// removes what the answer states, which callers must not get.
+// setOriginHeader states the stream's origin to the gateway that handed the request over.
 func (x *exchange) setOriginHeader(header http.Header) {
-	header.Del(request.HeaderStreamOrigin)
 	if x.handedOver && x.origin != nil {
 		header.Set(request.HeaderStreamOrigin, x.origin.String())
 	}
--- a/ingress/framing.go
+++ b/ingress/framing.go
@@ -51,7 +51,6 @@
 // answer to another gateway is always framed, so that the loss of this gateway shows, and
 // states separately that its engine's answer was not.
 func (x *exchange) setFraming(header http.Header, length int64) {
-	header.Del(request.HeaderUnframed)
 	unframed := x.framing == endsWithConnection
 	if unframed && x.handedOver {
 		header.Set(request.HeaderUnframed, "true")
--- a/ingress/framing_test.go
+++ b/ingress/framing_test.go
@@ -157,12 +157,12 @@
 }
 
 // TestWholeAnswersArriveWhole guards against whole answers that are taken for broken ones: without
-// framing, with other line ends than LF, or with trailers of the engine's that have the names of
-// a gateway's.
+// framing, with other line ends than LF, or with headers or trailers of the engine's that have the
+// names of a gateway's.
 func TestWholeAnswersArriveWhole(t *testing.T) {
 	forEachFraming(t, func(t *testing.T, kind answerKind, handedOver bool) {
 		for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
-			for _, fault := range []platformtest.Fault{platformtest.FaultNone, platformtest.FaultNoLength, platformtest.FaultForgedTrailers} {
+			for _, fault := range []platformtest.Fault{platformtest.FaultNone, platformtest.FaultNoLength, platformtest.FaultForgedTrailers, platformtest.FaultForgedHeaders} {
 				env := newFramingEnv(t, kind, handedOver, lineEnd)
 				injectFault(env.engines, fault, -1)
 				result := env.do(t)
@@ -172,6 +172,9 @@
 				must.Eq(t, fault == platformtest.FaultNoLength, result.Unframed, must.Sprint("callers get the framing that the engine's answer had"))
 				_, arrived := countRuns(env.engines, result.ID)
 				must.Eq(t, 1, arrived)
+				for name := range result.Header {
+					must.StrNotHasPrefix(t, "Linenscale-", name)
+				}
 			}
 		}
 	})
--- a/request/handover.go
+++ b/request/handover.go
@@ -46,6 +46,14 @@
 // of the engine's answer have arrived, not that the engine's answer was complete.
 const HeaderUnframed = "Linenscale-Unframed"
 
+// RemoveAnswerHeaders removes all headers of an answer that only entry hosts may send, so that
+// none that an engine sends is taken for an entry host's.
+func RemoveAnswerHeaders(header http.Header) {
+	for _, name := range []string{HeaderOutcome, HeaderReason, HeaderSends, HeaderStreamOrigin, HeaderUnframed} {
+		header.Del(name)
+	}
+}
+
 // MaxHandovers bounds how many times one request is handed over.
 const MaxHandovers = 1
 
