controller, replica: log what a read of the catalog rests on

Cause: the log couldn't tell whether a read was too old because the leader named too low an index, because the host stated entries as applied that its state lacked, or because it answered in spite of the index.

--- a/controller/commands.go
+++ b/controller/commands.go
@@ -49,7 +49,7 @@
 // applied after this host read the state. Otherwise an order that timed out here could
 // reach the leader late and undo a newer one.
 func (c *Controller) setEvacuation(ctx context.Context, order ledger.SetEvacuation) (ledger.Result, error) {
-	if err := c.waitUntilCurrent(ctx); err != nil {
+	if _, err := c.waitUntilCurrent(ctx); err != nil {
 		return ledger.Result{}, err
 	}
 	order.Seen = c.replica.Status().Applied
@@ -115,18 +115,18 @@
 // accepted before the call. The error is ErrUnavailable, or ErrNoCatalog if there is no
 // catalog.
 func (c *Controller) Read(ctx context.Context) (ledger.State, error) {
-	err := c.waitUntilCurrent(ctx)
+	confirmed, err := c.waitUntilCurrent(ctx)
 	state := c.machine.State()
 	if err == nil && state.Catalog.Version == 0 {
 		err = ErrNoCatalog
 	}
-	c.Log.Info("catalog read", zap.Int64("version", state.Catalog.Version), zap.Uint64("index", state.Index), telemetry.ErrorField(err))
+	c.Log.Info("catalog read", zap.Int64("version", state.Catalog.Version), zap.Uint64("index", state.Index), zap.Uint64("confirmed", confirmed), zap.Uint64("applied", c.replica.Status().Applied), telemetry.ErrorField(err))
 	return state, err
 }
 
 // waitUntilCurrent waits until every command that was accepted before the call has been
-// applied here. The error is ErrUnavailable.
-func (c *Controller) waitUntilCurrent(ctx context.Context) error {
+// applied here, and returns an index that covers them. The error is ErrUnavailable.
+func (c *Controller) waitUntilCurrent(ctx context.Context) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	var reply follow.ReadIndexReply
@@ -143,7 +143,7 @@
 			err = ErrUnavailable
 		}
 	}
-	return err
+	return reply.Index, err
 }
 
 // readIndex returns an index that covers every command accepted so far. This host must be
--- a/controller/freshness.go
+++ b/controller/freshness.go
@@ -60,7 +60,7 @@
 // confirmOnce confirms this host's state with a majority of the voters.
 func (c *Controller) confirmOnce(ctx context.Context) error {
 	started := c.SteadyClock()
-	if err := c.waitUntilCurrent(ctx); err != nil {
+	if _, err := c.waitUntilCurrent(ctx); err != nil {
 		return err
 	}
 	first := c.freshness.latest.Swap(&confirmation{c.machine.State().Index, started}) == nil
--- a/controller/rollouts.go
+++ b/controller/rollouts.go
@@ -78,7 +78,7 @@
 // orderRollout submits an order, which the leader rejects as stale if another one was
 // applied after this host read the state.
 func (c *Controller) orderRollout(ctx context.Context, order ledger.StartRollout) (ledger.Result, error) {
-	if err := c.waitUntilCurrent(ctx); err != nil {
+	if _, err := c.waitUntilCurrent(ctx); err != nil {
 		return ledger.Result{}, err
 	}
 	if _, ok := catalog.NewTable(c.machine.State().Catalog).Service(order.Service); !ok {
@@ -91,7 +91,7 @@
 // Rollout returns the latest rollout of a service, as of every order that was accepted
 // before the call. The error is ErrUnavailable, or a NotFound if there is none.
 func (c *Controller) Rollout(ctx context.Context, service string) (rollout.Rollout, error) {
-	if err := c.waitUntilCurrent(ctx); err != nil {
+	if _, err := c.waitUntilCurrent(ctx); err != nil {
 		return rollout.Rollout{}, err
 	}
 	r, ok := c.machine.State().Rollouts[service]
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -331,18 +331,25 @@
 
 func (r *Replica) persist(ready raft.Ready) error {
 	if ready.Install != nil {
-		if err := r.log.Replace(raft.State{Hard: r.node.Hard(), Snapshot: *ready.Install, Entries: r.node.Entries()}); err != nil {
-			return errors.Trace(err)
-		}
-		if err := r.opts.Machine.Restore(ready.Install.Data); err != nil {
-			return errors.Annotate(err, "restore the state machine from the leader's snapshot")
-		}
-		r.failPendingProposals()
-		return nil
+		return r.install(*ready.Install)
 	}
 	return r.log.Save(ready.Hard, ready.Entries)
 }
 
+// install replaces the durable log and the state of the machine by a snapshot of the leader.
+func (r *Replica) install(s raft.Snapshot) error {
+	began := r.opts.Clock()
+	if err := r.log.Replace(raft.State{Hard: r.node.Hard(), Snapshot: s, Entries: r.node.Entries()}); err != nil {
+		return errors.Trace(err)
+	}
+	if err := r.opts.Machine.Restore(s.Data); err != nil {
+		return errors.Annotate(err, "restore the state machine from the leader's snapshot")
+	}
+	r.failPendingProposals()
+	r.opts.Log.Info("snapshot of the leader installed", zap.Uint64("index", s.Index), zap.Int("bytes", len(s.Data)), zap.Duration("took", r.opts.Clock().Sub(began)))
+	return nil
+}
+
 // failPendingProposals fails all pending proposals: a snapshot has replaced their entries, so
 // that this replica can't determine their outcome.
 func (r *Replica) failPendingProposals() {
