--- a/controller/hosts_test.go
+++ b/controller/hosts_test.go
@@ -280,3 +280,11 @@
 		return true
 	})
 }
+
+// restartWithLog restarts the host with another log.
+func (h *host) restartWithLog(log *zap.Logger) {
+	h.t.Helper()
+	h.stop()
+	h.log = log
+	h.start()
+}
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -8,8 +8,8 @@
 )
 
 // Ready is one batch of work for the caller, which makes Hard, Install and Entries durable,
-// in that order, then sends Messages, then applies Committed. It may send those that
-// SplitMessages returns as early before anything is durable.
+// in that order, restores the state machine from Install, then sends Messages, then applies
+// Committed. It may send those that SplitMessages returns as early before anything is durable.
 type Ready struct {
 	Hard      *HardState // nil if unchanged
 	Install   *Snapshot  // a received snapshot, which replaces the log and the state machine's state; nil for none
@@ -33,8 +33,12 @@
 		n.hardStateChanged = false
 	}
 	r.Entries = n.log.slice(n.durableIndex+1, int(n.log.lastIndex()-n.durableIndex))
-	if n.commitIndex > n.appliedIndex {
-		r.Committed = n.log.slice(n.appliedIndex+1, int(min(n.commitIndex, n.log.lastIndex())-n.appliedIndex))
+	applied := n.appliedIndex
+	if r.Install != nil {
+		applied = r.Install.Index // by the time at which the caller applies Committed
+	}
+	if n.commitIndex > applied {
+		r.Committed = n.log.slice(applied+1, int(min(n.commitIndex, n.log.lastIndex())-applied))
 	}
 	return r
 }
@@ -56,7 +60,8 @@
 	return early, late
 }
 
-// Advance records that the work of r has been done.
+// Advance records that the work of r has been done. Only Advance moves the applied index: until
+// then the caller's state machine may lack what r.Install and r.Committed contain.
 func (n *Node) Advance(r Ready) {
 	if k := len(r.Entries); k > 0 {
 		last := r.Entries[k-1]
@@ -64,6 +69,9 @@
 			n.durableIndex = max(n.durableIndex, last.Index)
 		}
 	}
+	if r.Install != nil {
+		n.appliedIndex = r.Install.Index
+	}
 	if k := len(r.Committed); k > 0 {
 		n.appliedIndex = r.Committed[k-1].Index
 	}
@@ -110,7 +118,7 @@
 	Term     uint64
 	Leader   ID // None if unknown
 	Commit   uint64
-	Applied  uint64
+	Applied  uint64 // index up to which the state machine has applied the log
 	Last     uint64 // index of the last entry of the log
 	Members  Membership
 	Lease    time.Time    // see Node.LeaseUntil
--- a/raft/step.go
+++ b/raft/step.go
@@ -286,7 +286,7 @@
 	}
 	n.log.compact(s)
 	n.log.snapshot = s
-	n.commitIndex, n.appliedIndex = s.Index, s.Index
+	n.commitIndex = s.Index
 	n.durableIndex = n.log.lastIndex()
 	n.pendingInstall = &s
 	members, index := n.log.latestMembership()
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -101,6 +101,7 @@
 	replicas     []*replica.Replica
 	clockOffsets []atomic.Int64 // nanoseconds by which each replica's clock is ahead
 	isolated     atomic.Int64   // index of the replica whose messages are dropped in both directions; -1 for none
+	delay        atomic.Int64   // nanoseconds from sending a message to its delivery
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -110,6 +111,13 @@
 
 // newClusterThat is newCluster for a cluster that calls observe before it sends a message.
 func newClusterThat(t *testing.T, observe func(raft.Envelope)) *cluster {
+	t.Helper()
+	return newClusterOf(t, observe, 1000, func() replica.Machine { return &counter{} })
+}
+
+// newClusterOf is newClusterThat for other state machines, of which each replica writes a
+// snapshot after snapshotEvery entries.
+func newClusterOf(t *testing.T, observe func(raft.Envelope), snapshotEvery uint64, newMachine func() replica.Machine) *cluster {
 	t.Helper()
 	ids := []raft.ID{"a", "b", "c"}
 	c := &cluster{clockOffsets: make([]atomic.Int64, len(ids))}
@@ -120,12 +128,12 @@
 		folder := disk.NewMemory()
 		must.NoError(t, replica.Initialize(folder, ids))
 		r, err := replica.Open(replica.Options{
-			ID: id, ElectionTimeout: 100 * time.Millisecond, HeartbeatInterval: 25 * time.Millisecond, Folder: folder, Machine: &counter{},
+			ID: id, ElectionTimeout: 100 * time.Millisecond, HeartbeatInterval: 25 * time.Millisecond, Folder: folder, Machine: newMachine(),
 			Send: func(e raft.Envelope) {
 				observe(e)
 				c.deliver(i, slices.Index(ids, e.To), e)
 			},
-			Clock: func() time.Time { return time.Now().Add(time.Duration(c.clockOffsets[i].Load())) }, SnapshotEvery: 1000, Log: zap.NewNop(), Seed: uint64(i),
+			Clock: func() time.Time { return time.Now().Add(time.Duration(c.clockOffsets[i].Load())) }, SnapshotEvery: snapshotEvery, Log: zap.NewNop(), Seed: uint64(i),
 		})
 		must.NoError(t, err)
 		c.replicas = append(c.replicas, r)
@@ -141,6 +149,14 @@
 }
 
 func (c *cluster) deliver(from, to int, e raft.Envelope) {
+	if delay := c.delay.Load(); delay > 0 {
+		time.AfterFunc(time.Duration(delay), func() { c.deliverNow(from, to, e) })
+		return
+	}
+	c.deliverNow(from, to, e)
+}
+
+func (c *cluster) deliverNow(from, to int, e raft.Envelope) {
 	if isolated := int(c.isolated.Load()); from != isolated && to != isolated {
 		c.replicas[to].Deliver(e)
 	}
