replica: a read barrier returns the index that it has reached

Callers of other control hosts could see: a read right after an election that misses changes confirmed before it, as the new leader names too low an index for it. Not seen at an operator; shown by a test of the replica only.

Cause: the controller read the index of a confirmed read from the published status.

Change: ReadBarrier returns the applied index as of the completion of the read, in the goroutine that applies. The published status may only lag behind that, so that who waits for the index by it waits longer, never too short.

--- a/controller/commands.go
+++ b/controller/commands.go
@@ -149,8 +149,6 @@
 // readIndex returns an index that covers every command accepted so far. This host must be
 // the leader.
 func (c *Controller) readIndex(ctx context.Context) (uint64, error) {
-	if err := c.replica.ReadBarrier(ctx); err != nil {
-		return 0, errors.Trace(err)
-	}
-	return c.replica.Status().Applied, nil
+	index, err := c.replica.ReadBarrier(ctx)
+	return index, errors.Trace(err)
 }
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -350,7 +350,7 @@
 // State returns the state of the control log by a linearizable read, which a quorum of
 // the voters confirms.
 func (l *Leader) State(ctx context.Context, args StateArgs) (StateReply, error) {
-	err := l.replica.ReadBarrier(ctx)
+	_, err := l.replica.ReadBarrier(ctx)
 	if errors.Is(err, replica.ErrNotLeader) {
 		return StateReply{NotLeader: &NotLeader{voters.HostOf(l.replica.Status().Leader)}}, nil
 	}
--- a/replica/calls.go
+++ b/replica/calls.go
@@ -65,23 +65,24 @@
 }
 
 // ReadBarrier waits until the state machine has applied everything that was committed at
-// the time of the call. What the caller then reads from the state machine is linearizable.
-func (r *Replica) ReadBarrier(ctx context.Context) error {
-	request := readRequest{make(chan error, 1)}
+// the time of the call, and returns an index up to which it has. What the caller then reads from
+// the state machine is linearizable. Status may still state a lower index.
+func (r *Replica) ReadBarrier(ctx context.Context) (uint64, error) {
+	request := readRequest{make(chan readResult, 1)}
 	select {
 	case r.inputs <- request:
 	case <-r.stopped:
-		return ErrStopped
+		return 0, ErrStopped
 	default:
-		return ErrBusy
+		return 0, ErrBusy
 	}
 	select {
-	case err := <-request.done:
-		return err
+	case result := <-request.done:
+		return result.applied, result.err
 	case <-ctx.Done():
-		return errors.Trace(ctx.Err())
+		return 0, errors.Trace(ctx.Err())
 	case <-r.stopped:
-		return ErrStopped
+		return 0, ErrStopped
 	}
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -96,7 +96,7 @@
 		members *raft.Membership
 		done    chan proposalResult
 	}
-	readRequest     struct{ done chan error }
+	readRequest     struct{ done chan readResult }
 	transferRequest struct{ to raft.ID }
 	inspectRequest  struct {
 		fn   func()
@@ -115,6 +115,12 @@
 	err   error
 }
 
+// readResult is the result of ReadBarrier; applied is meaningless if err isn't nil.
+type readResult struct {
+	applied uint64
+	err     error
+}
+
 // pendingProposal is a call that waits until the entry of its index, the key in
 // Replica.pendingProposals, is applied. If that entry has another term, it replaced the
 // proposal.
@@ -127,7 +133,7 @@
 type pendingRead struct {
 	index     uint64
 	confirmed bool
-	done      chan error
+	done      chan readResult
 }
 
 // Initialize initializes the folder of a voter of a new log. It returns an error if the folder
@@ -390,7 +396,7 @@
 			continue
 		}
 		if !confirmed.OK {
-			read.done <- ErrNotLeader
+			read.done <- readResult{err: ErrNotLeader}
 			delete(r.pendingReads, confirmed.ID)
 			continue
 		}
@@ -399,7 +405,7 @@
 	applied := r.node.Status().Applied
 	for id, read := range r.pendingReads {
 		if read.confirmed && read.index <= applied {
-			read.done <- nil
+			read.done <- readResult{applied: applied}
 			delete(r.pendingReads, id)
 		}
 	}
