controller: an order has seen what its read has confirmed

Cause: an order for an evacuation or a rollout states the index up to which its host had seen earlier ones, and took it from the published status after the read: an order that was applied in between counted as seen although the host had checked the state before. No fault was shown by it: such orders are concurrent, and the ledger checks each again when it applies it.

Change: the index is the one that the read confirmed, taken before the state. What is applied later makes the order stale, which its host retries.

No new test; those of the package pass.

--- a/controller/commands.go
+++ b/controller/commands.go
@@ -49,10 +49,11 @@
 // applied after this host read the state. Otherwise an order that timed out here could
 // reach the leader late and undo a newer one.
 func (c *Controller) setEvacuation(ctx context.Context, order ledger.SetEvacuation) (ledger.Result, error) {
-	if _, err := c.waitUntilCurrent(ctx); err != nil {
+	seen, err := c.waitUntilCurrent(ctx)
+	if err != nil {
 		return ledger.Result{}, err
 	}
-	order.Seen = c.replica.Status().Applied
+	order.Seen = seen
 	return c.submit(ctx, order)
 }
 
--- a/controller/rollouts.go
+++ b/controller/rollouts.go
@@ -78,13 +78,14 @@
 // orderRollout submits an order, which the leader rejects as stale if another one was
 // applied after this host read the state.
 func (c *Controller) orderRollout(ctx context.Context, order ledger.StartRollout) (ledger.Result, error) {
-	if _, err := c.waitUntilCurrent(ctx); err != nil {
+	seen, err := c.waitUntilCurrent(ctx)
+	if err != nil {
 		return ledger.Result{}, err
 	}
 	if _, ok := catalog.NewTable(c.machine.State().Catalog).Service(order.Service); !ok {
 		return ledger.Result{}, errors.NotFoundf("service %q", order.Service)
 	}
-	order.Seen = c.replica.Status().Applied
+	order.Seen = seen
 	return c.submit(ctx, order)
 }
 
