wal: what Open returns is durable

A control host whose process is killed between a write to its log and the sync, starts again, acknowledges what it read, and then loses power has acknowledged entries, or stood by a vote, that its disk doesn't have.

Cause: Open returned what was in the file, and removed older files, without a sync.

Change: Open syncs the file and the folder before it returns or removes anything. That costs two syncs at each start.

--- a/controller/snapshot_test.go
+++ b/controller/snapshot_test.go
@@ -43,7 +43,9 @@
 	for range fewVersions {
 		away.putNext(t)
 	}
-	for leader := away.leader(t); !away.compactsAfter(t, leader); {
+	leader := away.leader(t)
+	for compacted := false; !compacted; {
+		compacted = away.compactsAfter(t, leader)
 	}
 	away.acceptedAt = time.Now()
 	away.folder.SetFull(true)
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -173,7 +173,7 @@
 }
 
 // Open reads the newest log file of a folder, truncates a torn record at its end and
-// opens it for appending. In an empty folder it creates the first file. It removes
+// opens it for appending. All that it returns is durable. In an empty folder it creates the first file. It removes
 // files left by a Replace that a crash interrupted. The error is a *CorruptionError
 // if the file is corrupt.
 func Open(folder disk.Folder) (*Log, raft.State, error) {
@@ -235,9 +235,21 @@
 		return nil, raft.State{}, errors.Trace(err)
 	}
 	l.size = int64(size)
+	if err := l.syncOpened(); err != nil {
+		return nil, raft.State{}, errors.Annotate(err, "sync the log that was opened")
+	}
 	return l, state, l.removeOldFiles(names)
 }
 
+// syncOpened makes durable what was read. The process before may have been killed between a write
+// and its sync, and the replica acknowledges all that Open returns.
+func (l *Log) syncOpened() error {
+	if err := l.file.Sync(); err != nil {
+		return err
+	}
+	return l.folder.Sync()
+}
+
 // removeOldFiles removes those of the named log files that l has replaced.
 func (l *Log) removeOldFiles(names []string) error {
 	for _, name := range names {
