--- a/soak/check.go
+++ b/soak/check.go
@@ -20,8 +20,29 @@
 	maxAttempts int    // limit on the engines that receive it
 	region      string // the only region that may run it; "" for any
 	resumable   bool   // callers take up its streams
+	long        bool   // a plain answer of longPadding bytes
 }
 
+// pause returns the pause of each caller between two requests.
+func (k requestKind) pause() time.Duration {
+	if k.long {
+		return longCallPause
+	}
+	return callPause
+}
+
+// padding returns the length of the filler in the kind's plain answers.
+func (k requestKind) padding() int {
+	if k.long {
+		return longPadding
+	}
+	return platformtest.DefaultPadding
+}
+
+// longPadding makes half an answer longer than a gateway buffers, so that its head is on its way
+// to the caller when an engine breaks it off.
+const longPadding = 600_000
+
 // kinds has one entry for each of the declaration's permanent routes.
 var kinds = []requestKind{
 	{name: "safe", service: "portal", maxAttempts: 2},
@@ -29,8 +50,12 @@
 	{name: "bound", service: "portal", maxAttempts: 2, region: "region0"},
 	{name: "chat", service: "model", model: true, atMostOnce: true, maxAttempts: 1},
 	{name: "review", service: "model", model: true, maxAttempts: 2, resumable: true},
+	{name: longKind, service: "portal", maxAttempts: 2, region: "region0", long: true}, // handed over by all other regions
 }
 
+// longKind is the name of the kind with long plain answers.
+const longKind = "long"
+
 func kindOfPath(path string) (requestKind, bool) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	for _, k := range kinds {
@@ -63,6 +88,8 @@
 	begun, resumed                        []streamStart
 	sound                                 []streamStart          // requests without the part that crashes engines
 	PartCrashes                           int                    // runs of requests with that part
+	BrokenLong                            int                    // long answers that visibly broke off
+	SnapshotReturns                       int                    // control hosts that came back after the leader had compacted what they missed
 	Backoffs                              int                    // backoffs that engines asked for
 	disturbances                          map[string][]time.Time // by IP address: when a host's process was started or got a signal
 }
@@ -132,20 +159,36 @@
 	if r.Status != http.StatusOK {
 		return
 	}
-	want := platformtest.ResponseBody(r.Engine, r.ID)
+	want := platformtest.PaddedResponseBody(r.Engine, r.ID, k.padding())
 	if k.model {
 		want = platformtest.StreamText(versionOf(r.Body), streamEvents)
 	}
+	if k.long && !r.Complete {
+		c.countBrokenLong()
+	}
 	switch {
 	case r.Engine == "":
 		c.AddProblem("request %s (%s) at %s: a success that no engine signed", r.ID, k.name, gateway)
 	case r.Complete && r.Body != want && !c.mayBeCut(k, r):
-		c.AddProblem("request %s (%s) at %s: the answer ends as whole, but isn't its engine's: %q", r.ID, k.name, gateway, r.Body)
+		c.AddProblem("request %s (%s) at %s: the answer ends as whole, but isn't its engine's: %d bytes, %q", r.ID, k.name, gateway, len(r.Body), beginOf(r.Body))
 	case !strings.HasPrefix(want, r.Body):
-		c.AddProblem("request %s (%s) at %s: the answer has other bytes than its engine's: %q", r.ID, k.name, gateway, r.Body)
+		c.AddProblem("request %s (%s) at %s: the answer has other bytes than its engine's: %d bytes, %q", r.ID, k.name, gateway, len(r.Body), beginOf(r.Body))
 	}
 }
 
+// shownBytes bounds how much of an answer a report shows.
+const shownBytes = 2000
+
+// beginOf returns the begin of an answer for the report.
+func beginOf(body string) string { return body[:min(len(body), shownBytes)] }
+
+// countBrokenLong counts a long answer that visibly broke off.
+func (c *Checker) countBrokenLong() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.BrokenLong++
+}
+
 // mayBeCut reports whether an answer that ended early may have ended like a whole one: its engine
 // sent it with neither a length nor chunks and so did the gateway, and a stream ended at
 // the end of an event.
--- a/soak/run.go
+++ b/soak/run.go
@@ -32,13 +32,15 @@
 	ResumptionsCounted int   // of these, those at undisturbed gateways while engines of their version were live
 	ResumptionsGoneOn  int   // of the latter, those that went on
 	Backoffs           int   // backoffs that engines asked for
+	BrokenLong         int   // long answers that visibly broke off
+	SnapshotReturns    int   // control hosts that came back after the leader had compacted what they missed
 	Problems           []string
 }
 
 // String returns a summary line, the counts of faults and answers, and the problems.
 func (r Report) String() string {
 	var out strings.Builder
-	fmt.Fprintf(&out, "seed %d: %d checks, version %d, %d requests of the small account, %d engines crashed by a request and %d by a part, %d at the engine that takes few, %d rests asked for, %d streams taken up (%d of %d undisturbed ones went on), %d problems\n", r.Seed, r.Checks, r.Version, r.SmallAccountRuns, r.CrashedEngines, r.PartCrashes, r.LimitedEnginePeak, r.Backoffs, r.Resumptions, r.ResumptionsGoneOn, r.ResumptionsCounted, len(r.Problems))
+	fmt.Fprintf(&out, "seed %d: %d checks, version %d, %d requests of the small account, %d engines crashed by a request and %d by a part, %d at the engine that takes few, %d rests asked for, %d streams taken up (%d of %d undisturbed ones went on), %d long answers broken off, %d returns through a snapshot, %d problems\n", r.Seed, r.Checks, r.Version, r.SmallAccountRuns, r.CrashedEngines, r.PartCrashes, r.LimitedEnginePeak, r.Backoffs, r.Resumptions, r.ResumptionsGoneOn, r.ResumptionsCounted, r.BrokenLong, r.SnapshotReturns, len(r.Problems))
 	for _, counts := range []map[string]int{r.Faults, r.Answers} {
 		for _, name := range slices.Sorted(maps.Keys(counts)) {
 			fmt.Fprintf(&out, "  %-22s %d\n", name, counts[name])
@@ -56,8 +58,10 @@
 	// recoveryTimeout how long until it does so again after fault injection has ended.
 	startTimeout    = 30 * time.Second
 	recoveryTimeout = 40 * time.Second
-	// callPause is the pause of each caller between two requests.
-	callPause = 40 * time.Millisecond
+	// callPause is the pause of each caller between two requests, and longCallPause that between
+	// two with long answers.
+	callPause     = 40 * time.Millisecond
+	longCallPause = 250 * time.Millisecond
 	// changeInterval and readInterval are the operator's pauses between changes and
 	// between reads.
 	changeInterval = 700 * time.Millisecond
@@ -123,7 +127,7 @@
 	w.readAllControlHosts()
 	w.Checker.CheckEngines()
 	report.SmallAccountRuns, report.CrashedEngines, report.LimitedEnginePeak, report.Backoffs = w.Checker.SmallAccountRuns, w.Checker.PoisonRuns, w.Checker.LimitedEnginePeak, w.Checker.Backoffs
-	report.PartCrashes = w.Checker.PartCrashes
+	report.PartCrashes, report.BrokenLong, report.SnapshotReturns = w.Checker.PartCrashes, w.Checker.BrokenLong, w.Checker.SnapshotReturns
 	report.Resumptions, report.ResumptionsCounted, report.ResumptionsGoneOn = w.Checker.Resumptions, w.Checker.ResumptionsCounted, w.Checker.ResumptionsGoneOn
 	report.Answers, report.Checks, report.Version, report.Problems = w.Checker.Answers, w.Checker.Checks, w.Checker.NewestVersion(), w.Checker.Problems()
 	return report, nil
@@ -143,6 +147,7 @@
 	work.Go(func() { w.sendCrashingPart(ctx, rand.New(rand.NewPCG(w.Seed, 29))) })
 	work.Go(func() { w.injectPushback(changing, rand.New(rand.NewPCG(w.Seed, 23))) })
 	work.Go(func() { w.runOperator(changing) })
+	work.Go(func() { w.returnThroughSnapshots(changing, rand.New(rand.NewPCG(w.Seed, 31))) })
 	work.Go(func() { w.readDeclarations(ctx) })
 }
 
@@ -168,7 +173,7 @@
 				w.resumeStream(ctx, &caller, k, request, result, r)
 			}
 		}
-		pause(ctx, callPause)
+		pause(ctx, k.pause())
 	}
 }
 
@@ -194,16 +199,21 @@
 func (w *World) readDeclarations(ctx context.Context) {
 	o := platformtest.Operator{Client: http.Client{Timeout: 1500 * time.Millisecond}}
 	for i := 0; ctx.Err() == nil; i++ {
-		c, newest := w.controlHosts()[i%len(w.controlHosts())], w.Checker.NewestVersion()
-		got, status, err := o.Read(ctx, c.settings.Listen.Operators)
-		w.Timeline.Record("read", "host=%s version=%d status=%d error=%q", c.Name, got.ConfigVersion, status, fmt.Sprint(err))
-		if err == nil && status == http.StatusOK {
-			w.Checker.CheckRead(c.Name, newest, got.ConfigVersion)
-		}
+		w.readDeclaration(ctx, o, w.controlHosts()[i%len(w.controlHosts())])
 		time.Sleep(readInterval)
 	}
 }
 
+// readDeclaration reads the declaration from a control host, and checks its version.
+func (w *World) readDeclaration(ctx context.Context, o platformtest.Operator, c *Host) {
+	newest := w.Checker.NewestVersion()
+	got, status, err := o.Read(ctx, c.settings.Listen.Operators)
+	w.Timeline.Record("read", "host=%s version=%d status=%d error=%q", c.Name, got.ConfigVersion, status, fmt.Sprint(err))
+	if err == nil && status == http.StatusOK {
+		w.Checker.CheckRead(c.Name, newest, got.ConfigVersion)
+	}
+}
+
 // endFaults removes the faults of links and engines, waits until all processes run, and
 // ends all evacuations.
 func (w *World) endFaults() {
--- a/soak/world.go
+++ b/soak/world.go
@@ -218,12 +218,13 @@
 func address(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 
 // usualFaults returns the faults of an engine in which no other fault is injected: some answers
-// have neither a length nor chunks, and of those some are cut short.
+// have neither a length nor chunks, and some are cut short.
 func usualFaults() *platformtest.FaultPlan {
 	return platformtest.NewFaultCycle(
 		unframedPeriod,
 		platformtest.FaultNoLength, platformtest.FaultNoLengthInside, platformtest.FaultNoLength, platformtest.FaultNoLengthEvent,
 		platformtest.FaultNoLength, platformtest.FaultNoLengthLine, platformtest.FaultTerminatedInside, platformtest.FaultNoLengthHead,
+		platformtest.FaultChunksCut, platformtest.FaultNoLengthReset, platformtest.FaultChunksGarbage, platformtest.FaultChunksReset,
 	)
 }
 
@@ -237,6 +238,7 @@
 	group := pool.New()
 	e, err := platformtest.StartEngine(ctx, group, address(w.listenNets[region].IP(engineIP), 0), platformtest.EngineOptions{
 		Service: service, DataCentre: fmt.Sprintf("dc%d", region), Heartbeat: heartbeat, Pause: 15 * time.Millisecond, CrashOn: poisonBody, CrashOnPart: crashingPart, Version: w.nextVersion(), Events: streamEvents,
+		LongPath: "/" + longKind + "/", LongPadding: longPadding,
 	})
 	if err != nil {
 		cancel()
@@ -307,6 +309,7 @@
 			route("bound", "safe", "portal", 2, false, "region0"),
 			route("chat", "streaming", "model", 1, false),
 			route("review", "streaming", "model", 2, true),
+			route(longKind, "safe", "portal", 2, false, "region0"),
 			route(fmt.Sprintf("v%d", version), "safe", "portal", 2, false),
 		},
 		Tenants:  tenants(version),
@@ -317,12 +320,16 @@
 // putVersion declares a version at random control hosts until one accepts it; false on a
 // timeout.
 func (w *World) putVersion(version int64, timeout time.Duration) bool {
+	return w.putVersionAt(w.controlHosts(), version, timeout)
+}
+
+// putVersionAt is putVersion with the control hosts to choose from.
+func (w *World) putVersionAt(controls []*Host, version int64, timeout time.Duration) bool {
 	body, err := declaration(version)
 	if err != nil {
 		return false
 	}
 	o := platformtest.Operator{Client: http.Client{Timeout: 1500 * time.Millisecond}}
-	controls := w.controlHosts()
 	for until := time.Now().Add(timeout); time.Now().Before(until); {
 		c := controls[rand.IntN(len(controls))]
 		status, err := o.Put(w.ctx, c.settings.Listen.Operators, body)
