--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,6 +35,7 @@
 	{7, "as 5000, in each of two runs: 137 and 138 requests"},
 	{38000, "a gateway received a handed-over request, sent it to two engines and was killed before it reported that: the request reached three engines"},
 	{57303, "a gateway was killed while it relayed a stream without framing, and the kernel closed its connection like at the end of the answer"},
+	{69127, "fault of the soak: an engine that sent no response counted as having announced in it that it drains"},
 	{38019, "fault of the soak: it panicked because a connection was accepted while the run ended"},
 }
 
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -173,9 +173,9 @@
 }
 
 // Open reads the newest log file of a folder, truncates a torn record at its end and
-// opens it for appending. All that it returns is durable. In an empty folder it creates the first file. It removes
-// files left by a Replace that a crash interrupted. The error is a *CorruptionError
-// if the file is corrupt.
+// opens it for appending. All that it returns is durable. In an empty folder it creates
+// the first file. It removes files left by a Replace that a crash interrupted. The error
+// is a *CorruptionError if the file is corrupt.
 func Open(folder disk.Folder) (*Log, raft.State, error) {
 	names, err := folder.Names()
 	if err != nil {
