--- a/ingress/broken_off_test.go
+++ b/ingress/broken_off_test.go
@@ -74,8 +74,7 @@
 	conn, err := net.Dial("tcp", hostPort(g.callers))
 	must.NoError(t, err)
 	defer conn.Close()
-	_, err = fmt.Fprintf(conn, "%s %s %s\r\nHost: h\r\nX-Linenscale-Request-Id: %s\r\nX-Linenscale-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n", method, path, version, id)
-	must.NoError(t, err)
+	must.NoError(t, platformtest.WriteVersionHead(conn, version, method, path, id, "Content-Length: 0"))
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return answerEnd{err: err}
