ingress: the tests of long answers wait as long as an answer takes

Cause: the catalog of the tests gives routes a second. The gateway ended the answer at that deadline, by the reset that an unfinished answer without framing gets, as it should.

Change: the routes of these tests have a minute, and the caller too. What is checked stays as it was.

--- a/ingress/broken_off_test.go
+++ b/ingress/broken_off_test.go
@@ -8,12 +8,15 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/linenscale/linenscale/catalog"
 	"github.com/linenscale/linenscale/ingress"
+	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/platform/platformtest"
 )
 
@@ -45,9 +48,27 @@
 	t.Helper()
 	lagos, kano = newGatewayWithBuffers(t, "g1", "lagos", bufferBytes), newGatewayWithBuffers(t, "g2", "kano", bufferBytes)
 	connect(lagos, kano)
+	for _, g := range []*gateway{lagos, kano} {
+		g.server.ApplyState(ledger.State{Index: 2, Catalog: patientCatalog()})
+	}
 	return lagos, kano
 }
 
+// patience is the timeout of the routes for long answers, far more than any takes: the tests
+// assert no time.
+const patience = time.Minute
+
+// patientCatalog returns testCatalog with that timeout.
+func patientCatalog() catalog.Catalog {
+	patient := testCatalog
+	patient.Version++
+	patient.Routes = slices.Clone(patient.Routes)
+	for i := range patient.Routes {
+		patient.Routes[i].Timeout = patience
+	}
+	return patient
+}
+
 func newGatewayWithBuffers(t *testing.T, name, region string, bufferBytes int64) *gateway {
 	t.Helper()
 	g := newUnservedGateway(t, name, region, time.Now, &net.Dialer{Timeout: 300 * time.Millisecond})
@@ -103,7 +124,7 @@
 		defer c.Client.CloseIdleConnections()
 		_, err := c.Do(context.Background(), hostPort(g.callers), platformtest.Request{Method: method, Host: "h", Path: "/none/1"})
 		must.NoError(t, err)
-		result, err := c.Do(context.Background(), hostPort(g.callers), platformtest.Request{Method: method, Host: "h", Path: path, Deadline: 5 * time.Second})
+		result, err := c.Do(context.Background(), hostPort(g.callers), platformtest.Request{Method: method, Host: "h", Path: path, Deadline: patience})
 		if err != nil {
 			return answerEnd{err: err}
 		}
