--- a/review/stand2/lost.go
+++ b/review/stand2/lost.go
@@ -97,6 +97,30 @@
 	return nil
 }
 
+// lateEnd has an engine send a long answer in chunks, and the last chunk after a pause.
+func lateEnd(d *deployment, trouble bool) error {
+	pause := 3 * time.Second
+	if trouble {
+		pause *= 4
+	}
+	whole := bytes.Repeat([]byte("a line of the member's letters\n"), 400<<10/31)
+	return playLost(d, lostSetup{
+		service: serviceConfig{Name: "correspondance", HealthPath: "/health", MaxConnections: 110, Protocol: "h1"},
+		route:   routeConfig{Name: "r-export", Host: "liens.example", PathPrefix: "/export/", Kind: "unsafe", TimeoutMs: 30000, TargetLatencyMs: 500, Priority: 2, Service: "correspondance", MaxAttempts: 1},
+		body:    []byte("export"), slots: 6, clients: 5, budget: 30 * time.Second,
+		serve: func(r *run) bool {
+			_, _ = io.Copy(io.Discard, r.req.Body)
+			_, err := fmt.Fprintf(r.conn, "%sContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", r.head("200 OK"), len(whole), whole)
+			if err == nil {
+				time.Sleep(pause)
+				_, err = io.WriteString(r.conn, "0\r\n\r\n")
+			}
+			d.rec.printf("engine %s ends its answer of %d bytes to %s, error %v", r.engine.id, len(whole), r.id, err)
+			return err == nil
+		},
+	})
+}
+
 // earlyReply has an engine answer before it has read the whole of a long body, and read the rest
 // later.
 func earlyReply(d *deployment, trouble bool) error {
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -29,6 +29,7 @@
 
 var cases = map[string]testCase{
 	"early-reply": earlyReply,
+	"late-end":    lateEnd,
 }
 
 // maxTime ends a case that hangs.
