--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -28,9 +28,10 @@
 type testCase func(d *deployment, trouble bool) error
 
 var cases = map[string]testCase{
-	"early-reply":    earlyReply,
-	"late-end":       lateEnd,
-	"stale-handover": staleHandover,
+	"continued-twice": continuedTwice,
+	"early-reply":     earlyReply,
+	"late-end":        lateEnd,
+	"stale-handover":  staleHandover,
 }
 
 // maxTime ends a case that hangs.
