A peer that leaves data unread is no longer taken for one that is gone

Cause: TCP_USER_TIMEOUT of 1.2 s on all connections that a member opens. Linux applies it to a closed receive window too, though the peer answers each probe of it. Change: internal/sendwindow extends the timeout of a connection whose peer keeps its window closed, in steps that also keep the kernel's probes frequent, and ends it after two unanswered probes and 1.2 s. Data in flight keeps its timeout. A peer that vanishes behind a closed window is found 1.2 to 1.5 s after its last sign.

--- a/daemon/dial.go
+++ b/daemon/dial.go
@@ -7,8 +7,7 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"github.com/linenscale/linenscale/internal/sendwindow"
 	"github.com/linenscale/linenscale/internal/steady"
 	"github.com/linenscale/linenscale/settings"
 	"github.com/linenscale/linenscale/trip"
@@ -57,6 +56,8 @@
 	patient bool
 	// suspendedSince reports whether this process was suspended since then.
 	suspendedSince func(since time.Time) bool
+	// sendWindows keeps connections open whose peer leaves data unread.
+	sendWindows *sendwindow.Watcher
 }
 
 // DialContext opens a connection within the timeout for the address's destination, and
@@ -79,11 +80,14 @@
 	case d.patient && ctx.Err() == nil && dialCtx.Err() != nil:
 		d.roundTrips.RecordTimeout(destination)
 	}
-	return conn, err
+	if err != nil {
+		return nil, err
+	}
+	return d.sendWindows.Watch(conn), nil
 }
 
 // newMemberDialer returns a dialer that connects from the host's own IP address. The
-// kernel ends its connections when sent bytes stay unacknowledged for tcpUserTimeout:
+// kernel ends its connections when sent bytes stay unacknowledged for sendwindow.Timeout:
 // in a partition nothing else detects the loss.
 func newMemberDialer(m settings.Member) net.Dialer {
 	localIP := m.IP
@@ -93,15 +97,6 @@
 	return net.Dialer{
 		LocalAddr:       &net.TCPAddr{IP: net.ParseIP(localIP)},
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var optErr error
-			err := raw.Control(func(fd uintptr) {
-				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return optErr
-		},
+		Control:         func(_, _ string, raw syscall.RawConn) error { return sendwindow.SetTimeout(raw) },
 	}
 }
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -18,6 +18,7 @@
 
 	"github.com/linenscale/linenscale/dispatch"
 	"github.com/linenscale/linenscale/follow"
+	"github.com/linenscale/linenscale/internal/sendwindow"
 	"github.com/linenscale/linenscale/internal/steady"
 	"github.com/linenscale/linenscale/internal/suspension"
 	"github.com/linenscale/linenscale/registry"
@@ -53,9 +54,6 @@
 	// an engine may be busy as well.
 	engineSlack = 200 * time.Millisecond
 	peerSlack   = 100 * time.Millisecond
-	// tcpUserTimeout is how long sent bytes may stay unacknowledged before the kernel
-	// ends a connection.
-	tcpUserTimeout = 1200 * time.Millisecond
 	// engineIdleTimeout is how long an idle connection to an engine stays open.
 	engineIdleTimeout = 2 * time.Second
 	// peerIdleTimeout is how long an idle connection to a gateway of another region stays
@@ -73,6 +71,7 @@
 	metrics     *telemetry.Metrics
 	roundTrips  *trip.Table
 	suspensions *suspension.Detector
+	sendWindows *sendwindow.Watcher
 	follower    atomic.Pointer[follow.Follower] // maps a host's address to its region
 	calls       *wire.Client
 	commands    *wire.Client
@@ -81,7 +80,7 @@
 // dialer returns a dialer for hosts of any region. patient is true for callers that
 // retry indefinitely.
 func (m *member) dialer(patient bool) *adaptiveDialer {
-	return &adaptiveDialer{Dialer: newMemberDialer(m.settings), roundTrips: m.roundTrips, destinationOf: m.destinationOf, slack: peerSlack, patient: patient, suspendedSince: m.suspensions.SuspendedSince}
+	return &adaptiveDialer{Dialer: newMemberDialer(m.settings), roundTrips: m.roundTrips, destinationOf: m.destinationOf, slack: peerSlack, patient: patient, suspendedSince: m.suspensions.SuspendedSince, sendWindows: m.sendWindows}
 }
 
 // deployment returns the name of the system that this host belongs to.
@@ -104,7 +103,7 @@
 // engineDialer returns a dialer for engines, which are all in this region.
 func (m *member) engineDialer() *adaptiveDialer {
 	here := func(string) string { return m.settings.Region }
-	return &adaptiveDialer{Dialer: newMemberDialer(m.settings), roundTrips: m.roundTrips, destinationOf: here, slack: engineSlack, suspendedSince: m.suspensions.SuspendedSince}
+	return &adaptiveDialer{Dialer: newMemberDialer(m.settings), roundTrips: m.roundTrips, destinationOf: here, slack: engineSlack, suspendedSince: m.suspensions.SuspendedSince, sendWindows: m.sendWindows}
 }
 
 // destinationOf returns the region of a host's address, or the address while its region
@@ -140,6 +139,7 @@
 		log: log.With(zap.String("host", s.Name)),
 	}
 	m.suspensions = suspension.New(steady.Time, logSuspension(m.log))
+	m.sendWindows = sendwindow.New(sendwindow.Deps{Log: m.log, Clock: steady.Time, Delay: m.suspensions.Delay})
 	m.calls = wire.NewClient(m.counted(trafficPolls, m.peerDialer(true)))
 	m.commands = wire.NewClient(m.counted(trafficCommands, m.peerDialer(true)))
 	seeds := s.SeedPeerAddresses()
@@ -153,6 +153,7 @@
 	defer stopBelow()
 	group := pool.New().WithContext(below).WithCancelOnError()
 	group.Go(m.suspensions.Run)
+	group.Go(m.sendWindows.Run)
 	group.Go(func(ctx context.Context) error { return m.watchSettings(ctx, reload) })
 	if s.Role == roster.RoleControl {
 		m.serve(group, s.Listen.Metrics, metrics.Handler())
--- /dev/null
+++ b/internal/sendwindow/sendwindow.go
@@ -0,0 +1,215 @@
+// Package sendwindow tells a peer that leaves data unread from one that is gone.
+//
+// A connection to a peer that vanished is found by TCP_USER_TIMEOUT: the kernel ends it once
+// sent data has stayed unacknowledged for that long. Linux applies the same timeout while the
+// peer's receive window is closed, even if the peer answers each probe of the window. RFC 9293,
+// section 3.8.6.1, wants such a connection to stay open: its peer is alive, and reads later.
+//
+// A Watcher observes connections with pending data. While a peer answers probes, it extends
+// the timeout step by step. The kernel sends the next probe when the timeout that it knows
+// runs out, so short steps keep the probes frequent, and a peer that vanishes while its window
+// is closed is found soon, too.
+package sendwindow
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"github.com/linenscale/linenscale/internal/duty"
+)
+
+// interval is how often a running Watcher observes connections.
+const interval = 150 * time.Millisecond
+
+// Deps holds the dependencies of a Watcher.
+type Deps struct {
+	Log   *zap.Logger
+	Clock func() time.Time
+	// Delay returns how late this process's tasks run at the moment.
+	Delay func() time.Duration
+}
+
+// Watcher observes connections whose peers may leave data unread. New makes one; it is safe
+// for concurrent use.
+type Watcher struct {
+	Deps
+	mu    sync.Mutex
+	added []*Conn
+	conns []*Conn // used by Observe only
+}
+
+// New returns a watcher without connections.
+func New(deps Deps) *Watcher { return &Watcher{Deps: deps} }
+
+// Run observes connections until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	duty.Every(ctx, interval, w.observe)
+	return nil
+}
+
+// Watch returns conn, observed while it has pending data. A connection that isn't a socket is
+// returned as it is.
+func (w *Watcher) Watch(conn net.Conn) net.Conn {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return conn
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return conn
+	}
+	return &Conn{Conn: conn, watcher: w, raw: raw}
+}
+
+// SetTimeout sets TCP_USER_TIMEOUT of a socket to Timeout.
+func SetTimeout(raw syscall.RawConn) error { return setTimeout(raw, Timeout) }
+
+func (w *Watcher) add(c *Conn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.added = append(w.added, c)
+}
+
+// observe observes each connection that may have pending data.
+func (w *Watcher) observe() {
+	w.mu.Lock()
+	w.conns = append(w.conns, w.added...)
+	clear(w.added)
+	w.added = w.added[:0]
+	w.mu.Unlock()
+	delay := w.Delay()
+	kept := w.conns[:0]
+	for _, c := range w.conns {
+		if c.observe(w.Clock(), delay) {
+			kept = append(kept, c)
+		}
+	}
+	clear(w.conns[len(kept):])
+	w.conns = kept
+}
+
+// Conn is a connection that a Watcher observes.
+type Conn struct {
+	net.Conn
+	watcher *Watcher
+	raw     syscall.RawConn
+	watched atomic.Bool // one of the watcher's connections
+	gone    atomic.Bool // closed because the peer had vanished
+
+	// Used by the watcher only.
+	tracker  Tracker
+	reported bool // the log says that the peer leaves data unread
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(data []byte) (int, error) {
+	if c.watched.CompareAndSwap(false, true) {
+		c.watcher.add(c)
+	}
+	n, err := c.Conn.Write(data)
+	return n, c.explain("write", err)
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	return n, c.explain("read", err)
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) { return c.raw, nil }
+
+// explain returns the error that the kernel gives for a peer that vanished instead of that of
+// a closed connection.
+func (c *Conn) explain(op string, err error) error {
+	if err == nil || !c.gone.Load() {
+		return err
+	}
+	return &net.OpError{Op: op, Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError(op, syscall.ETIMEDOUT)}
+}
+
+// observe observes the connection and reports whether to observe it again.
+func (c *Conn) observe(now time.Time, delay time.Duration) bool {
+	c.watched.Store(false) // before the status is read: a later Write adds the connection again
+	status, err := readStatus(c.raw)
+	if err != nil {
+		return false // closed
+	}
+	decision := c.tracker.Observe(now, status, delay)
+	if decision.Timeout > 0 {
+		_ = setTimeout(c.raw, decision.Timeout) // fails only if the connection was closed meanwhile
+	}
+	c.report(status, decision)
+	if decision.Gone {
+		c.abort()
+		return false
+	}
+	return decision.Pending && c.watched.CompareAndSwap(false, true)
+}
+
+// abort closes the connection without sending what is pending.
+func (c *Conn) abort() {
+	c.gone.Store(true)
+	_ = c.raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	})
+	_ = c.Close()
+}
+
+// report logs when the peer leaves data unread for longer than Timeout, and how that ends.
+func (c *Conn) report(status Status, decision Decision) {
+	stalled := c.tracker.Stalled()
+	fields := []zap.Field{
+		zap.Stringer("address", c.RemoteAddr()), zap.Stringer("local", c.LocalAddr()), zap.Duration("stalled", stalled),
+		zap.Uint32("unsent", status.Unsent), zap.Duration("last_ack", status.LastAck),
+	}
+	switch {
+	case decision.Gone:
+		c.watcher.Log.Warn("peer that left data unread is gone, closing the connection", fields...)
+	case stalled >= Timeout && !c.reported:
+		c.reported = true
+		c.watcher.Log.Info("peer leaves data unread, keeping the connection", fields...)
+	case stalled == 0 && c.reported:
+		c.reported = false
+		c.watcher.Log.Info("peer reads again", fields...)
+	}
+}
+
+// readStatus reads the status of a socket.
+func readStatus(raw syscall.RawConn) (Status, error) {
+	var info *unix.TCPInfo
+	var infoErr error
+	err := raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil {
+		return Status{}, errors.Trace(err)
+	}
+	if infoErr != nil {
+		return Status{}, errors.Annotate(infoErr, "TCP_INFO")
+	}
+	return Status{
+		Unacked: info.Unacked, Unsent: info.Notsent_bytes, Window: info.Snd_wnd, Sent: info.Segs_out,
+		LastAck: time.Duration(info.Last_ack_recv) * time.Millisecond,
+	}, nil
+}
+
+func setTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	var optErr error
+	err := raw.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(optErr)
+}
--- a/soak/check.go
+++ b/soak/check.go
@@ -21,12 +21,16 @@
 	region      string // the only region that may run it; "" for any
 	resumable   bool   // callers take up its streams
 	long        bool   // a plain answer of longPadding bytes
+	upload      bool   // a body that engines leave unread for a while
 }
 
 // pause returns the pause of each caller between two requests.
 func (k requestKind) pause() time.Duration {
-	if k.long {
+	switch {
+	case k.long:
 		return longCallPause
+	case k.upload:
+		return uploadPause
 	}
 	return callPause
 }
@@ -43,6 +47,17 @@
 // to the caller when an engine breaks it off.
 const longPadding = 600_000
 
+// uploadBody is longer than what an engine's receive buffer takes while the engine doesn't read.
+var uploadBody = strings.Repeat("u", 400_000)
+
+// body returns the body of the kind's requests.
+func (k requestKind) body() string {
+	if k.upload {
+		return uploadBody
+	}
+	return ""
+}
+
 // kinds has one entry for each of the declaration's permanent routes.
 var kinds = []requestKind{
 	{name: "safe", service: "portal", maxAttempts: 2},
@@ -51,8 +66,12 @@
 	{name: "chat", service: "model", model: true, atMostOnce: true, maxAttempts: 1},
 	{name: "review", service: "model", model: true, maxAttempts: 2, resumable: true},
 	{name: longKind, service: "portal", maxAttempts: 2, region: "region0", long: true}, // handed over by all other regions
+	{name: uploadKind, service: "portal", atMostOnce: true, maxAttempts: 1, region: "region0", upload: true},
 }
 
+// uploadKind is the name of the kind with long bodies.
+const uploadKind = "upload"
+
 // longKind is the name of the kind with long plain answers.
 const longKind = "long"
 
@@ -89,6 +108,7 @@
 	sound                                 []streamStart          // requests without the part that crashes engines
 	PartCrashes                           int                    // runs of requests with that part
 	BrokenLong                            int                    // long answers that visibly broke off
+	Uploads, FailedUploads                int                    // that ran while calm, and of these those without an answer
 	SnapshotReturns                       int                    // control hosts that came back after the leader had compacted what they missed
 	Backoffs                              int                    // backoffs that engines asked for
 	disturbances                          map[string][]time.Time // by IP address: when a host's process was started or got a signal
@@ -155,6 +175,12 @@
 	if r.GuaranteesNotRun() {
 		c.notRun[r.ID] = gateway
 	}
+	if k.upload && !c.calmSince.IsZero() && r.StartTime.After(c.calmSince.Add(uploadTime)) && !r.GuaranteesNotRun() {
+		c.Uploads++
+		if r.Status != http.StatusOK || !r.Complete {
+			c.FailedUploads++
+		}
+	}
 	c.mu.Unlock()
 	if r.Status != http.StatusOK {
 		return
@@ -216,6 +242,14 @@
 // has acknowledged that it drains.
 const drainTime = 4 * time.Second
 
+// checkUploads checks that engines which read late got most uploads: some fail because their
+// engine crashes.
+func (c *Checker) checkUploads() {
+	if c.FailedUploads*2 > c.Uploads {
+		c.AddProblem("%d of %d uploads to engines that read late failed while calm", c.FailedUploads, c.Uploads)
+	}
+}
+
 // CheckEngines checks all requests that the engines have received so far.
 func (c *Checker) CheckEngines() {
 	c.mu.Lock()
@@ -231,6 +265,7 @@
 	c.checkEngineLimit()
 	c.checkPushback(engines)
 	c.checkResumptions()
+	c.checkUploads()
 	ran, reached := make(map[string]int), make(map[string]int)
 	for _, e := range engines {
 		acked := e.DrainAckedAt()
--- a/soak/run.go
+++ b/soak/run.go
@@ -33,6 +33,8 @@
 	ResumptionsGoneOn  int   // of the latter, those that went on
 	Backoffs           int   // backoffs that engines asked for
 	BrokenLong         int   // long answers that visibly broke off
+	Uploads            int   // uploads to engines that read late, while calm
+	FailedUploads      int   // of these, those without an answer
 	SnapshotReturns    int   // control hosts that came back after the leader had compacted what they missed
 	Problems           []string
 }
@@ -40,7 +42,7 @@
 // String returns a summary line, the counts of faults and answers, and the problems.
 func (r Report) String() string {
 	var out strings.Builder
-	fmt.Fprintf(&out, "seed %d: %d checks, version %d, %d requests of the small account, %d engines crashed by a request and %d by a part, %d at the engine that takes few, %d rests asked for, %d streams taken up (%d of %d undisturbed ones went on), %d long answers broken off, %d returns through a snapshot, %d problems\n", r.Seed, r.Checks, r.Version, r.SmallAccountRuns, r.CrashedEngines, r.PartCrashes, r.LimitedEnginePeak, r.Backoffs, r.Resumptions, r.ResumptionsGoneOn, r.ResumptionsCounted, r.BrokenLong, r.SnapshotReturns, len(r.Problems))
+	fmt.Fprintf(&out, "seed %d: %d checks, version %d, %d requests of the small account, %d engines crashed by a request and %d by a part, %d at the engine that takes few, %d rests asked for, %d streams taken up (%d of %d undisturbed ones went on), %d long answers broken off, %d of %d late-read uploads failed, %d returns through a snapshot, %d problems\n", r.Seed, r.Checks, r.Version, r.SmallAccountRuns, r.CrashedEngines, r.PartCrashes, r.LimitedEnginePeak, r.Backoffs, r.Resumptions, r.ResumptionsGoneOn, r.ResumptionsCounted, r.BrokenLong, r.FailedUploads, r.Uploads, r.SnapshotReturns, len(r.Problems))
 	for _, counts := range []map[string]int{r.Faults, r.Answers} {
 		for _, name := range slices.Sorted(maps.Keys(counts)) {
 			fmt.Fprintf(&out, "  %-22s %d\n", name, counts[name])
@@ -62,6 +64,11 @@
 	// two with long answers.
 	callPause     = 40 * time.Millisecond
 	longCallPause = 250 * time.Millisecond
+	// uploadReadPause is how long engines leave the body of an upload unread, uploadTime how
+	// long an upload may take, and uploadPause the pause of each caller between two of them.
+	uploadReadPause = 1600 * time.Millisecond
+	uploadTime      = 3 * time.Second
+	uploadPause     = 2 * time.Second
 	// changeInterval and readInterval are the operator's pauses between changes and
 	// between reads.
 	changeInterval = 700 * time.Millisecond
@@ -128,6 +135,7 @@
 	w.Checker.CheckEngines()
 	report.SmallAccountRuns, report.CrashedEngines, report.LimitedEnginePeak, report.Backoffs = w.Checker.SmallAccountRuns, w.Checker.PoisonRuns, w.Checker.LimitedEnginePeak, w.Checker.Backoffs
 	report.PartCrashes, report.BrokenLong, report.SnapshotReturns = w.Checker.PartCrashes, w.Checker.BrokenLong, w.Checker.SnapshotReturns
+	report.Uploads, report.FailedUploads = w.Checker.Uploads, w.Checker.FailedUploads
 	report.Resumptions, report.ResumptionsCounted, report.ResumptionsGoneOn = w.Checker.Resumptions, w.Checker.ResumptionsCounted, w.Checker.ResumptionsGoneOn
 	report.Answers, report.Checks, report.Version, report.Problems = w.Checker.Answers, w.Checker.Checks, w.Checker.NewestVersion(), w.Checker.Problems()
 	return report, nil
@@ -156,7 +164,7 @@
 func (w *World) sendRequests(ctx context.Context, h *Host, k requestKind, r *rand.Rand) {
 	var caller platformtest.Caller
 	for ctx.Err() == nil {
-		request := platformtest.Request{Host: "soak", Path: "/" + k.name + "/1", Header: platformtest.HeaderWithKeys(memberKey), IsPrompt: k.model, PromptBlocks: fmt.Sprintf("%s:400,b%d:600,c:50", firstPart, r.IntN(5)), Deadline: 3 * time.Second}
+		request := platformtest.Request{Host: "soak", Path: "/" + k.name + "/1", Header: platformtest.HeaderWithKeys(memberKey), IsPrompt: k.model, PromptBlocks: fmt.Sprintf("%s:400,b%d:600,c:50", firstPart, r.IntN(5)), Body: k.body(), Deadline: uploadTime}
 		if k.resumable && r.IntN(breakOneIn) == 0 {
 			request.BreakAfter = 1 + r.IntN(streamEvents-1)
 		}
@@ -268,6 +276,9 @@
 	newest := requestKind{name: fmt.Sprintf("v%d", w.Checker.NewestVersion())}
 	for _, h := range w.gateways("") {
 		for _, k := range append(slices.Clone(kinds), newest) {
+			if k.upload {
+				continue // each takes its engine uploadReadPause
+			}
 			result, err := caller.Do(w.ctx, h.settings.Listen.Callers, platformtest.Request{Host: "soak", Path: "/" + k.name + "/1", Header: platformtest.HeaderWithKeys(memberKey), IsPrompt: k.model})
 			if err != nil || result.Status != http.StatusOK || !result.Complete {
 				return fmt.Sprintf("%s at %s: status %d, %v", k.name, h.Name, result.Status, err)
--- a/soak/world.go
+++ b/soak/world.go
@@ -228,6 +228,9 @@
 	)
 }
 
+// engineReceiveBuffer is the size of an engine's receive buffers, in bytes. Uploads are longer.
+const engineReceiveBuffer = 16 << 10
+
 // unframedPeriod is how many answers an engine sends between two that usualFaults affects.
 const unframedPeriod = 10
 
@@ -238,7 +241,7 @@
 	group := pool.New()
 	e, err := platformtest.StartEngine(ctx, group, address(w.listenNets[region].IP(engineIP), 0), platformtest.EngineOptions{
 		Service: service, DataCentre: fmt.Sprintf("dc%d", region), Heartbeat: heartbeat, Pause: 15 * time.Millisecond, CrashOn: poisonBody, CrashOnPart: crashingPart, Version: w.nextVersion(), Events: streamEvents,
-		LongPath: "/" + longKind + "/", LongPadding: longPadding,
+		LongPath: "/" + longKind + "/", LongPadding: longPadding, ReadPause: uploadReadPause, ReceiveBuffer: engineReceiveBuffer,
 	})
 	if err != nil {
 		cancel()
@@ -310,6 +313,7 @@
 			route("chat", "streaming", "model", 1, false),
 			route("review", "streaming", "model", 2, true),
 			route(longKind, "safe", "portal", 2, false, "region0"),
+			route(uploadKind, "unsafe", "portal", 1, false, "region0"),
 			route(fmt.Sprintf("v%d", version), "safe", "portal", 2, false),
 		},
 		Tenants:  tenants(version),
