relay: a head without end is given up after 64 KiB

Forty such answers take a gateway from 24 MB to 460 to 686 MB, and last until their callers' time is over. Cause: net/http holds a head of up to 10 MB, and doesn't count informational responses that somebody receives, as hand-overs do. Change: a limit of 64 KiB for the head with all informational responses, on all connections of relay, and for probes; probes' bodies up to 4 MiB; errors quote 512 bytes of what came.

--- a/daemon/dial.go
+++ b/daemon/dial.go
@@ -32,8 +32,11 @@
 	return dialer
 }
 
+// maxProbeHeadBytes bounds the head of a response to a probe, which is held in memory.
+const maxProbeHeadBytes = 64 << 10
+
 func probeTransport(dialer *net.Dialer) *http.Transport {
-	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true}
+	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: maxProbeHeadBytes}
 }
 
 // TCP keep-alive for idle connections. It ends a connection whose peer vanished without
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"syscall"
@@ -38,6 +39,9 @@
 	maxListAge = 30 * time.Second
 	// missingTimeout is how long a host must be unlisted to count as draining.
 	missingTimeout = 5 * time.Second
+	// maxResponseBytes bounds the body of a response, of which the decoder holds each value in
+	// memory. A list of 50,000 hosts fits.
+	maxResponseBytes = 4 << 20
 	// maxConcurrentProbes limits the number of probes in flight.
 	maxConcurrentProbes = 32
 )
@@ -146,7 +150,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return resp.Header, errors.Errorf("unexpected HTTP status %d", resp.StatusCode)
 	}
-	return resp.Header, errors.Trace(json.NewDecoder(resp.Body).Decode(into))
+	return resp.Header, errors.Trace(json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(into))
 }
 
 // List is the platform's response to GET /hosts.
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -1,7 +1,10 @@
 package probe_test
 
 import (
+	"context"
+	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,3 +100,43 @@
 	}
 	must.Eq(t, route.Healthy, health(t, f, "b"))
 }
+
+// endlessBody is the body of a response that never ends: one JSON string.
+type endlessBody struct{ read *atomic.Int64 }
+
+// Read implements io.Reader.
+func (b endlessBody) Read(data []byte) (int, error) {
+	for i := range data {
+		data[i] = 'a'
+	}
+	if b.read.Add(int64(len(data))) == int64(len(data)) {
+		data[0] = '"'
+	}
+	return len(data), nil
+}
+
+// endlessServer answers each request with an endlessBody, up to most bytes in all.
+type endlessServer struct {
+	read atomic.Int64
+	most int64
+	stop context.CancelFunc
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s *endlessServer) RoundTrip(r *http.Request) (*http.Response, error) {
+	defer s.stop()
+	body := io.NopCloser(io.LimitReader(endlessBody{&s.read}, s.most))
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: body, Request: r}, nil
+}
+
+// TestEndlessReportIsCutOff guards against a report of an engine that never ends, and is kept in
+// memory for as long as it comes.
+func TestEndlessReportIsCutOff(t *testing.T) {
+	_, f := setup(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &endlessServer{most: 64 << 20, stop: cancel}
+	must.NoError(t, probe.New(f, server, "", zap.NewNop()).Run(ctx))
+	engines := int64(len(f.EngineAddresses()))
+	must.Greater(t, 0, server.read.Load())
+	must.LessEq(t, engines*(8<<20), server.read.Load())
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -61,7 +61,13 @@
 }
 
 // Error implements error.
-func (f *Failure) Error() string { return f.cause.Error() }
+func (f *Failure) Error() string {
+	text := f.cause.Error()
+	if len(text) > maxErrorBytes {
+		return text[:maxErrorBytes] + "…"
+	}
+	return text
+}
 
 // Unwrap returns the underlying error.
 func (f *Failure) Unwrap() error { return f.cause }
@@ -117,6 +123,14 @@
 // bytes. It is small because many streams are open at once.
 const bufferSize = 1 << 10
 
+const (
+	// maxHeadBytes bounds the head of an answer with all informational responses before it, which
+	// is held in memory.
+	maxHeadBytes = 64 << 10
+	// maxErrorBytes bounds the text of an error, which may quote what a server has sent.
+	maxErrorBytes = 512
+)
+
 // Options configures a Client. Zero fields have the defaults below.
 type Options struct {
 	// AnswerTimeout bounds the wait for the headers of an answer. If it is 0, only
@@ -147,6 +161,8 @@
 		ReadBufferSize:        bufferSize,
 		WriteBufferSize:       bufferSize,
 		DisableCompression:    true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	unpooled := pooled.Clone()
 	unpooled.DisableKeepAlives = true
@@ -172,10 +188,7 @@
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	if call.OnInformational != nil {
-		trace.Got1xxResponse = func(_ int, header textproto.MIMEHeader) error {
-			call.OnInformational(http.Header(header))
-			return nil
-		}
+		trace.Got1xxResponse = limitInformational(call.OnInformational)
 	}
 	// net/http can't resend a body of a type that it doesn't know. A call without
 	// a body gets an opaque empty one for the same reason, unless it follows the
@@ -229,6 +242,28 @@
 	return resp, nil
 }
 
+// limitInformational returns a function that passes informational responses on, and ends the call
+// once they are longer than maxHeadBytes. net/http limits them only if nobody receives them.
+func limitInformational(pass func(http.Header)) func(int, textproto.MIMEHeader) error {
+	left := maxHeadBytes
+	return func(_ int, header textproto.MIMEHeader) error {
+		left -= statusLineBytes
+		for name, values := range header {
+			for _, value := range values {
+				left -= len(name) + len(value)
+			}
+		}
+		if left < 0 {
+			return errors.Errorf("informational responses of more than %d bytes", maxHeadBytes)
+		}
+		pass(http.Header(header))
+		return nil
+	}
+}
+
+// statusLineBytes is the length of the shortest informational response.
+const statusLineBytes = len("HTTP/1.1 100 \r\n\r\n")
+
 // usableCheckKey is the context key with which a call's CheckUsable reaches the dialer.
 type usableCheckKey struct{}
 
--- a/soak/check.go
+++ b/soak/check.go
@@ -109,6 +109,7 @@
 	PartCrashes                           int                    // runs of requests with that part
 	BrokenLong                            int                    // long answers that visibly broke off
 	Uploads, FailedUploads                int                    // that ran while calm, and of these those without an answer
+	Endless                               int                    // responses whose head never ended
 	SnapshotReturns                       int                    // control hosts that came back after the leader had compacted what they missed
 	Backoffs                              int                    // backoffs that engines asked for
 	disturbances                          map[string][]time.Time // by IP address: when a host's process was started or got a signal
@@ -250,6 +251,27 @@
 	}
 }
 
+// maxEndless is how much of an endless response may be read before its connection is closed.
+const maxEndless = 1 << 20
+
+// checkEndless checks that most responses whose head never ended were closed soon: a gateway that
+// is suspended meanwhile can't.
+func (c *Checker) checkEndless(engines []*Engine) {
+	all, late := 0, 0
+	for _, e := range engines {
+		for _, written := range e.EndlessResponses() {
+			all++
+			if written > maxEndless {
+				late++
+			}
+		}
+	}
+	if late*2 > all {
+		c.AddProblem("%d of %d responses without an end were read for more than %d bytes", late, all, maxEndless)
+	}
+	c.Endless = all
+}
+
 // CheckEngines checks all requests that the engines have received so far.
 func (c *Checker) CheckEngines() {
 	c.mu.Lock()
@@ -266,6 +288,7 @@
 	c.checkPushback(engines)
 	c.checkResumptions()
 	c.checkUploads()
+	c.checkEndless(engines)
 	ran, reached := make(map[string]int), make(map[string]int)
 	for _, e := range engines {
 		acked := e.DrainAckedAt()
--- a/soak/world.go
+++ b/soak/world.go
@@ -218,13 +218,14 @@
 func address(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 
 // usualFaults returns the faults of an engine in which no other fault is injected: some answers
-// have neither a length nor chunks, and some are cut short.
+// have neither a length nor chunks, some are cut short, and some never end.
 func usualFaults() *platformtest.FaultPlan {
 	return platformtest.NewFaultCycle(
 		unframedPeriod,
 		platformtest.FaultNoLength, platformtest.FaultNoLengthInside, platformtest.FaultNoLength, platformtest.FaultNoLengthEvent,
 		platformtest.FaultNoLength, platformtest.FaultNoLengthLine, platformtest.FaultTerminatedInside, platformtest.FaultNoLengthHead,
 		platformtest.FaultChunksCut, platformtest.FaultNoLengthReset, platformtest.FaultChunksGarbage, platformtest.FaultChunksReset,
+		platformtest.FaultEndlessHeader, platformtest.FaultEndlessInformational, platformtest.FaultEndlessGarbage,
 	)
 }
 
