follow: a view with pages to come isn't steady

Cause: a gateway that has just started counts its engines as all there are once all control hosts have answered for a second, even if they have more pages of engines to send. Change: a control host whose last answer was a page that others follow makes the view not steady.

--- a/follow/engines_test.go
+++ b/follow/engines_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
@@ -30,13 +31,17 @@
 	mu          sync.Mutex
 	unreachable bool
 	sources     []string
+	pagePause   time.Duration // before each answer
 	answers     int
 	failures    int
 }
 
 // Sync implements the method of follow.Service. It answers after a short wait.
 func (c *engineHost) Sync(args follow.SyncArgs, reply *follow.SyncReply) error {
-	time.Sleep(min(args.Wait, 20*time.Millisecond))
+	c.mu.Lock()
+	pagePause := c.pagePause
+	c.mu.Unlock()
+	time.Sleep(max(pagePause, min(args.Wait, 20*time.Millisecond)))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.unreachable {
@@ -71,6 +76,7 @@
 
 // engineFollower is a host that follows an engineHost. Its clock can be advanced.
 type engineFollower struct {
+	*follow.Follower
 	host   *engineHost
 	table  *registry.Table
 	offset atomic.Int64
@@ -95,7 +101,7 @@
 	must.NoError(t, err)
 	server := wire.NewServer()
 	must.NoError(t, server.Register(follow.Service, f.host))
-	follower := follow.New(follow.Deps{
+	f.Follower = follow.New(follow.Deps{
 		Self: func() roster.Host {
 			return roster.Host{Name: "f", Region: "here", DataCentre: "a"}
 		},
@@ -105,7 +111,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	group := pool.New()
 	group.Go(func() { _ = server.Serve(ctx, listener) })
-	group.Go(func() { _ = follower.Run(ctx) })
+	group.Go(func() { _ = f.Run(ctx) })
 	t.Cleanup(func() {
 		cancel()
 		group.Wait()
@@ -142,6 +148,25 @@
 	}
 }
 
+// TestViewIsNotSteadyBeforeItsLastPage guards against a stream that is joined from two versions
+// because a gateway that has just started counts the engines that it has so far as all there are.
+func TestViewIsNotSteadyBeforeItsLastPage(t *testing.T) {
+	t.Parallel()
+	const engines = 150 // a page has one
+	f := newEngineFollower(t, func(ledger.State) {})
+	f.host.mu.Lock()
+	f.host.pagePause = 20 * time.Millisecond
+	f.host.mu.Unlock()
+	for i := range engines {
+		id := fmt.Sprintf("i-%03d", i)
+		f.host.engines.Heartbeat(registry.Engine{ID: id, Service: "s", Address: fmt.Sprintf("10.1.0.%d:80", i), DataCentre: "a", Slots: 4, Sequence: 1})
+	}
+	for until := time.Now().Add(30 * time.Second); !f.IsSteady(); time.Sleep(10 * time.Millisecond) {
+		must.True(t, time.Now().Before(until), must.Sprint("the control host answers"))
+	}
+	must.GreaterEq(t, engines, len(f.table.All()))
+}
+
 // removalTime is longer than engines are retained whose control host doesn't answer.
 const removalTime = 61 * time.Second
 
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -382,6 +382,7 @@
 		l.host = reply.Self
 	}
 	l.connectedTo = reply.Hears
+	l.hasMore = reply.More
 }
 
 // applyLists applies an answer's hosts, and up to which change the lists reach. The caller
@@ -470,13 +471,13 @@
 const steadyTime = time.Second
 
 // IsSteady reports whether every control host that is polled has answered each poll within
-// steadyTime, so that what any of them knew of the engines has arrived.
+// steadyTime and has no more pages, so that what any of them knew of the engines has arrived.
 func (f *Follower) IsSteady() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock()
 	for _, l := range f.links {
-		if !l.isConnected(now) || l.failing || l.answersSince.IsZero() || now.Sub(l.answersSince) < steadyTime {
+		if !l.isConnected(now) || l.failing || l.hasMore || l.answersSince.IsZero() || now.Sub(l.answersSince) < steadyTime {
 			return false
 		}
 	}
--- a/follow/link.go
+++ b/follow/link.go
@@ -34,6 +34,7 @@
 	failing       bool                   // the last poll failed
 	answersSince  time.Time              // since when no poll has failed
 	interrupt     context.CancelFunc     // ends the current poll if it is brief; else nil
+	hasMore       bool                   // its last answer was a page that others follow
 	fullSince     time.Time              // since when it sends hosts and engines; zero while it is polled briefly
 }
 
