controller: a control host that lost its disk learns of ended engines

Cause: control hosts send each other only the engines whose heartbeats they receive. One that comes back without its disk isn't told of the engines that had sent theirs to it and have ended, and gateways of its region that have just started have them from nobody else. Change: a control host also receives engines that have left or are silent and whose control host doesn't run any more. Nothing is sent to such engines.

--- a/controller/service.go
+++ b/controller/service.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -129,15 +130,7 @@
 	if args.Selective {
 		reply.Sources = c.follower.ConnectedIncarnations()
 	}
-	relevant := func(e registry.Engine) bool {
-		if args.Self.Role == roster.RoleControl {
-			// Each control host reports only the engines that it receives heartbeats
-			// from.
-			return e.Source == c.Self.Life
-		}
-		return e.DataCentre == "" || c.Regions[e.DataCentre] == args.Self.Region
-	}
-	engines, number, moreEngines := c.engines.Page(args.Engines, pageSize, relevant)
+	engines, number, moreEngines := c.engines.Page(args.Engines, pageSize, c.engineFilter(args))
 	reply.Engines, reply.Number = follow.NewEngineUpdates(engines, now), number
 	for i := range reply.Engines {
 		if reply.Engines[i].Engine.Source == c.Self.Life {
@@ -156,6 +149,35 @@
 	return reply
 }
 
+// engineFilter returns which engines a caller receives: a gateway those of its region, a control
+// host those that send their heartbeats here. A control host that has started again may have
+// forgotten engines, so it also receives those that have ended and sent theirs to a control host
+// that doesn't run any more.
+func (c *Controller) engineFilter(args follow.SyncArgs) func(registry.Engine) bool {
+	if args.Self.Role != roster.RoleControl {
+		return func(e registry.Engine) bool {
+			return e.DataCentre == "" || c.Regions[e.DataCentre] == args.Self.Region
+		}
+	}
+	running := sync.OnceValue(c.controlIncarnations)
+	return func(e registry.Engine) bool {
+		if e.Source == c.Self.Life {
+			return true
+		}
+		ended := e.Phase == registry.Left || e.Phase == registry.Unresponsive
+		return ended && !e.IsRestored() && !running()[e.Source]
+	}
+}
+
+// controlIncarnations returns the incarnations of the control hosts in the roster.
+func (c *Controller) controlIncarnations() map[string]bool {
+	out := make(map[string]bool)
+	for _, h := range c.roster.Hosts(roster.RoleControl) {
+		out[h.Life] = true
+	}
+	return out
+}
+
 // pageSize bounds the engines and the hosts of one reply, to some 30 KB each.
 const pageSize = 256
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -68,6 +68,10 @@
 // IsCold reports whether the engine still has reduced capacity after its start.
 func (e Engine) IsCold(now time.Time) bool { return now.Before(e.ColdUntil) }
 
+// IsRestored reports whether no host has had a heartbeat of the engine since it was restored from
+// disk.
+func (e Engine) IsRestored() bool { return e.Source == restoredSource }
+
 // Limits of heartbeats and retention.
 const (
 	// maxMissedHeartbeats is how many heartbeat intervals may pass without a heartbeat.
