dispatch: only a complete report shows that a region has one version

Callers saw: nothing here; at another operator, streams that were taken up after all gateways had been killed were joined from two versions. Here, they are refused for 14 s if a region has gateways and no engines. Cause: a gateway that has just started reports the versions that it knows so far, and other regions take that for all. A region without engines reports none, which counted as no report. Change: a report says whether its gateway's view of the engines is steady. Such a report is complete, also without a version. Gateways of an earlier release don't say so, and leave it open. Evidence: TestIncompleteReportLeavesTheVersionOpen and TestRegionWithoutEnginesLeavesTheVersionCertain fail with the earlier criterion.

--- a/dispatch/regions.go
+++ b/dispatch/regions.go
@@ -113,7 +113,7 @@
 		d.Log.Error("region report not sent: encoding failed", telemetry.ErrorField(err))
 		return rollup.Message{}, false
 	}
-	return rollup.Message{From: d.Name, Remote: []rollup.RegionReport{{Region: d.Region, Digests: body, Accounts: d.regionUsage(now), Crashes: d.quarantine.OutgoingRemote(now), Parts: d.parts.OutgoingRemote(now), Versions: d.servingVersions(now), Demand: d.regionDemandReport(now), Refunds: d.regionRefunds(now)}}}, true
+	return rollup.Message{From: d.Name, Remote: []rollup.RegionReport{{Region: d.Region, Digests: body, Accounts: d.regionUsage(now), Crashes: d.quarantine.OutgoingRemote(now), Parts: d.parts.OutgoingRemote(now), Versions: d.servingVersions(now), VersionsComplete: d.viewIsSteady(), Demand: d.regionDemandReport(now), Refunds: d.regionRefunds(now)}}}, true
 }
 
 func (d *Dispatcher) digest(p *pool, now time.Time) Digest {
@@ -178,6 +178,7 @@
 	}
 	remote.applyDigests(digests, d.roundTrip(r.Region), now.Add(-r.Age))
 	remote.applyVersions(r.Versions)
+	remote.versionsComplete = r.VersionsComplete
 	remote.applyCallerDemand(r.Demand)
 	d.applyRemoteUsage(r.Region, r.Accounts, r.Refunds, now.Add(-r.Age))
 }
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -13,12 +13,14 @@
 
 // remoteRegion is the known state of another region.
 type remoteRegion struct {
-	reportedAt   time.Time // when its last report arrived in this region
-	digests      map[string]Digest
-	versions     map[streams.Origin]int        // engines that serve, by service and version; nil if not reported
-	callerDemand map[uint32]rollup.RouteDemand // of its callers, by class
-	inFlight     []*RemoteRequest              // sent there, and not in its last report yet
-	cached       map[string]cachedBlocks       // by service: prompt blocks sent there
+	reportedAt time.Time // when its last report arrived in this region
+	digests    map[string]Digest
+	versions   map[streams.Origin]int // engines that serve, by service and version; nil if not reported
+	// versionsComplete is set if the region has no other versions, lately ended ones included.
+	versionsComplete bool
+	callerDemand     map[uint32]rollup.RouteDemand // of its callers, by class
+	inFlight         []*RemoteRequest              // sent there, and not in its last report yet
+	cached           map[string]cachedBlocks       // by service: prompt blocks sent there
 }
 
 // RemoteRequest is a request handed over to another region. It counts as load of that
--- a/dispatch/versions.go
+++ b/dispatch/versions.go
@@ -102,6 +102,10 @@
 	return origin != nil && r.versions != nil && r.versions[*origin] == 0
 }
 
+// viewIsSteady reports whether this gateway knows all engines of its region, those that have ended
+// lately included.
+func (d *Dispatcher) viewIsSteady() bool { return d.ViewIsSteady != nil && d.ViewIsSteady() }
+
 // SoleVersion returns the only version at which a stream of the service can have begun lately:
 // all engines in the permitted regions have it, including those that have ended since the
 // registry last removed any. It returns false unless that is certain, so while a region or a
@@ -110,7 +114,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p, ok := d.pools[service]
-	if !ok || d.ViewIsSteady == nil || !d.ViewIsSteady() {
+	if !ok || !d.viewIsSteady() {
 		return streams.Origin{}, false
 	}
 	versions := make(map[streams.Origin]struct{})
@@ -122,7 +126,7 @@
 			continue
 		}
 		remote, reported := d.remotes[region]
-		if !reported || !remote.isFresh(d.Clock()) || remote.versions == nil {
+		if !reported || !remote.isFresh(d.Clock()) || !remote.versionsComplete {
 			return streams.Origin{}, false
 		}
 		for origin := range remote.versions {
--- a/dispatch/versions_test.go
+++ b/dispatch/versions_test.go
@@ -122,7 +122,7 @@
 	}
 	reportOf := func(versions ...rollup.VersionCount) rollup.Message {
 		m := loadReport("kano", 4, 0)
-		m.Remote[0].Versions = versions
+		m.Remote[0].Versions, m.Remote[0].VersionsComplete = versions, len(versions) > 0
 		return m
 	}
 	must.Eq(t, "", sole(here), must.Sprint("no engine is known"))
@@ -149,3 +149,38 @@
 	g.ViewIsSteady = nil
 	must.Eq(t, "", sole(here))
 }
+
+// soleVersionOf returns the sole version of the service at a gateway of lagos that has heard the
+// report of kano; "" if it isn't certain.
+func soleVersionOf(report rollup.Message) string {
+	env := newTestEnv(1, 0)
+	g := env.gateways[0]
+	g.ViewIsSteady = func() bool { return true }
+	env.heartbeat(registry.Engine{ID: "i-1", Service: "review", Slots: 16, Version: "v1"})
+	report.Remote[0].Region = "kano"
+	g.Receive(report)
+	origin, _ := g.SoleVersion("review", func(string) bool { return true })
+	return origin.Version
+}
+
+// TestIncompleteReportLeavesTheVersionOpen guards against joining a stream from two versions after
+// all gateways were killed: a region's gateway that has just started reports the engines that it
+// knows so far.
+func TestIncompleteReportLeavesTheVersionOpen(t *testing.T) {
+	for steady, want := range map[bool]string{true: "v1", false: ""} {
+		kano := newTestEnv(1, 0)
+		kano.gateways[0].ViewIsSteady = func() bool { return steady }
+		kano.heartbeat(registry.Engine{ID: "i-2", Service: "review", Slots: 16, Version: "v1"})
+		must.Eq(t, want, soleVersionOf(kano.gateways[0].RegionReport()), must.Sprint("steady: ", steady))
+	}
+}
+
+// TestRegionWithoutEnginesLeavesTheVersionCertain guards against rejecting every stream that is taken
+// up because one region has gateways and no engines.
+func TestRegionWithoutEnginesLeavesTheVersionCertain(t *testing.T) {
+	kano := newTestEnv(1, 0)
+	kano.gateways[0].ViewIsSteady = func() bool { return true }
+	report := kano.gateways[0].RegionReport()
+	report.Remote[0].Versions = nil
+	must.Eq(t, "v1", soleVersionOf(report))
+}
--- a/rollup/report.go
+++ b/rollup/report.go
@@ -107,6 +107,9 @@
 	Demand []RouteDemand `cbor:"8,keyasint,omitempty"`
 	// What was refunded to the accounts of the region's callers.
 	Refunds []AccountRefund `cbor:"9,keyasint,omitempty"`
+	// VersionsComplete says that Versions has all versions of the region's engines, those that have
+	// ended lately included: the reporting gateway was in contact with all control hosts.
+	VersionsComplete bool `cbor:"10,keyasint,omitempty"`
 }
 
 // VersionCount is the number of a region's engines that serve one service at one software
