dispatch: the only version is open for longer than ended engines are known

Callers saw: nothing yet. A stream that is taken up later than the registry remembers the engine that began it would be joined from two versions. Cause: that one version alone can have begun a stream rests on the engines that ended within 60 s, whatever the route's timeout and the caller's time. Change: it is certain only if the longest time for which the stream may be taken up is 10 s shorter than that. Evidence: TestEndedEnginesAreKnownForAsLongAsStreamsAreTakenUp fails without the bound.

--- a/dispatch/versions.go
+++ b/dispatch/versions.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/linenscale/linenscale/registry"
 	"github.com/linenscale/linenscale/rollup"
 	"github.com/linenscale/linenscale/streams"
 )
@@ -102,19 +103,23 @@
 	return origin != nil && r.versions != nil && r.versions[*origin] == 0
 }
 
+// streamEndTime bounds the time between the last heartbeat of an engine and the last stream that
+// begins there, with the slack of records.
+const streamEndTime = 10 * time.Second
+
 // viewIsSteady reports whether this gateway knows all engines of its region, those that have ended
-// lately included.
+// within registry.Retention included.
 func (d *Dispatcher) viewIsSteady() bool { return d.ViewIsSteady != nil && d.ViewIsSteady() }
 
-// SoleVersion returns the only version at which a stream of the service can have begun lately:
-// all engines in the permitted regions have it, including those that have ended since the
-// registry last removed any. It returns false unless that is certain, so while a region or a
-// control host isn't in contact.
-func (d *Dispatcher) SoleVersion(service string, permitted func(region string) bool) (streams.Origin, bool) {
+// SoleVersion returns the only version at which a stream of the service can have begun within the
+// given time: all engines in the permitted regions have it, including those that have ended since. It
+// returns false unless that is certain, so while a region or a control host isn't in contact, and
+// for longer times than the registry keeps engines that have ended.
+func (d *Dispatcher) SoleVersion(service string, within time.Duration, permitted func(region string) bool) (streams.Origin, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p, ok := d.pools[service]
-	if !ok || !d.viewIsSteady() {
+	if !ok || !d.viewIsSteady() || within+streamEndTime > registry.Retention {
 		return streams.Origin{}, false
 	}
 	versions := make(map[streams.Origin]struct{})
--- a/dispatch/versions_test.go
+++ b/dispatch/versions_test.go
@@ -116,7 +116,7 @@
 	steady := true
 	g.ViewIsSteady = func() bool { return steady }
 	sole := func(permitted func(string) bool) string {
-		origin, ok := g.SoleVersion("review", permitted)
+		origin, ok := g.SoleVersion("review", 15*time.Second, permitted)
 		must.Eq(t, ok, origin.Version != "")
 		return origin.Version
 	}
@@ -152,14 +152,14 @@
 
 // soleVersionOf returns the sole version of the service at a gateway of lagos that has heard the
 // report of kano; "" if it isn't certain.
-func soleVersionOf(report rollup.Message) string {
+func soleVersionOf(report rollup.Message, within time.Duration) string {
 	env := newTestEnv(1, 0)
 	g := env.gateways[0]
 	g.ViewIsSteady = func() bool { return true }
 	env.heartbeat(registry.Engine{ID: "i-1", Service: "review", Slots: 16, Version: "v1"})
 	report.Remote[0].Region = "kano"
 	g.Receive(report)
-	origin, _ := g.SoleVersion("review", func(string) bool { return true })
+	origin, _ := g.SoleVersion("review", within, func(string) bool { return true })
 	return origin.Version
 }
 
@@ -171,7 +171,7 @@
 		kano := newTestEnv(1, 0)
 		kano.gateways[0].ViewIsSteady = func() bool { return steady }
 		kano.heartbeat(registry.Engine{ID: "i-2", Service: "review", Slots: 16, Version: "v1"})
-		must.Eq(t, want, soleVersionOf(kano.gateways[0].RegionReport()), must.Sprint("steady: ", steady))
+		must.Eq(t, want, soleVersionOf(kano.gateways[0].RegionReport(), 15*time.Second), must.Sprint("steady: ", steady))
 	}
 }
 
@@ -182,5 +182,25 @@
 	kano.gateways[0].ViewIsSteady = func() bool { return true }
 	report := kano.gateways[0].RegionReport()
 	report.Remote[0].Versions = nil
-	must.Eq(t, "v1", soleVersionOf(report))
+	must.Eq(t, "v1", soleVersionOf(report, 15*time.Second))
+}
+
+// TestEndedEnginesAreKnownForAsLongAsStreamsAreTakenUp guards against joining a stream that is taken
+// up later than the registry remembers the engine that began it.
+func TestEndedEnginesAreKnownForAsLongAsStreamsAreTakenUp(t *testing.T) {
+	env := newTestEnv(1, 0)
+	g := env.gateways[0]
+	g.ViewIsSteady = func() bool { return true }
+	here := func(region string) bool { return region == "lagos" }
+	env.heartbeat(registry.Engine{ID: "i-2", Service: "review", Slots: 16, Version: "v2"})
+	env.engines.MarkLeft("i-2", 0)
+	var ended time.Duration
+	for ; ended < 2*registry.Retention; ended += time.Second {
+		env.advance(time.Second)
+		env.heartbeat(registry.Engine{ID: "i-1", Service: "review", Slots: 16, Version: "v1", Sequence: int64(10 + ended/time.Second)})
+		env.engines.Expire()
+		env.tick()
+		_, certain := g.SoleVersion("review", ended, here)
+		must.False(t, certain, must.Sprintf("a stream of v2 may be taken up %s after its engine has ended", ended))
+	}
 }
--- a/ingress/continuation.go
+++ b/ingress/continuation.go
@@ -133,7 +133,7 @@
 			service = b.Service
 		}
 	}
-	return s.Dispatcher.SoleVersion(service, x.mayRunIn)
+	return s.Dispatcher.SoleVersion(service, max(x.route.Timeout, x.meta.Timeout), x.mayRunIn)
 }
 
 // mayContinue reports whether another attempt can complete the answer. After its first event,
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -76,9 +76,9 @@
 const (
 	// maxMissedHeartbeats is how many heartbeat intervals may pass without a heartbeat.
 	maxMissedHeartbeats = 3.5
-	// retention is how long an engine is retained after its last heartbeat, so that
+	// Retention is how long an engine is retained after its last heartbeat, so that
 	// delayed heartbeats, which arrive within seconds, don't bring back one that has left.
-	retention = 60 * time.Second
+	Retention = 60 * time.Second
 	// addressOwnerHeartbeats is for how many heartbeat intervals after its last heartbeat
 	// an engine owns its address, whatever others claim. An address is reassigned some
 	// seconds after its engine has ended, and delayed heartbeats of that engine arrive
@@ -419,7 +419,7 @@
 	now := t.clock()
 	timeout := time.Duration(maxMissedHeartbeats * float64(t.heartbeatInterval))
 	for source, at := range t.sourceHeard {
-		if now.Sub(at) > retention {
+		if now.Sub(at) > Retention {
 			delete(t.sourceHeard, source)
 		}
 	}
@@ -431,7 +431,7 @@
 			t.setUnresponsive(e)
 			t.recordChange(e)
 			unresponsive = append(unresponsive, e.Engine)
-		case age > retention:
+		case age > Retention:
 			t.remove(id, e)
 		}
 	}
