soak: each run begins with the loss of all gateways between two versions

Cause: no test with real processes loses all records of streams while engines of two versions serve, or those of one have just ended.

--- a/soak/check.go
+++ b/soak/check.go
@@ -109,6 +109,7 @@
 	PartCrashes                           int                    // runs of requests with that part
 	BrokenLong                            int                    // long answers that visibly broke off
 	Uploads, FailedUploads                int                    // that ran while calm, and of these those without an answer
+	Rejoined                              int                    // streams that went on after all gateways had been killed
 	Endless                               int                    // responses whose head never ended
 	SnapshotReturns                       int                    // control hosts that came back after the leader had compacted what they missed
 	Backoffs                              int                    // backoffs that engines asked for
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -239,7 +239,11 @@
 // old engine stops at once; otherwise it announces that it drains and stops after that
 // time.
 func (w *World) replaceEngine(r *rand.Rand, drain time.Duration) string {
-	e := pick(r, w.liveEngines())
+	return w.replace(pick(r, w.liveEngines()), drain)
+}
+
+// replace is replaceEngine for one engine.
+func (w *World) replace(e *Engine, drain time.Duration) string {
 	w.removeEngine(e)
 	region := int(e.Region[len(e.Region)-1] - '0')
 	if _, err := w.addEngine(e.Service, region); err != nil {
--- a/soak/run.go
+++ b/soak/run.go
@@ -35,6 +35,7 @@
 	BrokenLong         int   // long answers that visibly broke off
 	Uploads            int   // uploads to engines that read late, while calm
 	FailedUploads      int   // of these, those without an answer
+	Rejoined           int   // streams that went on after all gateways had been killed
 	Endless            int   // responses whose head never ended
 	SnapshotReturns    int   // control hosts that came back after the leader had compacted what they missed
 	Problems           []string
@@ -43,7 +44,7 @@
 // String returns a summary line, the counts of faults and answers, and the problems.
 func (r Report) String() string {
 	var out strings.Builder
-	fmt.Fprintf(&out, "seed %d: %d checks, version %d, %d requests of the small account, %d engines crashed by a request and %d by a part, %d at the engine that takes few, %d rests asked for, %d streams taken up (%d of %d undisturbed ones went on), %d long answers broken off, %d of %d late-read uploads failed, %d answers without an end, %d returns through a snapshot, %d problems\n", r.Seed, r.Checks, r.Version, r.SmallAccountRuns, r.CrashedEngines, r.PartCrashes, r.LimitedEnginePeak, r.Backoffs, r.Resumptions, r.ResumptionsGoneOn, r.ResumptionsCounted, r.BrokenLong, r.FailedUploads, r.Uploads, r.Endless, r.SnapshotReturns, len(r.Problems))
+	fmt.Fprintf(&out, "seed %d: %d checks, version %d, %d requests of the small account, %d engines crashed by a request and %d by a part, %d at the engine that takes few, %d rests asked for, %d streams taken up (%d of %d undisturbed ones went on), %d long answers broken off, %d of %d late-read uploads failed, %d answers without an end, %d streams taken up after the loss of all gateways, %d returns through a snapshot, %d problems\n", r.Seed, r.Checks, r.Version, r.SmallAccountRuns, r.CrashedEngines, r.PartCrashes, r.LimitedEnginePeak, r.Backoffs, r.Resumptions, r.ResumptionsGoneOn, r.ResumptionsCounted, r.BrokenLong, r.FailedUploads, r.Uploads, r.Endless, r.Rejoined, r.SnapshotReturns, len(r.Problems))
 	for _, counts := range []map[string]int{r.Faults, r.Answers} {
 		for _, name := range slices.Sorted(maps.Keys(counts)) {
 			fmt.Fprintf(&out, "  %-22s %d\n", name, counts[name])
@@ -103,6 +104,10 @@
 	if !w.putVersion(1, startTimeout) || !w.waitServed(startTimeout) {
 		return report, errors.New("the hosts did not begin to serve all requests in time; see their logs in " + opts.Dir)
 	}
+	w.killAllGateways(ctx, rand.New(rand.NewPCG(opts.Seed, 41)))
+	if !w.waitServed(recoveryTimeout) {
+		w.Checker.AddProblem("not everything is served %v after all gateways were killed: %s", recoveryTimeout, w.firstUnserved())
+	}
 	busy, stop := context.WithCancel(ctx)
 	defer stop()
 	work := pool.New()
@@ -136,7 +141,7 @@
 	w.Checker.CheckEngines()
 	report.SmallAccountRuns, report.CrashedEngines, report.LimitedEnginePeak, report.Backoffs = w.Checker.SmallAccountRuns, w.Checker.PoisonRuns, w.Checker.LimitedEnginePeak, w.Checker.Backoffs
 	report.PartCrashes, report.BrokenLong, report.SnapshotReturns = w.Checker.PartCrashes, w.Checker.BrokenLong, w.Checker.SnapshotReturns
-	report.Uploads, report.FailedUploads, report.Endless = w.Checker.Uploads, w.Checker.FailedUploads, w.Checker.Endless
+	report.Uploads, report.FailedUploads, report.Endless, report.Rejoined = w.Checker.Uploads, w.Checker.FailedUploads, w.Checker.Endless, w.Checker.Rejoined
 	report.Resumptions, report.ResumptionsCounted, report.ResumptionsGoneOn = w.Checker.Resumptions, w.Checker.ResumptionsCounted, w.Checker.ResumptionsGoneOn
 	report.Answers, report.Checks, report.Version, report.Problems = w.Checker.Answers, w.Checker.Checks, w.Checker.NewestVersion(), w.Checker.Problems()
 	return report, nil
