A stopping gateway answers the requests that it has read

Cause: http.Server.Shutdown closes connections that it takes for idle, and a connection counts as idle until the header of its next request was read. Change: internal/httpdrain ends idle connections by a read deadline, unless unread bytes wait. Both front doors use it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,13 +24,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
 	"github.com/linenscale/linenscale/declare"
 	"github.com/linenscale/linenscale/fleet"
+	"github.com/linenscale/linenscale/internal/httpdrain"
 	"github.com/linenscale/linenscale/once"
 	"github.com/linenscale/linenscale/permit"
 	"github.com/linenscale/linenscale/relay"
@@ -105,40 +105,34 @@
 // Run serves both listeners until ctx is cancelled. Then it waits up to Limits.StopTime
 // for requests in flight before it closes their connections.
 func (s *Server) Run(ctx context.Context, callers, handover net.Listener) error {
-	servers := []*http.Server{
-		s.newHTTPServer(s.CallersHandler()),
-		s.newHTTPServer(s.HandoverHandler()),
+	servers := []*httpdrain.Server{
+		httpdrain.New(s.newHTTPServer(s.CallersHandler()), callers),
+		httpdrain.New(s.newHTTPServer(s.HandoverHandler()), handover),
 	}
-	listeners := []net.Listener{callers, handover}
 	group := pool.New().WithErrors()
-	for i := range servers {
-		group.Go(func() error {
-			if err := servers[i].Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
-				return errors.Annotate(err, "serve")
-			}
-			return nil
-		})
+	for _, server := range servers {
+		group.Go(server.Serve)
 	}
 	group.Go(func() error {
 		<-ctx.Done()
-		return s.stop(servers)
+		s.stop(servers)
+		return nil
 	})
 	return group.Wait()
 }
 
 // stop rejects new requests and waits for those in flight.
-func (s *Server) stop(servers []*http.Server) error {
+func (s *Server) stop(servers []*httpdrain.Server) {
 	s.stopping.Store(true)
 	s.Log.Info("stopping", zap.Int64("in_flight", s.inFlight.Load()), zap.Duration("at_most", s.Limits.StopTime))
 	stopCtx, cancel := context.WithTimeout(context.Background(), s.Limits.StopTime)
 	defer cancel()
 	for _, server := range servers {
-		if err := server.Shutdown(stopCtx); err != nil {
-			s.Log.Warn("stop timeout reached, closing connections with requests in flight", zap.Int64("in_flight", s.inFlight.Load()), telemetry.ErrorField(err))
-			server.Close()
+		if !server.Drain(stopCtx) {
+			s.Log.Warn("stop timeout reached, closing connections with requests in flight", zap.Int64("in_flight", s.inFlight.Load()))
 		}
+		server.Close()
 	}
-	return nil
 }
 
 func (s *Server) newHTTPServer(handler http.Handler) *http.Server {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -8,13 +8,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
 	"github.com/linenscale/linenscale/allowance"
 	"github.com/linenscale/linenscale/catalog"
 	"github.com/linenscale/linenscale/dispatch"
+	"github.com/linenscale/linenscale/internal/httpdrain"
 	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/relay"
 	"github.com/linenscale/linenscale/roster"
@@ -132,19 +132,14 @@
 // firstCatalogTimeout has passed.
 func (s *Server) Run(ctx context.Context, callers, handover net.Listener) error {
 	s.awaitCatalog(ctx)
-	servers := []*http.Server{s.newHTTPServer(s.CallersHandler()), s.newHTTPServer(s.HandoverHandler())}
+	fromCallers := httpdrain.New(s.newHTTPServer(s.CallersHandler()), callers)
+	fromGateways := httpdrain.New(s.newHTTPServer(s.HandoverHandler()), handover)
 	group := pool.New().WithErrors()
-	for i, listener := range []net.Listener{callers, handover} {
-		group.Go(func() error {
-			if err := servers[i].Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				return errors.Annotate(err, "serve")
-			}
-			return nil
-		})
-	}
+	group.Go(fromCallers.Serve)
+	group.Go(fromGateways.Serve)
 	group.Go(func() error {
 		<-ctx.Done()
-		s.stop(servers[0], servers[1])
+		s.stop(fromCallers, fromGateways)
 		return nil
 	})
 	return group.Wait()
@@ -174,21 +169,21 @@
 // stop shuts the servers down. It first keeps serving for callers that haven't learned of
 // the stop yet, then finishes the requests in flight. While callers' requests run, gateways that
 // they were handed over to must be able to have sends counted, or they break streams off.
-func (s *Server) stop(callers, handover *http.Server) {
+func (s *Server) stop(callers, handover *httpdrain.Server) {
 	s.stopping.Store(true)
 	s.Log.Info("stopping", zap.Int64("in_flight", s.inFlight.Load()), zap.Duration("at_most", s.StopTimeout))
 	s.Streams.HandOff()
 	stopCtx, cancel := context.WithTimeout(context.Background(), s.StopTimeout)
 	defer cancel()
-	// Until Shutdown, answers tell callers to close their connections. The server must not close
+	// Until then, answers tell callers to close their connections. The server must not close
 	// idle ones by itself: a request that arrives at that moment would be lost.
 	time.Sleep(min(drainDelay, s.StopTimeout/2))
 	s.refusesHandovers.Store(true)
-	for _, server := range []*http.Server{callers, handover} {
-		if err := server.Shutdown(stopCtx); err != nil {
-			s.Log.Warn("stop timeout reached, closing connections with requests in flight", zap.Int64("in_flight", s.inFlight.Load()), telemetry.ErrorField(err))
-			server.Close()
+	for _, server := range []*httpdrain.Server{callers, handover} {
+		if !server.Drain(stopCtx) {
+			s.Log.Warn("stop timeout reached, closing connections with requests in flight", zap.Int64("in_flight", s.inFlight.Load()))
 		}
+		server.Close()
 	}
 }
 
