ingress: a request that is whole late in a stop is refused, or answered

Callers saw: in a planned stop, requests that were whole late in the grace were passed on, and cut at its end with no answer, also those that may not be repeated (LOST). Cause: a stopping gateway looked at the moment at which a request's head came (and at that of hand-overs only), not at which it is whole; and what was in flight at the stop timeout lost its connection. Change: a request is checked once it is whole. After the drain it is refused as not run; before, its time ends with the stop. What is in flight at the stop timeout is ended, and its caller told.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -17,6 +17,7 @@
 	"github.com/linenscale/linenscale/internal/httpdrain"
 	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/relay"
+	"github.com/linenscale/linenscale/request"
 	"github.com/linenscale/linenscale/roster"
 	"github.com/linenscale/linenscale/streams"
 	"github.com/linenscale/linenscale/telemetry"
@@ -35,6 +36,11 @@
 	// drainDelay is how long a stopping gateway still accepts connections and requests,
 	// because callers use lists of gateways that are some seconds old.
 	drainDelay = 2500 * time.Millisecond
+	// lastAnswersTime is how long after the stop timeout answers are still written that tell callers
+	// of its end.
+	lastAnswersTime = 200 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After of a stopping gateway: another one can be asked at once.
+	stoppingRetryAfter = 100 * time.Millisecond
 	// firstCatalogTimeout is how long a gateway that has just started leaves new
 	// connections waiting for the first catalog. It is shorter than the second after which
 	// callers give up on a connection that isn't read.
@@ -75,10 +81,13 @@
 	catalog  atomic.Pointer[catalogSnapshot]
 	buffers  bufferBudget
 
-	sendCounters     sendCounters
-	inFlight         atomic.Int64
-	stopping         atomic.Bool
-	refusesHandovers atomic.Bool // only sends are still counted
+	sendCounters  sendCounters
+	inFlight      atomic.Int64
+	stopping      atomic.Bool
+	drained       atomic.Bool               // no request is run any more that isn't running yet
+	endsAt        atomic.Pointer[time.Time] // when requests in flight end, once the gateway is stopping
+	requestsEnd   context.Context           // ends when requests in flight have to
+	endOfRequests context.CancelFunc
 
 	remotePaths pathTable
 }
@@ -92,6 +101,7 @@
 // New returns a server that has no catalog yet, so it is not ready.
 func New(deps Deps) *Server {
 	s := &Server{Deps: deps}
+	s.requestsEnd, s.endOfRequests = context.WithCancel(context.Background())
 	s.buffers.limit = deps.BufferBytes
 	if s.buffers.limit <= 0 {
 		s.buffers.limit = DefaultBufferBytes
@@ -167,9 +177,14 @@
 }
 
 // stop shuts the servers down. It first keeps serving for callers that haven't learned of
-// the stop yet, then finishes the requests in flight. While callers' requests run, gateways that
-// they were handed over to must be able to have sends counted, or they break streams off.
+// the stop yet, as far as an answer fits into the rest of StopTimeout. Then it refuses what isn't
+// running yet, and finishes the requests in flight. Those that don't end in time are answered as
+// failed, since their callers would learn nothing from a connection that closes. While callers'
+// requests run, gateways that they were handed over to must be able to have sends counted, or they
+// break streams off.
 func (s *Server) stop(callers, handover *httpdrain.Server) {
+	endsAt := s.Clock().Add(s.StopTimeout)
+	s.endsAt.Store(&endsAt)
 	s.stopping.Store(true)
 	s.Log.Info("stopping", zap.Int64("in_flight", s.inFlight.Load()), zap.Duration("at_most", s.StopTimeout))
 	s.Streams.HandOff()
@@ -178,15 +193,40 @@
 	// Until then, answers tell callers to close their connections. The server must not close
 	// idle ones by itself: a request that arrives at that moment would be lost.
 	time.Sleep(min(drainDelay, s.StopTimeout/2))
-	s.refusesHandovers.Store(true)
+	s.drained.Store(true)
 	for _, server := range []*httpdrain.Server{callers, handover} {
 		if !server.Drain(stopCtx) {
-			s.Log.Warn("stop timeout reached, closing connections with requests in flight", zap.Int64("in_flight", s.inFlight.Load()))
+			s.Log.Warn("stop timeout reached, ending requests in flight", zap.Int64("in_flight", s.inFlight.Load()))
+			s.endRequests(server)
 		}
 		server.Close()
 	}
 }
 
+// endRequests ends the requests in flight and waits until their callers have been told.
+func (s *Server) endRequests(server *httpdrain.Server) {
+	s.endOfRequests()
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswersTime)
+	defer cancel()
+	server.Drain(ctx)
+}
+
+// checkStopping returns a rejection if the gateway is stopping and no longer runs requests, and ends
+// a request that it still runs with the stop.
+func (s *Server) checkStopping(x *exchange) error {
+	if s.drained.Load() {
+		retryAfter := stoppingRetryAfter
+		if x.handedOver {
+			retryAfter = regionRetryAfter // for callers of the other gateway, which asks another one here first
+		}
+		return &request.NotRun{Reason: request.ReasonStopping, Message: "the gateway is stopping", RetryAfter: retryAfter}
+	}
+	if endsAt := s.endsAt.Load(); endsAt != nil && endsAt.Before(x.deadline) {
+		x.deadline = *endsAt
+	}
+	return nil
+}
+
 // announceClose makes an answer tell the caller to close its connection if the gateway is stopping.
 func (s *Server) announceClose(header http.Header) {
 	if s.Stopping() {
--- a/ingress/receive.go
+++ b/ingress/receive.go
@@ -71,6 +71,7 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(r.Context(), s.remaining(x))
 		defer cancel()
+		defer context.AfterFunc(s.requestsEnd, cancel)()
 		x.r = r.WithContext(ctx)
 		if err = s.findOrigin(x); err == nil {
 			defer s.Metrics.RequestStarted(x.service)()
@@ -98,8 +99,8 @@
 		if _, remaining, err = request.ExtractHandover(x.r.Header); err != nil {
 			return err
 		}
-		if s.refusesHandovers.Load() {
-			return &request.NotRun{Reason: request.ReasonStopping, Message: "the gateway is stopping", RetryAfter: regionRetryAfter}
+		if s.drained.Load() {
+			return s.checkStopping(x) // before the body is read
 		}
 	}
 	var err error
@@ -129,7 +130,7 @@
 		return err
 	}
 	x.fingerprint = quarantine.FingerprintOf(x.callerID(), x.r.Method, x.r.Host, x.r.URL.RequestURI(), x.body)
-	return nil
+	return s.checkStopping(x)
 }
 
 // callerID identifies the caller for the fingerprint: by its account, or else by its key.
--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -172,3 +172,130 @@
 	lagos.peers = append(lagos.peers, roster.Host{Name: "g3", Role: roster.RoleGateway, Region: "kano", Handover: hostPort(stopping)}) // the random number 1 picks the second of two
 	must.Eq(t, http.StatusOK, do(t, lagos, platformtest.Request{Path: "/home/1"}).Status)
 }
+
+// stoppingGateway is a memoryGateway whose routes and stop are long, and that can be stopped.
+type stoppingGateway struct {
+	*memoryGateway
+	stop context.CancelFunc
+}
+
+// stopTimeout is the time that a stoppingGateway has for requests in flight.
+const stopTimeout = 7300 * time.Millisecond
+
+// whileStopping runs test in a synctest bubble with a gateway whose engines take so long.
+func whileStopping(t *testing.T, engineTime time.Duration, test func(*testing.T, *stoppingGateway)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		network := newMemoryNetwork()
+		g := &stoppingGateway{memoryGateway: &memoryGateway{gateway: newUnservedGateway(t, "g1", "lagos", time.Now, network), network: network}}
+		deps := g.server.Deps
+		deps.StopTimeout = stopTimeout
+		g.server = ingress.New(deps)
+		patient := testCatalog
+		patient.Routes = slices.Clone(patient.Routes)
+		for i := range patient.Routes {
+			patient.Routes[i].Timeout = time.Minute
+		}
+		g.server.ApplyState(ledger.State{Index: 1, Catalog: patient})
+		ctx, cancel := context.WithCancel(context.Background())
+		var served context.Context
+		served, g.stop = context.WithCancel(context.Background())
+		group := pool.New()
+		for _, service := range []string{"portal", "model"} {
+			e := platformtest.ServeEngine(ctx, group, network.listen(service+":80"), platformtest.EngineOptions{Service: service, DataCentre: "a", Slots: 200, Events: 1, Pause: engineTime})
+			g.register(e, service, "a")
+			g.portal = append(g.portal, e)
+		}
+		callers, handover := network.listen(memoryCallers), network.listen("gateway:81")
+		group.Go(func() { must.NoError(t, g.server.Run(served, callers, handover)) })
+		test(t, g)
+		g.stop()
+		cancel()
+		group.Wait()
+		g.server.Engines.Close()
+		time.Sleep(engineTime) // until the engines have noticed
+	})
+}
+
+// lateRequest is a request that arrives while its gateway stops.
+type lateRequest struct {
+	id         string
+	begun, end time.Duration // after the stop began: its head and its last byte
+	conn       net.Conn
+	status     int // 0 without an answer
+	whole      bool
+}
+
+// send sends the request and reads its answer.
+func (l *lateRequest) send(stoppedAt time.Time) {
+	time.Sleep(time.Until(stoppedAt.Add(l.end)))
+	if _, err := io.WriteString(l.conn, "y"); err != nil {
+		return
+	}
+	l.whole = true
+	resp, err := http.ReadResponse(bufio.NewReader(l.conn), nil)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err == nil {
+		l.status = resp.StatusCode
+	}
+}
+
+// TestRequestsLateInTheGraceAreAnswered guards against a request that is whole only late in a planned
+// stop, is passed on to an engine that needs longer than the rest of the stop, and gets no
+// answer. The connections are opened, and the heads sent, while the gateway still takes requests.
+func TestRequestsLateInTheGraceAreAnswered(t *testing.T) {
+	for _, path := range []string{"/unsafe/1", "/safe/1", "/chat/1"} {
+		for _, engineTime := range []time.Duration{50 * time.Millisecond, 3 * time.Second, 30 * time.Second} {
+			t.Run(fmt.Sprint(path, engineTime), func(t *testing.T) {
+				whileStopping(t, engineTime, func(t *testing.T, g *stoppingGateway) {
+					var requests []*lateRequest
+					for end := 100 * time.Millisecond; end < stopTimeout; end += 100 * time.Millisecond {
+						l := &lateRequest{id: fmt.Sprint("r", len(requests)), end: end}
+						l.conn = g.startRequest(t, http.MethodPost, path, l.id, "Content-Length: 1")
+						requests = append(requests, l)
+					}
+					stoppedAt := time.Now()
+					g.stop()
+					group := pool.New()
+					for _, l := range requests {
+						group.Go(func() { l.send(stoppedAt) })
+					}
+					group.Wait()
+					ran := make(map[string]int)
+					for _, e := range g.portal {
+						for id, n := range e.RunCounts() {
+							ran[id] += n
+						}
+					}
+					for _, l := range requests {
+						must.True(t, !l.whole || l.status != 0, must.Sprintf("no answer to the request that was whole %s after the stop began", l.end))
+						refused := l.status == http.StatusServiceUnavailable
+						must.False(t, refused && ran[l.id] > 0, must.Sprintf("%s: refused, and ran", l.end))
+						must.False(t, l.end > 2600*time.Millisecond && ran[l.id] > 0, must.Sprintf("%s: ran", l.end))
+						if l.end < 2400*time.Millisecond && engineTime <= 3*time.Second && path != "/chat/1" { // whose engine has few slots
+							must.Eq(t, http.StatusOK, l.status, must.Sprint(l.end))
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestRequestsInFlightAtTheEndOfAStopAreAnswered guards against a connection that closes without an
+// answer because its request takes longer than the stop of its gateway.
+func TestRequestsInFlightAtTheEndOfAStopAreAnswered(t *testing.T) {
+	whileStopping(t, 30*time.Second, func(t *testing.T, g *stoppingGateway) {
+		l := &lateRequest{id: "r1", conn: g.startRequest(t, http.MethodPost, "/unsafe/1", "r1", "Content-Length: 1")}
+		group := pool.New()
+		group.Go(func() { l.send(time.Now()) })
+		time.Sleep(time.Second)
+		must.MapLen(t, 1, g.portal[0].RunCounts())
+		g.stop()
+		group.Wait()
+		must.Eq(t, http.StatusBadGateway, l.status)
+	})
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -70,7 +70,10 @@
 	// long an upload may take, and uploadPause the pause of each caller between two of them.
 	uploadReadPause = 1600 * time.Millisecond
 	uploadTime      = 3 * time.Second
-	uploadPause     = 2 * time.Second
+	// uploadTimeout is that of the route: an upload that is under way when its gateway is told to
+	// stop takes until the end of the stop.
+	uploadTimeout = 10 * time.Second
+	uploadPause   = 2 * time.Second
 	// changeInterval and readInterval are the operator's pauses between changes and
 	// between reads.
 	changeInterval = 700 * time.Millisecond
@@ -104,6 +107,7 @@
 	if !w.putVersion(1, startTimeout) || !w.waitServed(startTimeout) {
 		return report, errors.New("the hosts did not begin to serve all requests in time; see their logs in " + opts.Dir)
 	}
+	w.stopWhileCalm(ctx, rand.New(rand.NewPCG(opts.Seed, 43)))
 	w.killAllGateways(ctx, rand.New(rand.NewPCG(opts.Seed, 41)))
 	if !w.waitServed(recoveryTimeout) {
 		w.Checker.AddProblem("not everything is served %v after all gateways were killed: %s", recoveryTimeout, w.firstUnserved())
--- a/soak/world.go
+++ b/soak/world.go
@@ -305,6 +305,8 @@
 			MaxAttempts: attempts, Service: service, Resumable: resumable, HomeRegions: homes,
 		}
 	}
+	upload := route(uploadKind, "unsafe", "portal", 1, false, "region0")
+	upload.TimeoutMs = int(uploadTimeout.Milliseconds())
 	return json.Marshal(platformtest.Declaration{
 		ConfigVersion: version,
 		Routes: []platformtest.Route{
@@ -314,7 +316,7 @@
 			route("chat", "streaming", "model", 1, false),
 			route("review", "streaming", "model", 2, true),
 			route(longKind, "safe", "portal", 2, false, "region0"),
-			route(uploadKind, "unsafe", "portal", 1, false, "region0"),
+			upload,
 			route(fmt.Sprintf("v%d", version), "safe", "portal", 2, false),
 		},
 		Tenants:  tenants(version),
