relay: the end of an answer has a write deadline of its own

Cause: the deadline of a write stays set when it has ended, and the last chunk is written after the handler has returned. Change: Writer.Extend, called wherever relaying ends.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -149,6 +149,7 @@
 	var splitter eventSplitter
 	chunk := make([]byte, readChunkBytes)
 	out := relay.NewWriter(x.w, writeTimeout)
+	defer out.Extend()
 	events, delayed := 0, false
 	for {
 		n, err := resp.Body.Read(chunk)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -329,6 +329,7 @@
 // bytes forwarded. The error is a *CallerError if the write failed.
 func Copy(w http.ResponseWriter, src io.Reader, writeTimeout time.Duration, filter ChunkFilter) (int64, error) {
 	out := NewWriter(w, writeTimeout)
+	defer out.Extend()
 	chunk := chunkPool.Get().(*[chunkSize]byte)
 	defer chunkPool.Put(chunk)
 	var total int64
@@ -406,6 +407,14 @@
 	return &Writer{w: w, controller: http.NewResponseController(w), writeTimeout: writeTimeout}
 }
 
+// Extend gives further writes the whole timeout. It is to be called at the end of an answer: the
+// server writes the last chunk when the handler has returned, which may be long after the last
+// write.
+func (p *Writer) Extend() {
+	p.deadline = time.Now().Add(p.writeTimeout)
+	_ = p.controller.SetWriteDeadline(p.deadline) // not supported by httptest.ResponseRecorder
+}
+
 // WriteFlush writes data and flushes it; the error is a *CallerError. Because each change of
 // the deadline resets a timer, WriteFlush extends the deadline only after a quarter of the
 // timeout has elapsed. A write may therefore take between three quarters of the
@@ -413,9 +422,7 @@
 func (p *Writer) WriteFlush(data []byte) error {
 	started := time.Now()
 	if p.deadline.Sub(started) < p.writeTimeout*3/4 {
-		p.deadline = started.Add(p.writeTimeout)
-		// Ignore the error: a ResponseWriter without deadlines, as in tests, works too.
-		_ = p.controller.SetWriteDeadline(p.deadline)
+		p.Extend()
 	}
 	if _, err := p.w.Write(data); err != nil {
 		return &CallerError{Cause: err}
