--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -36,8 +36,8 @@
 	// drainDelay is how long a stopping gateway still accepts connections and requests,
 	// because callers use lists of gateways that are some seconds old.
 	drainDelay = 2500 * time.Millisecond
-	// lastAnswersTime is how long after the stop timeout answers are still written that tell callers
-	// of its end.
+	// lastAnswersTime is how long after the stop timeout the rejections of the requests that it has
+	// ended may still be written.
 	lastAnswersTime = 200 * time.Millisecond
 	// stoppingRetryAfter is the Retry-After of a stopping gateway: another one can be asked at once.
 	stoppingRetryAfter = 100 * time.Millisecond
@@ -84,7 +84,7 @@
 	sendCounters  sendCounters
 	inFlight      atomic.Int64
 	stopping      atomic.Bool
-	drained       atomic.Bool               // no request is run any more that isn't running yet
+	drained       atomic.Bool               // requests that don't run yet are rejected
 	endsAt        atomic.Pointer[time.Time] // when requests in flight end, once the gateway is stopping
 	requestsEnd   context.Context           // ends when requests in flight have to
 	endOfRequests context.CancelFunc
@@ -179,7 +179,7 @@
 // stop shuts the servers down. It first keeps serving for callers that haven't learned of
 // the stop yet, as far as an answer fits into the rest of StopTimeout. Then it refuses what isn't
 // running yet, and finishes the requests in flight. Those that don't end in time are answered as
-// failed, since their callers would learn nothing from a connection that closes. While callers'
+// failed: a connection that closes says nothing about the outcome. While callers'
 // requests run, gateways that they were handed over to must be able to have sends counted, or they
 // break streams off.
 func (s *Server) stop(callers, handover *httpdrain.Server) {
@@ -190,7 +190,7 @@
 	s.Streams.HandOff()
 	stopCtx, cancel := context.WithTimeout(context.Background(), s.StopTimeout)
 	defer cancel()
-	// Until then, answers tell callers to close their connections. The server must not close
+	// Until then, answers announce the end of callers' connections. The server must not close
 	// idle ones by itself: a request that arrives at that moment would be lost.
 	time.Sleep(min(drainDelay, s.StopTimeout/2))
 	s.drained.Store(true)
@@ -203,7 +203,7 @@
 	}
 }
 
-// endRequests ends the requests in flight and waits until their callers have been told.
+// endRequests ends the requests in flight and waits until they have been answered.
 func (s *Server) endRequests(server *httpdrain.Server) {
 	s.endOfRequests()
 	ctx, cancel := context.WithTimeout(context.Background(), lastAnswersTime)
--- a/internal/sendwindow/sendwindow.go
+++ b/internal/sendwindow/sendwindow.go
@@ -1,4 +1,4 @@
-// Package sendwindow tells a peer that leaves data unread from one that is gone.
+// Package sendwindow distinguishes peers that leave data unread from peers that are gone.
 //
 // A connection to a peer that vanished is found by TCP_USER_TIMEOUT: the kernel ends it once
 // sent data has stayed unacknowledged for that long. Linux applies the same timeout while the
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -371,6 +371,7 @@
 	writeTimeout time.Duration
 	deadline     time.Time // write deadline last set on the connection
 	stalledAt    time.Time // end of the last write that took longer than maxWriteTime
+	failed       bool      // a write has failed
 }
 
 const (
@@ -407,10 +408,13 @@
 	return &Writer{w: w, controller: http.NewResponseController(w), writeTimeout: writeTimeout}
 }
 
-// Extend gives further writes the whole timeout. It is to be called at the end of an answer: the
-// server writes the last chunk when the handler has returned, which may be long after the last
-// write.
+// Extend gives further writes the whole timeout, unless a write has failed. It is to be called at
+// the end of an answer: the server writes the last chunk when the handler has returned, which may
+// be long after the last write.
 func (p *Writer) Extend() {
+	if p.failed {
+		return
+	}
 	p.deadline = time.Now().Add(p.writeTimeout)
 	_ = p.controller.SetWriteDeadline(p.deadline) // not supported by httptest.ResponseRecorder
 }
@@ -424,10 +428,12 @@
 	if p.deadline.Sub(started) < p.writeTimeout*3/4 {
 		p.Extend()
 	}
-	if _, err := p.w.Write(data); err != nil {
-		return &CallerError{Cause: err}
+	_, err := p.w.Write(data)
+	if err == nil {
+		err = p.controller.Flush()
 	}
-	if err := p.controller.Flush(); err != nil {
+	if err != nil {
+		p.failed = true
 		return &CallerError{Cause: err}
 	}
 	if ended := time.Now(); ended.Sub(started) > maxWriteTime {
--- a/soak/run.go
+++ b/soak/run.go
@@ -70,8 +70,8 @@
 	// long an upload may take, and uploadPause the pause of each caller between two of them.
 	uploadReadPause = 1600 * time.Millisecond
 	uploadTime      = 3 * time.Second
-	// uploadTimeout is that of the route: an upload that is under way when its gateway is told to
-	// stop takes until the end of the stop.
+	// uploadTimeout is that of the route: an upload that is under way when its gateway gets a
+	// SIGTERM takes until the end of the stop.
 	uploadTimeout = 10 * time.Second
 	uploadPause   = 2 * time.Second
 	// changeInterval and readInterval are the operator's pauses between changes and
--- a/soak/stop.go
+++ b/soak/stop.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// lateUploads is how many uploads are under way when a gateway is told to stop. Their last
+	// lateUploads is how many uploads are under way when a gateway gets a SIGTERM. Their last
 	// bytes follow latePause apart, all before the gateway's stop time is over.
 	lateUploads = 26
 	latePause   = 150 * time.Millisecond
@@ -34,8 +34,8 @@
 	return 1, io.EOF
 }
 
-// stopWhileCalm tells one gateway to stop while it receives uploads, which become whole one after
-// the other, and checks that each gets an answer.
+// stopWhileCalm sends one gateway a SIGTERM while it receives uploads, which become whole one
+// after the other, and checks that each gets an answer.
 func (w *World) stopWhileCalm(ctx context.Context, r *rand.Rand) {
 	h := pick(r, w.gateways(""))
 	client := http.Client{Timeout: h.settings.StopTime + uploadTime, Transport: &http.Transport{DisableKeepAlives: true}}
