sendwindow: a process that doesn't run for a while keeps its connections

Cause: the timeout of such a connection was extended in steps of half a second, so that a process which doesn't run for that long lets it run out. Change: where the kernel can limit the time between two probes (TCP_RTO_MAX_MS), the timeout is 5 s ahead; elsewhere the steps stay. Segments count as unanswered probes only from the observation after the peer's last one, since a full peer drops data. Evidence: TestLateObservationsDoNotEndAConnection now has pauses of 4 s, TestProbeWithoutAnAnswerIsNoLoss and TestDroppedDataIsNoProbe are new.

--- a/internal/sendwindow/sendwindow.go
+++ b/internal/sendwindow/sendwindow.go
@@ -6,9 +6,11 @@
 // section 3.8.6.1, wants such a connection to stay open: its peer is alive, and reads later.
 //
 // A Watcher observes connections with pending data. While a peer answers probes, it extends
-// the timeout step by step. The kernel sends the next probe when the timeout that it knows
-// runs out, so short steps keep the probes frequent, and a peer that vanishes while its window
-// is closed is found soon, too.
+// the timeout. By default probes become rare, so that a peer that vanishes while its window is
+// closed would be found late. Where the kernel can (TCP_RTO_MAX_MS), it probes each second.
+// Elsewhere it sends the next probe when the timeout that it knows runs out, so the timeout is
+// extended in short steps; a process that doesn't run for longer than a step then loses such
+// connections.
 package sendwindow
 
 import (
@@ -67,7 +69,16 @@
 	if err != nil {
 		return conn
 	}
-	return &Conn{Conn: conn, watcher: w, raw: raw}
+	return &Conn{Conn: conn, watcher: w, raw: raw, tracker: NewTracker(limitProbeInterval(raw))}
+}
+
+// tcpRTOMaxMs is TCP_RTO_MAX_MS of Linux 6.15: the longest time between two retransmits or probes.
+const tcpRTOMaxMs = 44
+
+// limitProbeInterval limits the time between two probes of a closed window, and reports whether the
+// kernel can.
+func limitProbeInterval(raw syscall.RawConn) bool {
+	return setMillis(raw, tcpRTOMaxMs, maxProbeInterval) == nil
 }
 
 // SetTimeout sets TCP_USER_TIMEOUT of a socket to Timeout.
@@ -204,9 +215,14 @@
 }
 
 func setTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	return setMillis(raw, unix.TCP_USER_TIMEOUT, timeout)
+}
+
+// setMillis sets an option of a TCP socket to a time in milliseconds.
+func setMillis(raw syscall.RawConn, option int, value time.Duration) error {
 	var optErr error
 	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, option, int(value.Milliseconds()))
 	})
 	if err != nil {
 		return errors.Trace(err)
--- a/internal/sendwindow/tracker.go
+++ b/internal/sendwindow/tracker.go
@@ -7,14 +7,19 @@
 	// Timeout is TCP_USER_TIMEOUT of a connection: for how long sent data may stay
 	// unacknowledged.
 	Timeout = 1200 * time.Millisecond
-	// probeInterval bounds the time between two probes of a closed window, but for the time
-	// between two observations. Two of them fit into Timeout, so that one lost probe doesn't
-	// end a connection.
+	// maxProbeInterval bounds the time between two probes of a closed window where the kernel can
+	// limit it.
+	maxProbeInterval = time.Second
+	// pacedSlack is how long the process may not run, there, before the timeout runs out.
+	pacedSlack = 5 * time.Second
+	// probeInterval bounds it elsewhere, but for the time between two observations, by the steps in
+	// which the timeout is extended.
 	probeInterval = 500 * time.Millisecond
-	// goneProbes is how many probes in a row the peer has to leave unanswered.
+	// goneProbes is how many probes in a row the peer has to leave unanswered. A live one may leave
+	// one: its kernel answers twice a second at most.
 	goneProbes = 2
-	// ackPrecision bounds by how much two observations may differ about the moment of the same
-	// segment. The kernel counts in units of up to 10 ms.
+	// ackPrecision bounds the error of the time since the peer's last segment: the kernel counts in
+	// units of up to 10 ms.
 	ackPrecision = 20 * time.Millisecond
 	// openTicks is how many observations in a row have to find the window open before the
 	// usual timeout applies again. The kernel goes on counting the time of a closed window
@@ -38,17 +43,21 @@
 // the data in flight is sent again.
 func (s Status) closed() bool { return s.pending() && (s.Window == 0 || s.Unacked == 0) }
 
-// Tracker decides when a connection ends whose peer leaves data unread. The zero value is a
-// connection without pending data. It is not safe for concurrent use.
+// Tracker decides when a connection ends whose peer leaves data unread. NewTracker makes
+// one. It is not safe for concurrent use.
 type Tracker struct {
 	observedAt  time.Time
 	closedSince time.Time     // zero unless the peer's window is closed, or was lately
 	open        int           // observations since the window was closed
 	timeout     time.Duration // TCP_USER_TIMEOUT now; 0 for Timeout
-	ackedAt     time.Time     // when the peer's last segment arrived
-	sentAtAck   uint32        // segments sent until that was observed
+	sentAtAck   uint32        // segments sent until the peer's last one was observed
+	paced       bool          // the kernel limits the time between two probes
 }
 
+// NewTracker returns a tracker of a connection without pending data. paced reports whether the
+// kernel probes a closed window each second at least, whatever the timeout.
+func NewTracker(paced bool) Tracker { return Tracker{paced: paced} }
+
 // Decision is what is to be done about a connection.
 type Decision struct {
 	Timeout time.Duration // TCP_USER_TIMEOUT from now on; 0 to leave it
@@ -64,7 +73,7 @@
 	if !status.pending() {
 		return t.settle(Decision{})
 	}
-	unanswered := t.unanswered(status)
+	unanswered := t.unanswered(status, now.Sub(observedBefore))
 	switch {
 	case !status.closed():
 		t.open++
@@ -82,13 +91,19 @@
 	if status.LastAck >= Timeout && unanswered >= goneProbes {
 		return Decision{Gone: true}
 	}
-	return Decision{Pending: true, Timeout: t.extend(now.Sub(t.closedSince) + probeInterval + delay)}
+	slack := probeInterval + delay
+	if t.paced {
+		slack = pacedSlack
+	}
+	return Decision{Pending: true, Timeout: t.extend(now.Sub(t.closedSince) + slack)}
 }
 
-// unanswered returns how many segments have been sent since the peer's last one.
-func (t *Tracker) unanswered(status Status) uint32 {
-	if ackedAt := t.observedAt.Add(-status.LastAck); ackedAt.Sub(t.ackedAt) > ackPrecision {
-		t.ackedAt, t.sentAtAck = ackedAt, status.Sent
+// unanswered returns how many segments were sent since the peer's last one. Those before the first
+// observation after that aren't counted: they may be data, of which the peer drops what its
+// buffer has no room for.
+func (t *Tracker) unanswered(status Status, sinceLast time.Duration) uint32 {
+	if status.LastAck <= sinceLast+ackPrecision {
+		t.sentAtAck = status.Sent
 	}
 	return status.Sent - t.sentAtAck
 }
@@ -116,7 +131,7 @@
 	if t.timeout > 0 {
 		d.Timeout = Timeout
 	}
-	settled := Tracker{ackedAt: t.ackedAt, sentAtAck: t.sentAtAck}
+	settled := Tracker{sentAtAck: t.sentAtAck, paced: t.paced}
 	if d.Pending {
 		settled.observedAt = t.observedAt
 	}
--- a/internal/sendwindow/tracker_test.go
+++ b/internal/sendwindow/tracker_test.go
@@ -13,22 +13,32 @@
 // observation is how often the simulated watcher observes a connection.
 const observation = 150 * time.Millisecond
 
-// maxBackoff bounds the simulated time between two probes.
-const maxBackoff = 2 * time.Minute
-
 // connection simulates the kernel's side of a connection whose peer closed its window at time
 // 0: window probes with exponential backoff, bounded by what is left of the user timeout.
 type connection struct {
 	answers func(now time.Duration) bool // whether the peer answers a probe
 
-	timeout, backoff, nextProbe, lastAck time.Duration
-	sent                                 uint32
-	tracker                              sendwindow.Tracker
+	timeout, backoff, maxBackoff, nextProbe, lastAck time.Duration
+	sent                                             uint32
+	tracker                                          sendwindow.Tracker
 }
 
-func newConnection(answers func(now time.Duration) bool) *connection {
+// newConnection returns a connection whose kernel limits the time between two probes, or not.
+func newConnection(paced bool, answers func(now time.Duration) bool) *connection {
 	const firstBackoff = 200 * time.Millisecond
-	return &connection{answers: answers, timeout: sendwindow.Timeout, backoff: firstBackoff, nextProbe: firstBackoff}
+	c := &connection{answers: answers, timeout: sendwindow.Timeout, backoff: firstBackoff, maxBackoff: 2 * time.Minute, nextProbe: firstBackoff, tracker: sendwindow.NewTracker(paced)}
+	if paced {
+		c.maxBackoff = time.Second
+	}
+	return c
+}
+
+// eachKernel runs test for both kinds of kernels.
+func eachKernel(t *testing.T, test func(t *testing.T, paced bool)) {
+	t.Helper()
+	for _, paced := range []bool{true, false} {
+		t.Run(fmt.Sprint("paced ", paced), func(t *testing.T) { test(t, paced) })
+	}
 }
 
 // endsAt returns when the connection ends, or limit if it lasts that long. observed reports
@@ -63,7 +73,7 @@
 	if c.answers(now) {
 		c.lastAck = now
 	}
-	c.backoff = min(2*c.backoff, maxBackoff)
+	c.backoff = min(2*c.backoff, c.maxBackoff)
 	c.nextProbe = now + min(c.backoff, c.timeout-now)
 	return true
 }
@@ -73,36 +83,70 @@
 // TestLivePeerKeepsItsConnection guards against ending a connection whose peer answers the
 // probes of its closed window.
 func TestLivePeerKeepsItsConnection(t *testing.T) {
-	must.Eq(t, time.Minute, newConnection(always).endsAt(time.Minute, always))
+	eachKernel(t, func(t *testing.T, paced bool) {
+		must.Eq(t, time.Minute, newConnection(paced, always).endsAt(time.Minute, always))
+	})
 }
 
 // TestLostProbeDoesNotEndAConnection guards against taking one lost probe for a peer that is
 // gone: every third is lost.
 func TestLostProbeDoesNotEndAConnection(t *testing.T) {
-	probes := 0
-	answers := func(time.Duration) bool {
-		probes++
-		return probes%3 != 0
-	}
-	must.Eq(t, time.Minute, newConnection(answers).endsAt(time.Minute, always))
+	eachKernel(t, func(t *testing.T, paced bool) {
+		probes := 0
+		answers := func(time.Duration) bool {
+			probes++
+			return probes%3 != 0
+		}
+		must.Eq(t, time.Minute, newConnection(paced, answers).endsAt(time.Minute, always))
+	})
+}
+
+// TestProbeWithoutAnAnswerIsNoLoss guards against taking a peer for gone whose kernel answers twice a
+// second at most: the second probe follows the first one sooner.
+func TestProbeWithoutAnAnswerIsNoLoss(t *testing.T) {
+	eachKernel(t, func(t *testing.T, paced bool) {
+		var answered time.Duration
+		answers := func(now time.Duration) bool {
+			if answered > 0 && now-answered < 500*time.Millisecond {
+				return false
+			}
+			answered = now
+			return true
+		}
+		must.Eq(t, time.Minute, newConnection(paced, answers).endsAt(time.Minute, always))
+	})
 }
 
 // TestLateObservationsDoNotEndAConnection guards against a timeout that runs out while the
-// process doesn't run for some hundred milliseconds.
+// process doesn't run.
 func TestLateObservationsDoNotEndAConnection(t *testing.T) {
-	observed := func(now time.Duration) bool { return now%(3*time.Second) < 2600*time.Millisecond }
-	must.Eq(t, time.Minute, newConnection(always).endsAt(time.Minute, observed))
+	for _, at := range []struct {
+		paced         bool
+		period, pause time.Duration
+	}{
+		{true, 3 * time.Second, 400 * time.Millisecond},
+		{false, 3 * time.Second, 400 * time.Millisecond},
+		{true, 10 * time.Second, 4 * time.Second},
+	} {
+		observed := func(now time.Duration) bool { return now%at.period < at.period-at.pause }
+		must.Eq(t, time.Minute, newConnection(at.paced, always).endsAt(time.Minute, observed), must.Sprint(at))
+	}
 }
 
 // TestPeerThatVanishesIsFound guards against probes that become rare while the window stays
-// closed: a peer that vanishes at any moment must be found by the timeout for unacknowledged
-// data, with one more observation.
+// closed: a peer that vanishes at any moment must be found.
 func TestPeerThatVanishesIsFound(t *testing.T) {
-	for gone := time.Duration(0); gone < 20*time.Second; gone += 10 * time.Millisecond {
-		c := newConnection(func(now time.Duration) bool { return now < gone })
-		found := c.endsAt(time.Minute, always)
-		must.LessEq(t, sendwindow.Timeout+2*observation, found-c.lastAck, must.Sprintf("gone at %s, last seen at %s", gone, c.lastAck))
-	}
+	eachKernel(t, func(t *testing.T, paced bool) {
+		within := sendwindow.Timeout + 2*observation
+		if paced {
+			within = 2*time.Second + 2*observation // two probes
+		}
+		for gone := time.Duration(0); gone < 20*time.Second; gone += 10 * time.Millisecond {
+			c := newConnection(paced, func(now time.Duration) bool { return now < gone })
+			found := c.endsAt(time.Minute, always)
+			must.LessEq(t, within, found-c.lastAck, must.Sprintf("gone at %s, last seen at %s", gone, c.lastAck))
+		}
+	})
 }
 
 // TestTimeoutIsRestored guards against an extended timeout that stays once the peer reads: a
@@ -114,7 +158,7 @@
 		"window open":      {Unacked: 1, Unsent: 1, Window: 1 << 16},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var tracker sendwindow.Tracker
+			tracker := sendwindow.NewTracker(false)
 			now := time.Now()
 			timeout := sendwindow.Timeout
 			for i := range 60 {
@@ -138,7 +182,7 @@
 // TestOpenWindowKeepsTheTimeout guards against extending the timeout of data in flight, which
 // a live peer acknowledges.
 func TestOpenWindowKeepsTheTimeout(t *testing.T) {
-	var tracker sendwindow.Tracker
+	tracker := sendwindow.NewTracker(false)
 	now := time.Now()
 	for range 20 {
 		now = now.Add(observation)
@@ -147,8 +191,26 @@
 	}
 }
 
+// TestDroppedDataIsNoProbe guards against counting data that the peer had no room for as probes that
+// it left unanswered: it was sent just after the peer's last segment was observed, and the first
+// probe is due a second later.
+func TestDroppedDataIsNoProbe(t *testing.T) {
+	eachKernel(t, func(t *testing.T, paced bool) {
+		tracker := sendwindow.NewTracker(paced)
+		now := time.Now()
+		const acked, probed = 10 * time.Millisecond, 1300 * time.Millisecond // after the first observation
+		for at := time.Duration(0); at < probed; at += observation {
+			status := sendwindow.Status{Unacked: 3, Unsent: 1, Sent: 10}
+			if at > 0 {
+				status.LastAck, status.Sent = at-acked, 14
+			}
+			must.False(t, tracker.Observe(now.Add(at), status, 0).Gone, must.Sprint(at))
+		}
+	})
+}
+
 func ExampleTracker_Observe() {
-	var tracker sendwindow.Tracker
+	tracker := sendwindow.NewTracker(false)
 	unread := sendwindow.Status{Unsent: 4096, LastAck: 100 * time.Millisecond}
 	now := time.Now()
 	tracker.Observe(now, unread, 0)
