--- a/internal/sendwindow/sendwindow.go
+++ b/internal/sendwindow/sendwindow.go
@@ -46,7 +46,7 @@
 	Deps
 	mu    sync.Mutex
 	added []*Conn
-	conns []*Conn // used by Observe only
+	conns []*Conn // used by observe only
 }
 
 // New returns a watcher without connections.
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -31,10 +32,15 @@
 	var group conc.WaitGroup
 	defer group.Wait()
 	client := relay.New(pipeDialer{func(conn net.Conn) {
-		group.Go(func() { _, _ = io.Copy(io.Discard, conn) })
 		group.Go(func() {
+			defer conn.Close()
+			r, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
 			_, _ = io.WriteString(conn, strings.Repeat("\x01", 32<<10)+"\r\n")
-			conn.Close()
+			_, _ = io.Copy(io.Discard, conn) // until the client closes it
 		})
 	}}, relay.Options{})
 	_, err := client.Send(context.Background(), relay.Call{
