sendwindow: a peer that sends while it doesn't read is alive

Cause: the watcher ended the connections, not the kernel. It took all segments sent (Segs_out) for probes, the acknowledgements of the peer's events too, and the kernel's time of the last acknowledgement for that of the last segment. Data that acknowledges nothing new doesn't renew that. A second probe soon after the first isn't answered either, so that 1.2 s pass between two answers. Change: data counts as a sign of life; unanswered are the kernel's own counts of probes and retransmits, without probes that come within half a second of an answer. While data is pending the kernel's timeout is long from before the write on, and the watcher decides also for open windows, so that a process that doesn't run loses no live peer. The log line has the figures that tell this apart. The watcher now rests on what the kernel counts, and works where probes can't be limited.

--- a/daemon/member.go
+++ b/daemon/member.go
@@ -139,7 +139,7 @@
 		log: log.With(zap.String("host", s.Name)),
 	}
 	m.suspensions = suspension.New(steady.Time, logSuspension(m.log))
-	m.sendWindows = sendwindow.New(sendwindow.Deps{Log: m.log, Clock: steady.Time, Delay: m.suspensions.Delay})
+	m.sendWindows = sendwindow.New(sendwindow.Deps{Log: m.log, Clock: steady.Time, Delay: m.suspensions.Delay, LimitProbes: sendwindow.LimitProbes})
 	m.calls = wire.NewClient(m.counted(trafficPolls, m.peerDialer(true)))
 	m.commands = wire.NewClient(m.counted(trafficCommands, m.peerDialer(true)))
 	seeds := s.SeedPeerAddresses()
--- a/internal/sendwindow/sendwindow.go
+++ b/internal/sendwindow/sendwindow.go
@@ -1,16 +1,17 @@
 // Package sendwindow distinguishes peers that leave data unread from peers that are gone.
 //
-// A connection to a peer that vanished is found by TCP_USER_TIMEOUT: the kernel ends it once
-// sent data has stayed unacknowledged for that long. Linux applies the same timeout while the
-// peer's receive window is closed, even if the peer answers each probe of the window. RFC 9293,
-// section 3.8.6.1, wants such a connection to stay open: its peer is alive, and reads later.
+// With TCP_USER_TIMEOUT, Linux ends a connection once sent data has stayed unacknowledged for that
+// long. It does so while the peer's receive window is closed too, even if the peer answers each
+// probe of the window. RFC 9293, section 3.8.6.1, wants such a connection to stay open: its peer is
+// alive, and reads later.
 //
-// A Watcher observes connections with pending data. While a peer answers probes, it extends
-// the timeout. By default probes become rare, so that a peer that vanishes while its window is
-// closed would be found late. Where the kernel can (TCP_RTO_MAX_MS), it probes each second.
-// Elsewhere it sends the next probe when the timeout that it knows runs out, so the timeout is
-// extended in short steps; a process that doesn't run for longer than a step then loses such
-// connections.
+// A Watcher therefore decides itself about connections with pending data. It ends those from which
+// no segment arrived for Timeout, data included, although the kernel has sent probes or retransmits;
+// meanwhile the kernel's timeout is long, so that a process that doesn't run loses no connection.
+// By default probes become rare, so that a peer that vanishes while its window is closed would be
+// found late. Where the kernel can (TCP_RTO_MAX_MS), it probes each second. Elsewhere it sends the
+// next probe when the timeout that it knows runs out, so the timeout of a closed window is extended
+// in short steps; a process that doesn't run for longer than a step then loses such connections.
 package sendwindow
 
 import (
@@ -38,6 +39,9 @@
 	Clock func() time.Time
 	// Delay returns how late this process's tasks run at the moment.
 	Delay func() time.Duration
+	// LimitProbes limits the time between two probes of a socket, and reports whether the kernel
+	// can; usually LimitProbes of this package.
+	LimitProbes func(raw syscall.RawConn) bool
 }
 
 // Watcher observes connections whose peers may leave data unread. New makes one; it is safe
@@ -69,15 +73,15 @@
 	if err != nil {
 		return conn
 	}
-	return &Conn{Conn: conn, watcher: w, raw: raw, tracker: NewTracker(limitProbeInterval(raw))}
+	return &Conn{Conn: conn, watcher: w, raw: raw, tracker: NewTracker(w.LimitProbes(raw))}
 }
 
 // tcpRTOMaxMs is TCP_RTO_MAX_MS of Linux 6.15: the longest time between two retransmits or probes.
 const tcpRTOMaxMs = 44
 
-// limitProbeInterval limits the time between two probes of a closed window, and reports whether the
-// kernel can.
-func limitProbeInterval(raw syscall.RawConn) bool {
+// LimitProbes limits the time between two probes of a closed window, and reports whether the kernel
+// can.
+func LimitProbes(raw syscall.RawConn) bool {
 	return setMillis(raw, tcpRTOMaxMs, maxProbeInterval) == nil
 }
 
@@ -113,23 +117,49 @@
 	net.Conn
 	watcher *Watcher
 	raw     syscall.RawConn
-	watched atomic.Bool // one of the watcher's connections
 	gone    atomic.Bool // closed because the peer had vanished
 
-	// Used by the watcher only.
+	mu       sync.Mutex
+	watched  bool // one of the watcher's connections
+	writes   int  // calls of Write that have not returned
 	tracker  Tracker
 	reported bool // the log says that the peer leaves data unread
 }
 
 // Write implements net.Conn.
 func (c *Conn) Write(data []byte) (int, error) {
-	if c.watched.CompareAndSwap(false, true) {
-		c.watcher.add(c)
-	}
+	c.beginWrite()
+	defer c.endWrite()
 	n, err := c.Conn.Write(data)
 	return n, c.explain("write", err)
 }
 
+// beginWrite has the watcher observe the connection from before data is pending until there is none.
+func (c *Conn) beginWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writes++
+	if c.watched {
+		return
+	}
+	c.watched = true
+	c.setTimeout(c.tracker.BeginWrite())
+	c.watcher.add(c)
+}
+
+func (c *Conn) endWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writes--
+}
+
+// setTimeout sets TCP_USER_TIMEOUT unless timeout is 0. It fails only on a closed connection.
+func (c *Conn) setTimeout(timeout time.Duration) {
+	if timeout > 0 {
+		_ = setTimeout(c.raw, timeout)
+	}
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
@@ -150,21 +180,21 @@
 
 // observe observes the connection and reports whether to observe it again.
 func (c *Conn) observe(now time.Time, delay time.Duration) bool {
-	c.watched.Store(false) // before the status is read: a later Write adds the connection again
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.watched = false
 	status, err := readStatus(c.raw)
 	if err != nil {
 		return false // closed
 	}
 	decision := c.tracker.Observe(now, status, delay)
-	if decision.Timeout > 0 {
-		_ = setTimeout(c.raw, decision.Timeout) // fails only if the connection was closed meanwhile
-	}
+	c.setTimeout(decision.Timeout)
 	c.report(status, decision)
 	if decision.Gone {
 		c.abort()
-		return false
 	}
-	return decision.Pending && c.watched.CompareAndSwap(false, true)
+	c.watched = decision.Pending
+	return decision.Pending
 }
 
 // abort closes the connection without sending what is pending.
@@ -181,11 +211,12 @@
 	stalled := c.tracker.Stalled()
 	fields := []zap.Field{
 		zap.Stringer("address", c.RemoteAddr()), zap.Stringer("local", c.LocalAddr()), zap.Duration("stalled", stalled),
-		zap.Uint32("unsent", status.Unsent), zap.Duration("last_ack", status.LastAck),
+		zap.Uint32("unacked", status.Unacked), zap.Uint32("unsent", status.Unsent), zap.Uint32("window", status.Window),
+		zap.Duration("last_ack", status.LastAck), zap.Duration("last_data", status.LastData), zap.Uint32("probes", status.Probes),
 	}
 	switch {
 	case decision.Gone:
-		c.watcher.Log.Warn("peer that left data unread is gone, closing the connection", fields...)
+		c.watcher.Log.Warn("peer with pending data is gone, closing the connection", fields...)
 	case stalled >= Timeout && !c.reported:
 		c.reported = true
 		c.watcher.Log.Info("peer leaves data unread, keeping the connection", fields...)
@@ -209,8 +240,10 @@
 		return Status{}, errors.Annotate(infoErr, "TCP_INFO")
 	}
 	return Status{
-		Unacked: info.Unacked, Unsent: info.Notsent_bytes, Window: info.Snd_wnd, Sent: info.Segs_out,
-		LastAck: time.Duration(info.Last_ack_recv) * time.Millisecond,
+		Unacked: info.Unacked, Unsent: info.Notsent_bytes, Window: info.Snd_wnd,
+		Probes: uint32(info.Probes), Retransmits: info.Total_retrans,
+		LastAck:  time.Duration(info.Last_ack_recv) * time.Millisecond,
+		LastData: time.Duration(info.Last_data_recv) * time.Millisecond,
 	}, nil
 }
 
--- a/internal/sendwindow/tracker.go
+++ b/internal/sendwindow/tracker.go
@@ -2,61 +2,80 @@
 
 import "time"
 
-// Timing of a connection whose peer leaves data unread.
+// Timing of a connection with pending data.
 const (
-	// Timeout is TCP_USER_TIMEOUT of a connection: for how long sent data may stay
-	// unacknowledged.
+	// Timeout is for how long a peer may leave sent data unanswered. It is also TCP_USER_TIMEOUT of a
+	// connection without pending data, whose keep-alive probes it bounds.
 	Timeout = 1200 * time.Millisecond
+	// pausedTime is for how long the process may not run before the kernel ends a connection with
+	// pending data.
+	pausedTime = 30 * time.Second
 	// maxProbeInterval bounds the time between two probes of a closed window where the kernel can
 	// limit it.
 	maxProbeInterval = time.Second
-	// pacedSlack is how long the process may not run, there, before the timeout runs out.
-	pacedSlack = 5 * time.Second
-	// probeInterval bounds it elsewhere, but for the time between two observations, by the steps in
-	// which the timeout is extended.
+	// probeInterval bounds it elsewhere, by the steps in which the timeout is extended.
 	probeInterval = 500 * time.Millisecond
-	// goneProbes is how many probes in a row the peer has to leave unanswered. A live one may leave
-	// one: its kernel answers twice a second at most.
+	// delayFactor is how many average delays of observations a step is longer.
+	delayFactor = 4
+	// goneProbes is how many probes in a row the peer has to leave unanswered: one may be lost. Those
+	// that it need not answer don't count.
 	goneProbes = 2
+	// answerInterval is the time between two answers of a peer's kernel to probes.
+	answerInterval = 500 * time.Millisecond
 	// ackPrecision bounds the error of the time since the peer's last segment: the kernel counts in
 	// units of up to 10 ms.
 	ackPrecision = 20 * time.Millisecond
-	// openTicks is how many observations in a row have to find the window open before the
-	// usual timeout applies again. The kernel goes on counting the time of a closed window
-	// while the peer opens it by less than a segment.
+	// openTicks is how many observations in a row have to find the window open before it counts as
+	// open. The kernel goes on counting the time of a closed window while the peer opens it by less
+	// than a segment.
 	openTicks = 8
 )
 
-// Status is the state of a connection's sending side, from TCP_INFO.
+// Status is the state of a connection, from TCP_INFO.
 type Status struct {
-	Unacked uint32        // segments in flight
-	Unsent  uint32        // bytes that wait to be sent
-	Window  uint32        // bytes that the peer accepts
-	Sent    uint32        // segments so far, with retransmits and probes
-	LastAck time.Duration // since the last segment of the peer
+	Unacked     uint32        // segments in flight
+	Unsent      uint32        // bytes that wait to be sent
+	Window      uint32        // bytes that the peer accepts
+	Probes      uint32        // probes of the window since the peer's last acknowledgement
+	Retransmits uint32        // segments sent again so far
+	LastAck     time.Duration // since the peer's last acknowledgement
+	LastData    time.Duration // since the peer's last segment with new data
+	Writing     bool          // a Write has not returned
 }
 
-// pending reports whether data waits for the peer.
-func (s Status) pending() bool { return s.Unacked > 0 || s.Unsent > 0 }
+// pending reports whether data waits for the peer, or may do so at any moment.
+func (s Status) pending() bool { return s.Writing || s.Unacked > 0 || s.Unsent > 0 }
 
 // closed reports whether data waits for the peer to open its window. What it didn't accept of
 // the data in flight is sent again.
-func (s Status) closed() bool { return s.pending() && (s.Window == 0 || s.Unacked == 0) }
+func (s Status) closed() bool {
+	if s.Unacked > 0 {
+		return s.Window == 0
+	}
+	return s.Unsent > 0
+}
 
-// Tracker decides when a connection ends whose peer leaves data unread. NewTracker makes
-// one. It is not safe for concurrent use.
+// silence returns the time since the peer's last segment. The kernel doesn't count data as an
+// acknowledgement if it acknowledges nothing new.
+func (s Status) silence() time.Duration { return min(s.LastAck, s.LastData) }
+
+// Tracker decides when a connection with pending data ends. NewTracker makes one. It is not safe
+// for concurrent use.
 type Tracker struct {
-	observedAt  time.Time
-	closedSince time.Time     // zero unless the peer's window is closed, or was lately
-	open        int           // observations since the window was closed
-	timeout     time.Duration // TCP_USER_TIMEOUT now; 0 for Timeout
-	sentAtAck   uint32        // segments sent until the peer's last one was observed
-	paced       bool          // the kernel limits the time between two probes
+	observedAt   time.Time
+	pendingSince time.Time     // zero without pending data
+	closedSince  time.Time     // zero unless the peer's window is closed, or was lately
+	open         int           // observations since the window was closed
+	timeout      time.Duration // TCP_USER_TIMEOUT now
+	probes       uint32        // unanswered probes at the last observation
+	excused      uint32        // those of them that a live peer leaves unanswered
+	retransmits  uint32        // segments sent again until the peer's last one was observed
+	paced        bool          // the kernel limits the time between two probes
 }
 
 // NewTracker returns a tracker of a connection without pending data. paced reports whether the
 // kernel probes a closed window each second at least, whatever the timeout.
-func NewTracker(paced bool) Tracker { return Tracker{paced: paced} }
+func NewTracker(paced bool) Tracker { return Tracker{timeout: Timeout, paced: paced} }
 
 // Decision is what is to be done about a connection.
 type Decision struct {
@@ -65,47 +84,79 @@
 	Pending bool          // observe the connection again
 }
 
+// BeginWrite returns the TCP_USER_TIMEOUT to set before data is written, 0 to leave it.
+func (t *Tracker) BeginWrite() time.Duration { return t.set(max(t.timeout, pausedTime)) }
+
 // Observe takes the status of the connection at a time and returns what to do. delay is how
 // late observations are at the moment.
 func (t *Tracker) Observe(now time.Time, status Status, delay time.Duration) Decision {
-	observedBefore := t.observedAt
-	t.observedAt = now
 	if !status.pending() {
-		return t.settle(Decision{})
+		decision := Decision{Timeout: t.set(Timeout)}
+		*t = Tracker{timeout: t.timeout, retransmits: status.Retransmits, paced: t.paced}
+		return decision
+	}
+	previous := t.observedAt
+	t.observedAt = now
+	if t.pendingSince.IsZero() {
+		t.pendingSince = now
+	}
+	t.noteWindow(status, previous)
+	unanswered := t.unanswered(status, now.Sub(previous))
+	if now.Sub(t.pendingSince) >= Timeout && status.silence() >= Timeout && unanswered >= goneProbes {
+		return Decision{Gone: true}
+	}
+	return Decision{Pending: true, Timeout: t.set(t.kernelTimeout(delay))}
+}
+
+// unanswered returns how many probes and retransmits the peer should have answered since its last
+// segment. elapsed is the time since the previous observation.
+func (t *Tracker) unanswered(status Status, elapsed time.Duration) uint32 {
+	if status.silence()-ackPrecision <= elapsed {
+		t.retransmits = status.Retransmits
+	}
+	if status.LastAck-ackPrecision <= elapsed || status.Probes < t.probes {
+		t.probes, t.excused = 0, 0
 	}
-	unanswered := t.unanswered(status, now.Sub(observedBefore))
+	sentAfter := status.LastAck - elapsed/2 // on average
+	answered := status.LastAck < status.LastData-ackPrecision || status.LastAck > status.LastData+ackPrecision
+	if answered && sentAfter < answerInterval {
+		t.excused += status.Probes - t.probes
+	}
+	t.probes = status.Probes
+	return status.Probes - t.excused + status.Retransmits - t.retransmits
+}
+
+// noteWindow notes since when the peer's window is closed. previous is the time of the previous
+// observation, zero for the first.
+func (t *Tracker) noteWindow(status Status, previous time.Time) {
 	switch {
 	case !status.closed():
 		t.open++
-	case t.closedSince.IsZero() && observedBefore.IsZero():
-		t.closedSince = now
+	case t.closedSince.IsZero() && previous.IsZero():
+		t.closedSince = t.observedAt
+		t.open = 0
 	case t.closedSince.IsZero():
-		t.closedSince = observedBefore
+		t.closedSince = previous
 		t.open = 0
 	default:
 		t.open = 0
 	}
-	if t.closedSince.IsZero() || t.open >= openTicks {
-		return t.settle(Decision{Pending: true})
-	}
-	if status.LastAck >= Timeout && unanswered >= goneProbes {
-		return Decision{Gone: true}
-	}
-	slack := probeInterval + delay
-	if t.paced {
-		slack = pacedSlack
+	if t.open >= openTicks {
+		t.closedSince = time.Time{}
 	}
-	return Decision{Pending: true, Timeout: t.extend(now.Sub(t.closedSince) + slack)}
 }
 
-// unanswered returns how many segments were sent since the peer's last one. Those before the first
-// observation after that aren't counted: they may be data, of which the peer drops what its
-// buffer has no room for.
-func (t *Tracker) unanswered(status Status, sinceLast time.Duration) uint32 {
-	if status.LastAck <= sinceLast+ackPrecision {
-		t.sentAtAck = status.Sent
+// kernelTimeout returns the timeout with which the connection outlives the next observations.
+// The kernel counts it from the first probe or retransmit on that made no progress.
+func (t *Tracker) kernelTimeout(delay time.Duration) time.Duration {
+	switch {
+	case t.closedSince.IsZero():
+		return pausedTime
+	case !t.paced:
+		return max(Timeout, t.Stalled()+probeInterval+delayFactor*delay)
 	}
-	return status.Sent - t.sentAtAck
+	// Rounded, to set it only now and then.
+	return (t.Stalled() + 2*pausedTime).Truncate(pausedTime)
 }
 
 // Stalled returns for how long the peer has kept its window closed.
@@ -116,25 +167,11 @@
 	return t.observedAt.Sub(t.closedSince)
 }
 
-// extend returns the timeout to set so that the connection outlives the next observation,
-// 0 if the present one does.
-func (t *Tracker) extend(timeout time.Duration) time.Duration {
-	if timeout <= max(t.timeout, Timeout) {
+// set returns the timeout to set, 0 if it is the present one.
+func (t *Tracker) set(timeout time.Duration) time.Duration {
+	if timeout == t.timeout {
 		return 0
 	}
 	t.timeout = timeout
 	return timeout
 }
-
-// settle forgets the closed window, and restores the usual timeout in d if it was extended.
-func (t *Tracker) settle(d Decision) Decision {
-	if t.timeout > 0 {
-		d.Timeout = Timeout
-	}
-	settled := Tracker{sentAtAck: t.sentAtAck, paced: t.paced}
-	if d.Pending {
-		settled.observedAt = t.observedAt
-	}
-	*t = settled
-	return d
-}
--- a/soak/world.go
+++ b/soak/world.go
@@ -242,7 +242,7 @@
 	group := pool.New()
 	e, err := platformtest.StartEngine(ctx, group, address(w.listenNets[region].IP(engineIP), 0), platformtest.EngineOptions{
 		Service: service, DataCentre: fmt.Sprintf("dc%d", region), Heartbeat: heartbeat, Pause: 15 * time.Millisecond, CrashOn: poisonBody, CrashOnPart: crashingPart, Version: w.nextVersion(), Events: streamEvents,
-		LongPath: "/" + longKind + "/", LongPadding: longPadding, ReadPause: uploadReadPause, ReceiveBuffer: engineReceiveBuffer,
+		LongPath: "/" + longKind + "/", LongPadding: longPadding, ReadPause: uploadReadPause, SendsUnread: w.enginesStarted.Load()%4 < 2, ReceiveBuffer: engineReceiveBuffer,
 	})
 	if err != nil {
 		cancel()
