sendwindow: a write that hasn't returned counts as pending data

Callers could see: a request with a long body that its engine leaves unread for a while fails after 1.4 s, now and then. Cause: a connection is put on the watcher's list before its data is written. An observation between the two finds nothing pending and drops the connection; the write then blocks, doesn't add it again, and nothing extends the kernel's timeout. Change: a Write that hasn't returned counts as pending. Not seen with real hosts. Conclusion: the list holds each connection from before a write until all is acknowledged.

--- a/internal/sendwindow/sendwindow.go
+++ b/internal/sendwindow/sendwindow.go
@@ -187,6 +187,7 @@
 	if err != nil {
 		return false // closed
 	}
+	status.Writing = c.writes > 0
 	decision := c.tracker.Observe(now, status, delay)
 	c.setTimeout(decision.Timeout)
 	c.report(status, decision)
--- a/internal/sendwindow/sendwindow_test.go
+++ b/internal/sendwindow/sendwindow_test.go
@@ -155,6 +155,25 @@
 	must.Eq(t, bodyBytes, sendToLateReader(t, local, peer))
 }
 
+// lateWriter is a connection that writes nothing for a while.
+type lateWriter struct{ *net.TCPConn }
+
+// Write implements net.Conn.
+func (w lateWriter) Write(data []byte) (int, error) {
+	time.Sleep(sendwindow.Timeout / 2)
+	return w.TCPConn.Write(data)
+}
+
+// TestWriteIsObservedFromItsBegin guards against a connection that isn't observed because nothing was
+// pending yet when a Write had begun: the kernel then ends it.
+func TestWriteIsObservedFromItsBegin(t *testing.T) {
+	t.Parallel()
+	eachSocketKernel(t, func(t *testing.T, limit func(syscall.RawConn) bool) {
+		local, peer := pairObserved(t, limit, 0, func(conn net.Conn) net.Conn { return lateWriter{conn.(*net.TCPConn)} })
+		must.Eq(t, bodyBytes, sendToLateReader(t, local, peer))
+	})
+}
+
 // TestPeerThatVanishesIsFoundByItsConnection guards against connections that outlive their
 // peer, whether it had left data unread before or not, and whether it had just sent data: reading
 // blocks until the end of the connection, for a quarter of an hour by default.
