--- a/ingress/endless_test.go
+++ b/ingress/endless_test.go
@@ -98,16 +98,7 @@
 func requestEndless(t *testing.T, endless *endlessServer, path string) platformtest.Result {
 	t.Helper()
 	network := newMemoryNetwork()
-	g := newUnservedGateway(t, "g1", "lagos", time.Now, network)
-	g.peers = []roster.Host{{Name: "g2", Role: roster.RoleGateway, Region: "kano", Handover: "endless:80"}}
-	deps := g.server.Deps
-	deps.Self.Handover = "gateway:81"
-	g.server = ingress.New(deps)
-	g.server.ApplyState(ledger.State{Index: 1, Catalog: testCatalog})
-	for _, service := range []string{"portal", "model"} {
-		g.engines.Heartbeat(registry.Engine{ID: "i-" + service, Service: service, Address: "endless:80", DataCentre: "a", Slots: 8, Sequence: 1})
-	}
-	g.server.Dispatcher.Tick()
+	g := newGatewayBeforeAddress(t, network, "endless:80")
 	ctx, cancel := context.WithCancel(context.Background())
 	group := pool.New()
 	listener := network.listen("endless:80")
@@ -123,3 +114,20 @@
 	g.server.Peers.Close()
 	return result
 }
+
+// newGatewayBeforeAddress returns a gateway of a memory network whose engines and peers are at one
+// address.
+func newGatewayBeforeAddress(t *testing.T, network *memoryNetwork, address string) *gateway {
+	t.Helper()
+	g := newUnservedGateway(t, "g1", "lagos", time.Now, network)
+	g.peers = []roster.Host{{Name: "g2", Role: roster.RoleGateway, Region: "kano", Handover: address}}
+	deps := g.server.Deps
+	deps.Self.Handover = "gateway:81"
+	g.server = ingress.New(deps)
+	g.server.ApplyState(ledger.State{Index: 1, Catalog: testCatalog})
+	for _, service := range []string{"portal", "model"} {
+		g.engines.Heartbeat(registry.Engine{ID: "i-" + service, Service: service, Address: address, DataCentre: "a", Slots: 8, Sequence: 1})
+	}
+	g.server.Dispatcher.Tick()
+	return g
+}
--- a/ingress/framing_test.go
+++ b/ingress/framing_test.go
@@ -88,6 +88,7 @@
 		for _, fault := range []platformtest.Fault{
 			platformtest.FaultNoLengthHead, platformtest.FaultNoLengthEvent, platformtest.FaultNoLengthInside, platformtest.FaultNoLengthLine,
 			platformtest.FaultNoLengthCrash, platformtest.FaultNoLengthReset, platformtest.FaultTerminatedInside,
+			platformtest.FaultHeadCut, platformtest.FaultHeadCutReset, platformtest.FaultHeadCutCrash,
 		} {
 			if fault == platformtest.FaultTerminatedInside && !kind.stream {
 				continue
@@ -114,6 +115,7 @@
 		for _, fault := range []platformtest.Fault{
 			platformtest.FaultNoLengthHead, platformtest.FaultNoLengthInside, platformtest.FaultNoLengthLine,
 			platformtest.FaultNoLengthCrash, platformtest.FaultNoLengthReset, platformtest.FaultTerminatedInside,
+			platformtest.FaultHeadCut, platformtest.FaultHeadCutReset, platformtest.FaultHeadCutCrash,
 		} {
 			env := newFramingEnv(t, kind, handedOver, "\n")
 			injectFault(env.engines, fault, -1)
@@ -131,6 +133,7 @@
 			for _, fault := range []platformtest.Fault{
 				platformtest.FaultTruncate, platformtest.FaultNoLengthHead, platformtest.FaultNoLengthInside, platformtest.FaultNoLengthLine,
 				platformtest.FaultNoLengthCrash, platformtest.FaultNoLengthReset, platformtest.FaultTerminatedInside,
+				platformtest.FaultHeadCut, platformtest.FaultHeadCutReset, platformtest.FaultHeadCutCrash,
 			} {
 				t.Run(fmt.Sprintf("%s/%q/handed-over=%t", fault, lineEnd, handedOver), func(t *testing.T) {
 					env := newFramingEnv(t, answerKinds[1], handedOver, lineEnd)
--- a/soak/world.go
+++ b/soak/world.go
@@ -218,7 +218,7 @@
 func address(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 
 // usualFaults returns the faults of an engine in which no other fault is injected: some answers
-// have neither a length nor chunks, some are cut short, and some never end.
+// have neither a length nor chunks, some are cut short or stop within their head, and some never end.
 func usualFaults() *platformtest.FaultPlan {
 	return platformtest.NewFaultCycle(
 		unframedPeriod,
@@ -226,6 +226,7 @@
 		platformtest.FaultNoLength, platformtest.FaultNoLengthLine, platformtest.FaultTerminatedInside, platformtest.FaultNoLengthHead,
 		platformtest.FaultChunksCut, platformtest.FaultNoLengthReset, platformtest.FaultChunksGarbage, platformtest.FaultChunksReset,
 		platformtest.FaultEndlessHeader, platformtest.FaultEndlessInformational, platformtest.FaultEndlessGarbage,
+		platformtest.FaultHeadCut, platformtest.FaultHeadCutReset,
 	)
 }
 
