dispatch: the only version is confirmed by all control hosts

Callers could see: during a release, a stream taken up at a gateway that is partitioned from the other hosts, or has just resumed, goes on at an engine of another version. The stream may be younger than all that the gateway knows, and what arrives late doesn't say when it was sent. Change: all polled control hosts are asked which versions they know of, in any region, after the request has arrived (Control.Versions). Without all answers, or with another version, the stream is rejected as not run, with a Retry-After. Requests that come together share a round of questions; nothing is asked while a record is found. Related paths: keys and reads of declarations use times of confirmation already; reports that a region lacks a version cost a hand-over, not the order. TestStreamWithoutARecordContinuesAtTheSoleVersion has the control hosts' answers too; its checks are the same. Conclusion: certainty rests on answers to questions that are younger than the stream.

--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/juju/errors"
 	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
@@ -35,12 +36,14 @@
 type memoryNetwork struct {
 	mu        sync.Mutex
 	listeners map[string]*memoryListener
-	places    map[string]roster.Host // by peer address
-	dials     map[string]int         // by the peer address that dialed
-	sent      map[scope]int64        // bytes by where they go
-	sentFrom  map[string]int64       // bytes on connections that a role has opened, by role and scope
-	conns     []memoryConn           // all that were opened
-	separated map[[2]string]bool     // pairs of peer addresses that can't reach each other
+	places    map[string]roster.Host   // by peer address
+	dials     map[string]int           // by the peer address that dialed
+	sent      map[scope]int64          // bytes by where they go
+	sentFrom  map[string]int64         // bytes on connections that a role has opened, by role and scope
+	conns     []memoryConn             // all that were opened
+	separated map[[2]string]bool       // pairs of peer addresses that can't reach each other
+	held      map[string]chan struct{} // closed once the traffic of a peer address goes on
+	flushes   conc.WaitGroup           // of what was sent while traffic was held
 }
 
 // memoryConn is a connection between two peer addresses.
@@ -61,6 +64,34 @@
 	}
 }
 
+// hold lets nothing from and to a host pass until release is called. What was sent meanwhile arrives
+// then, as after a partition without a reset.
+func (n *memoryNetwork) hold(address string) (release func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	released := make(chan struct{})
+	n.held[address] = released
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.held, address)
+		close(released)
+	}
+}
+
+// heldUntil returns the channel that is closed when the traffic between two hosts goes on, nil if it
+// isn't held.
+func (n *memoryNetwork) heldUntil(ends [2]string) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, address := range ends {
+		if released, held := n.held[address]; held {
+			return released
+		}
+	}
+	return nil
+}
+
 // closeAll closes all connections, also those that were never accepted.
 func (n *memoryNetwork) closeAll() {
 	n.mu.Lock()
@@ -124,22 +155,64 @@
 // countingConn counts the bytes written by either end.
 type countingConn struct {
 	net.Conn
-	count func(int)
+	network *memoryNetwork
+	ends    [2]string
+	count   func(int)
+
+	mu       sync.Mutex
+	queue    []byte // written while the traffic was held
+	flushing bool
 }
 
 func (c *countingConn) Write(data []byte) (int, error) {
+	if c.enqueue(data) {
+		return len(data), nil
+	}
 	n, err := c.Conn.Write(data)
 	c.count(n)
 	return n, err
 }
 
+// enqueue keeps data for later and reports true while the traffic is held.
+func (c *countingConn) enqueue(data []byte) bool {
+	released := c.network.heldUntil(c.ends)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if released == nil && !c.flushing {
+		return false
+	}
+	c.queue = append(c.queue, data...)
+	if !c.flushing {
+		c.flushing = true
+		c.network.flushes.Go(func() { c.flush(released) })
+	}
+	return true
+}
+
+// flush writes the queue once the traffic goes on.
+func (c *countingConn) flush(released <-chan struct{}) {
+	<-released
+	for {
+		c.mu.Lock()
+		data := c.queue
+		c.queue = nil
+		c.flushing = len(data) > 0
+		c.mu.Unlock()
+		if len(data) == 0 {
+			return
+		}
+		n, _ := c.Conn.Write(data)
+		c.count(n)
+	}
+}
+
 // memoryDialer dials from one host.
 type memoryDialer struct {
 	network *memoryNetwork
 	from    string
 }
 
-func (d memoryDialer) DialContext(_ context.Context, _, address string) (net.Conn, error) {
+func (d memoryDialer) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
 	n := d.network
 	n.mu.Lock()
 	l, ok := n.listeners[address]
@@ -156,13 +229,21 @@
 		n.sent[s] += int64(written)
 		n.sentFrom[string(role)+" "+string(s)] += int64(written)
 	}
+	ends := [2]string{d.from, address}
+	if released := n.heldUntil(ends); released != nil {
+		select {
+		case <-released:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
 	near, far := net.Pipe()
 	n.mu.Lock()
-	n.conns = append(n.conns, memoryConn{near, [2]string{d.from, address}})
+	n.conns = append(n.conns, memoryConn{near, ends})
 	n.mu.Unlock()
 	select {
-	case l.conns <- &countingConn{far, count}:
-		return &countingConn{near, count}, nil
+	case l.conns <- &countingConn{Conn: far, network: n, ends: ends, count: count}:
+		return &countingConn{Conn: near, network: n, ends: ends, count: count}, nil
 	case <-l.closed:
 		return nil, io.EOF
 	}
@@ -200,7 +281,7 @@
 	tb.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &testFleet{
-		network: &memoryNetwork{listeners: make(map[string]*memoryListener), places: make(map[string]roster.Host), dials: make(map[string]int), sent: make(map[scope]int64), sentFrom: make(map[string]int64), separated: make(map[[2]string]bool)},
+		network: &memoryNetwork{listeners: make(map[string]*memoryListener), places: make(map[string]roster.Host), dials: make(map[string]int), sent: make(map[scope]int64), sentFrom: make(map[string]int64), separated: make(map[[2]string]bool), held: make(map[string]chan struct{})},
 		begun:   time.Now(), group: pool.New(), cancel: cancel,
 	}
 	var seeds []string
@@ -234,6 +315,7 @@
 		f.cancel()
 		f.group.Wait()
 		f.network.closeAll()
+		f.network.flushes.Wait()
 	})
 }
 
--- a/controller/service.go
+++ b/controller/service.go
@@ -76,6 +76,13 @@
 	}
 }
 
+// Versions returns which versions of a service's software this control host knows of.
+func (s *Service) Versions(args follow.VersionsArgs, reply *follow.VersionsReply) error {
+	c := s.controller
+	*reply = follow.VersionsReply{Life: c.Self.Life, Versions: c.engines.Versions(args.Service)}
+	return nil
+}
+
 // rosterTimeout returns the roster timeout of a host whose Sync calls wait for the given time.
 // It allows for the loss of one call.
 func rosterTimeout(wait time.Duration) time.Duration { return max(hostTimeout, wait+hostTimeoutSlack) }
--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -140,7 +140,7 @@
 	dispatcher = dispatch.New(dispatch.Deps{
 		Name: self.Name, Region: self.Region, DataCentre: self.DataCentre, RegionOf: m.settings.Regions, Engines: engines, Peers: follower.Gateways, RoundTripTo: m.roundTrips.RoundTrip,
 		RetryBudget: retry.Policy(m.settings.Retries), Allowances: meter, Log: m.log, Metrics: m.metrics, Clock: steady.Time, SuspendedSince: m.suspensions.SuspendedSince,
-		Rollouts: rollout.Policy(m.settings.Rollouts), ConnectedControlHosts: follower.ConnectedCount, ViewIsSteady: follower.IsSteady,
+		Rollouts: rollout.Policy(m.settings.Rollouts), ConnectedControlHosts: follower.ConnectedCount, ViewIsSteady: follower.IsSteady, EngineVersions: follower.EngineVersions,
 	})
 	directory := m.newStreamDirectory(self, follower.Gateways, datagrams)
 	dialer := m.engineDialer()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -54,6 +55,9 @@
 	// ViewIsSteady reports whether this gateway has been in contact with all control hosts for
 	// a while, so that it knows all engines of its region; nil for never.
 	ViewIsSteady func() bool
+	// EngineVersions asks all control hosts which versions of a service's software there are;
+	// complete is false if one didn't answer. nil for never.
+	EngineVersions func(ctx context.Context, service string) (versions []registry.ServedVersion, complete bool)
 }
 
 // wasSuspended reports whether this process was suspended since the given time.
--- a/dispatch/versions.go
+++ b/dispatch/versions.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"time"
 
@@ -149,6 +150,27 @@
 	return streams.Origin{}, false
 }
 
+// ConfirmSoleVersion is SoleVersion, confirmed by all control hosts. What this gateway knows may be
+// older than the stream, without a sign of it: for as long as polls and reports may be late, a
+// gateway that is partitioned or has just resumed counts as connected.
+func (d *Dispatcher) ConfirmSoleVersion(ctx context.Context, service string, within time.Duration, permitted func(region string) bool) (streams.Origin, bool) {
+	sole, certain := d.SoleVersion(service, within, permitted)
+	if !certain || d.EngineVersions == nil {
+		return streams.Origin{}, false
+	}
+	versions, complete := d.EngineVersions(ctx, service)
+	if !complete {
+		return streams.Origin{}, false
+	}
+	for _, v := range versions {
+		region, known := d.RegionOf[v.DataCentre]
+		if v.Version != sole.Version && (!known || region == d.Region || permitted(region)) {
+			return streams.Origin{}, false
+		}
+	}
+	return sole, true
+}
+
 // LacksVersion reports whether another region is known to have no engine that can continue a
 // stream of that origin. It returns false without a recent report of the region.
 func (d *Dispatcher) LacksVersion(region string, origin streams.Origin) bool {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -108,11 +108,16 @@
 	regions     map[string]string // by the IP address of a host, as of listsAt
 	listsAt     time.Time
 	listSources []listSource
+
+	rounds, nextRounds map[string]*versionRound // running, and to be run after them, by service
 }
 
 // New makes a Follower that polls nobody until Run is called.
 func New(deps Deps) *Follower {
-	return &Follower{Deps: deps, links: make(map[string]*link)}
+	return &Follower{
+		Deps: deps, links: make(map[string]*link),
+		rounds: make(map[string]*versionRound), nextRounds: make(map[string]*versionRound),
+	}
 }
 
 // Run polls the control hosts until ctx ends, and returns when all polls have ended.
--- a/ingress/continuation.go
+++ b/ingress/continuation.go
@@ -113,27 +113,60 @@
 		s.Metrics.CountStreamSearch(x.service, "not_found")
 		rejection.Message = "no gateway knows which version began the stream"
 	}
-	s.Log.Warn("stream to resume is not known; rejecting the request", x.logFields(zap.String("resumes", x.meta.Resumes), zap.String("last_event", x.meta.LastEventID), zap.Stringer("fingerprint", x.fingerprint), zap.String("why", rejection.Message))...)
+	unconfirmed := s.unconfirmedOrigin(x, finding)
+	if unconfirmed != "" {
+		rejection.RetryAfter = unknownRetryAfter
+	}
+	s.Log.Warn("stream to resume is not known; rejecting the request", x.logFields(zap.String("resumes", x.meta.Resumes), zap.String("last_event", x.meta.LastEventID), zap.Stringer("fingerprint", x.fingerprint), zap.String("why", rejection.Message), zap.String("unconfirmed", unconfirmed))...)
 	return rejection
 }
 
 // soleOrigin returns the only origin that the stream can have if no record of it was found.
 // Records may all be lost, but a service whose engines have one version leaves no doubt.
 func (s *Server) soleOrigin(x *exchange, finding streams.Finding) (streams.Origin, bool) {
+	service, only := x.onlyService()
+	if !only || isRecorded(finding) {
+		return streams.Origin{}, false
+	}
+	return s.Dispatcher.ConfirmSoleVersion(x.r.Context(), service, max(x.route.Timeout, x.meta.Timeout), x.mayRunIn)
+}
+
+// unconfirmedOrigin returns the only origin that the stream can have as far as this gateway knows,
+// "" for none. Control hosts have not confirmed it.
+func (s *Server) unconfirmedOrigin(x *exchange, finding streams.Finding) string {
+	service, only := x.onlyService()
+	if !only || isRecorded(finding) {
+		return ""
+	}
+	origin, sole := s.Dispatcher.SoleVersion(service, max(x.route.Timeout, x.meta.Timeout), x.mayRunIn)
+	if !sole {
+		return ""
+	}
+	return origin.String()
+}
+
+// isRecorded reports whether a gateway has a record of the stream.
+func isRecorded(finding streams.Finding) bool {
 	switch finding.(type) {
 	case streams.Found, streams.Contested:
-		return streams.Origin{}, false
+		return true
+	default:
+		return false
 	}
+}
+
+// onlyService returns the service of the route's backends; false if there are several.
+func (x *exchange) onlyService() (string, bool) {
 	service := ""
 	for _, b := range x.route.Backends {
 		if b.Weight > 0 && service != "" {
-			return streams.Origin{}, false
+			return "", false
 		}
 		if b.Weight > 0 {
 			service = b.Service
 		}
 	}
-	return s.Dispatcher.SoleVersion(service, max(x.route.Timeout, x.meta.Timeout), x.mayRunIn)
+	return service, service != ""
 }
 
 // mayContinue reports whether another attempt can complete the answer. After its first event,
--- a/ingress/continuation_test.go
+++ b/ingress/continuation_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/linenscale/linenscale/ledger"
 	"github.com/linenscale/linenscale/platform/platformtest"
+	"github.com/linenscale/linenscale/registry"
 	"github.com/linenscale/linenscale/request"
 	"github.com/linenscale/linenscale/roster"
 	"github.com/linenscale/linenscale/streams"
@@ -435,6 +436,9 @@
 	g := newGateway(t, "g1", "lagos")
 	g.declare()
 	g.server.Dispatcher.ViewIsSteady = func() bool { return true }
+	g.server.Dispatcher.EngineVersions = func(_ context.Context, service string) ([]registry.ServedVersion, bool) {
+		return g.engines.Versions(service), true
+	}
 	g.server.Dispatcher.RegionOf = map[string]string{"a": "lagos"}
 	g.startVersion(t, "model", "a", "v1")
 	begun := platformtest.StreamText("v1", 2)
@@ -443,3 +447,44 @@
 	result := resume(t, g, "another", begun)
 	must.True(t, result.GuaranteesNotRun(), must.Sprint(result.Status))
 }
+
+// TestGatewayOutOfStepJoinsNoVersions guards against a stream that a gateway joins from two versions
+// because it is partitioned, or has just resumed, and doesn't know of the version that began it.
+func TestGatewayOutOfStepJoinsNoVersions(t *testing.T) {
+	old := registry.ServedVersion{DataCentre: "a", Version: "v1"}
+	for name, c := range map[string]struct {
+		versions []registry.ServedVersion
+		complete bool
+		goesOn   bool
+	}{
+		"a new version in its region":           {[]registry.ServedVersion{old, {DataCentre: "a", Version: "v2"}}, true, false},
+		"a new version in another region":       {[]registry.ServedVersion{old, {DataCentre: "b", Version: "v2"}}, true, false},
+		"a new version at an unknown place":     {[]registry.ServedVersion{old, {DataCentre: "x", Version: "v2"}}, true, false},
+		"a control host that doesn't answer":    {[]registry.ServedVersion{old}, false, false},
+		"only the version that it knows of":     {[]registry.ServedVersion{old, {DataCentre: "b", Version: "v1"}}, true, true},
+		"no engines that control hosts know of": {nil, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, kano := newRegions(t)
+			for _, at := range []*gateway{g, kano} {
+				at.server.Dispatcher.ViewIsSteady = func() bool { return true }
+				at.server.Dispatcher.RegionOf = map[string]string{"a": "lagos", "b": "kano"}
+			}
+			g.server.Dispatcher.EngineVersions = func(context.Context, string) ([]registry.ServedVersion, bool) { return c.versions, c.complete }
+			g.startVersion(t, "model", "a", "v1")
+			kano.startVersion(t, "model", "b", "v1")
+			g.server.Dispatcher.Receive(kano.server.Dispatcher.RegionReport())
+			disconnect(g, kano)
+			begun := platformtest.StreamText("v2", 2)
+			if c.goesOn {
+				begun = platformtest.StreamText("v1", 2)
+			}
+			result := resume(t, g, "begun-elsewhere", begun)
+			if c.goesOn {
+				mustComplete(t, begun, result)
+				return
+			}
+			must.True(t, result.GuaranteesNotRun(), must.Sprint(result.Status, result.Body))
+		})
+	}
+}
