soak: a release while one gateway is suspended

Cause: no run had a gateway that takes up streams while it is behind a release. Change: each run begins with engines of one version. Conclusion: played from now on; before the fix it was not run.

--- a/soak/run.go
+++ b/soak/run.go
@@ -108,6 +108,10 @@
 		return report, errors.New("the hosts did not begin to serve all requests in time; see their logs in " + opts.Dir)
 	}
 	w.stopWhileCalm(ctx, rand.New(rand.NewPCG(opts.Seed, 43)))
+	w.releaseBehindAGateway(ctx, rand.New(rand.NewPCG(opts.Seed, 47)))
+	if !w.waitServed(recoveryTimeout) {
+		w.Checker.AddProblem("not everything is served %v after all gateways but one were killed: %s", recoveryTimeout, w.firstUnserved())
+	}
 	w.killAllGateways(ctx, rand.New(rand.NewPCG(opts.Seed, 41)))
 	if !w.waitServed(recoveryTimeout) {
 		w.Checker.AddProblem("not everything is served %v after all gateways were killed: %s", recoveryTimeout, w.firstUnserved())
--- a/soak/streams.go
+++ b/soak/streams.go
@@ -29,9 +29,13 @@
 	contactTime = 6 * time.Second
 )
 
-// nextVersion returns the versions in turn.
+// nextVersion returns the versions in turn, and the first one before the release of the second.
 func (w *World) nextVersion() string {
-	return softwareVersions[int(w.enginesStarted.Add(1))%len(softwareVersions)]
+	n := int(w.enginesStarted.Add(1))
+	if !w.released.Load() {
+		n = 0
+	}
+	return softwareVersions[n%len(softwareVersions)]
 }
 
 // enginesOf counts the live model engines of a version.
--- a/soak/world.go
+++ b/soak/world.go
@@ -94,6 +94,7 @@
 	group      *conc.WaitGroup
 
 	enginesStarted atomic.Int64
+	released       atomic.Bool // engines of the second version start too
 
 	mu       sync.Mutex
 	engines  []*Engine
