--- a/follow/follow.go
+++ b/follow/follow.go
@@ -471,24 +471,6 @@
 	return f.state
 }
 
-// steadyTime is how long all control hosts must have answered for the view of the engines to
-// count as complete: a first transfer takes a fraction of it.
-const steadyTime = time.Second
-
-// IsSteady reports whether every control host that is polled has answered each poll within
-// steadyTime and has no more pages, so that what any of them knew of the engines has arrived.
-func (f *Follower) IsSteady() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.Clock()
-	for _, l := range f.links {
-		if !l.isConnected(now) || l.failing || l.hasMore || l.answersSince.IsZero() || now.Sub(l.answersSince) < steadyTime {
-			return false
-		}
-	}
-	return len(f.links) > 0
-}
-
 // ConnectedCount counts the control hosts that have answered and aren't lost.
 func (f *Follower) ConnectedCount() int {
 	f.mu.Lock()
--- a/follow/versions.go
+++ b/follow/versions.go
@@ -1,4 +1,5 @@
-// This file asks control hosts which versions of a service's software there are.
+// This file tells when the view of the engines is complete, and asks control hosts which versions of a
+// service's software there are.
 
 package follow
 
@@ -13,6 +14,24 @@
 	"github.com/linenscale/linenscale/registry"
 )
 
+// steadyTime is how long all control hosts must have answered for the view of the engines to
+// count as complete: a first transfer takes a fraction of it.
+const steadyTime = time.Second
+
+// IsSteady reports whether every control host that is polled has answered each poll within
+// steadyTime and has no more pages, so that what any of them knew of the engines has arrived.
+func (f *Follower) IsSteady() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock()
+	for _, l := range f.links {
+		if !l.isConnected(now) || l.failing || l.hasMore || l.answersSince.IsZero() || now.Sub(l.answersSince) < steadyTime {
+			return false
+		}
+	}
+	return len(f.links) > 0
+}
+
 // versionsTimeout bounds one round of questions: a round trip between distant regions, and once the
 // time after which a host with a share of a processor runs again.
 const versionsTimeout = 260 * time.Millisecond
--- a/internal/sendwindow/tracker.go
+++ b/internal/sendwindow/tracker.go
@@ -59,6 +59,10 @@
 // acknowledgement if it acknowledges nothing new.
 func (s Status) silence() time.Duration { return min(s.LastAck, s.LastData) }
 
+// lastAckIsAnswer reports whether the peer's last acknowledgement may answer a probe: it came without
+// data.
+func (s Status) lastAckIsAnswer() bool { return (s.LastAck - s.LastData).Abs() > ackPrecision }
+
 // Tracker decides when a connection with pending data ends. NewTracker makes one. It is not safe
 // for concurrent use.
 type Tracker struct {
@@ -68,7 +72,7 @@
 	open         int           // observations since the window was closed
 	timeout      time.Duration // TCP_USER_TIMEOUT now
 	probes       uint32        // unanswered probes at the last observation
-	excused      uint32        // those of them that a live peer leaves unanswered
+	excused      uint32        // those of them that the peer need not answer
 	retransmits  uint32        // segments sent again until the peer's last one was observed
 	paced        bool          // the kernel limits the time between two probes
 }
@@ -117,9 +121,9 @@
 	if status.LastAck-ackPrecision <= elapsed || status.Probes < t.probes {
 		t.probes, t.excused = 0, 0
 	}
+	// The peer's kernel doesn't answer probes that follow an answer too soon.
 	sentAfter := status.LastAck - elapsed/2 // on average
-	answered := status.LastAck < status.LastData-ackPrecision || status.LastAck > status.LastData+ackPrecision
-	if answered && sentAfter < answerInterval {
+	if status.lastAckIsAnswer() && sentAfter < answerInterval {
 		t.excused += status.Probes - t.probes
 	}
 	t.probes = status.Probes
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -13,7 +13,6 @@
 package registry
 
 import (
-	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -512,22 +511,6 @@
 	return t.current(e), true
 }
 
-// ServedVersion is a version of a service's software that engines of a data centre have or had.
-type ServedVersion struct{ DataCentre, Version string }
-
-// Versions returns the versions of a service's engines in the table, those that have ended included.
-func (t *Table) Versions(service string) []ServedVersion {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	found := make(map[ServedVersion]struct{})
-	for _, e := range t.engines {
-		if e.Service == service {
-			found[ServedVersion{e.DataCentre, e.Version}] = struct{}{}
-		}
-	}
-	return slices.Collect(maps.Keys(found))
-}
-
 // All returns every engine in the table, sorted by ID.
 func (t *Table) All() []Engine {
 	out, _ := t.ChangedSince(0, func(Engine) bool { return true })
