soak: uploads that are answered by a stream before they are read

Cause: engines that send while they leave a body unread were not played: the soak's uploads got plain answers, which begin when the body has been read. Change: a kind of upload that is answered by a stream; at half of the engines its events come while the body is unread. It counts on its own: at most half may fail while no fault is injected, as for the others.

--- a/soak/check.go
+++ b/soak/check.go
@@ -67,10 +67,14 @@
 	{name: "review", service: "model", model: true, maxAttempts: 2, resumable: true},
 	{name: longKind, service: "portal", maxAttempts: 2, region: "region0", long: true}, // handed over by all other regions
 	{name: uploadKind, service: "portal", atMostOnce: true, maxAttempts: 1, region: "region0", upload: true},
+	{name: uploadStreamKind, service: "model", model: true, atMostOnce: true, maxAttempts: 1, region: "region0", upload: true},
 }
 
-// uploadKind is the name of the kind with long bodies.
-const uploadKind = "upload"
+// Names of the kinds with long bodies. The streams of the second begin before the body is read.
+const (
+	uploadKind       = "upload"
+	uploadStreamKind = "upload-stream"
+)
 
 // longKind is the name of the kind with long plain answers.
 const longKind = "long"
@@ -109,6 +113,7 @@
 	PartCrashes                           int                    // runs of requests with that part
 	BrokenLong                            int                    // long answers that visibly broke off
 	Uploads, FailedUploads                int                    // that ran while calm, and of these those without an answer
+	StreamUploads, FailedStreamUploads    int                    // of these, those that are answered by a stream
 	Rejoined                              int                    // streams that went on after all gateways had been killed
 	Endless                               int                    // responses whose head never ended
 	SnapshotReturns                       int                    // control hosts that came back after the leader had compacted what they missed
@@ -178,10 +183,7 @@
 		c.notRun[r.ID] = gateway
 	}
 	if k.upload && !c.calmSince.IsZero() && r.StartTime.After(c.calmSince.Add(uploadTime)) && !r.GuaranteesNotRun() {
-		c.Uploads++
-		if r.Status != http.StatusOK || !r.Complete {
-			c.FailedUploads++
-		}
+		c.countUpload(k, r.Status == http.StatusOK && r.Complete)
 	}
 	c.mu.Unlock()
 	if r.Status != http.StatusOK {
@@ -244,11 +246,27 @@
 // has acknowledged that it drains.
 const drainTime = 4 * time.Second
 
-// checkUploads checks that engines which read late got most uploads: some fail because their
-// engine crashes.
+// countUpload counts an upload that ran while calm. The lock is held.
+func (c *Checker) countUpload(k requestKind, answered bool) {
+	failed := 0
+	if !answered {
+		failed = 1
+	}
+	c.Uploads, c.FailedUploads = c.Uploads+1, c.FailedUploads+failed
+	if k.model {
+		c.StreamUploads, c.FailedStreamUploads = c.StreamUploads+1, c.FailedStreamUploads+failed
+	}
+}
+
+// checkUploads checks that engines which read late got most uploads, of either kind: some fail
+// because their engine crashes.
 func (c *Checker) checkUploads() {
-	if c.FailedUploads*2 > c.Uploads {
-		c.AddProblem("%d of %d uploads to engines that read late failed while calm", c.FailedUploads, c.Uploads)
+	plain, failedPlain := c.Uploads-c.StreamUploads, c.FailedUploads-c.FailedStreamUploads
+	if failedPlain*2 > plain {
+		c.AddProblem("%d of %d uploads to engines that read late failed while calm", failedPlain, plain)
+	}
+	if c.FailedStreamUploads*2 > c.StreamUploads {
+		c.AddProblem("%d of %d uploads to engines that stream before they read failed while calm", c.FailedStreamUploads, c.StreamUploads)
 	}
 }
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -308,7 +308,8 @@
 		}
 	}
 	upload := route(uploadKind, "unsafe", "portal", 1, false, "region0")
-	upload.TimeoutMs = int(uploadTimeout.Milliseconds())
+	uploadStream := route(uploadStreamKind, "streaming", "model", 1, false, "region0")
+	upload.TimeoutMs, uploadStream.TimeoutMs = int(uploadTimeout.Milliseconds()), int(uploadTimeout.Milliseconds())
 	return json.Marshal(platformtest.Declaration{
 		ConfigVersion: version,
 		Routes: []platformtest.Route{
@@ -319,6 +320,7 @@
 			route("review", "streaming", "model", 2, true),
 			route(longKind, "safe", "portal", 2, false, "region0"),
 			upload,
+			uploadStream,
 			route(fmt.Sprintf("v%d", version), "safe", "portal", 2, false),
 		},
 		Tenants:  tenants(version),
