relay: the stand-in of a test resets after the head has arrived

The reset came 100 ms after the head was written, whether it had been read or not, and a reset discards what waits to be read. Such a call fails visibly, as it should. Change: the reset comes after the head has arrived, so that each call has its answer. All checks are the same.

--- a/relay/reset_test.go
+++ b/relay/reset_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -36,8 +37,8 @@
 }
 
 // resetWithinAnswers answers each connection's request before it has read the body, without framing,
-// and resets the connection within the answer.
-func resetWithinAnswers(listener net.Listener, connections *pool.Pool) {
+// and resets the connection within the answer, once received is closed for the request's path.
+func resetWithinAnswers(listener net.Listener, connections *pool.Pool, received map[string]chan struct{}) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -45,10 +46,12 @@
 		}
 		connections.Go(func() {
 			defer conn.Close()
-			if _, err := http.ReadRequest(bufio.NewReaderSize(conn, 1<<10)); err != nil {
+			r, err := http.ReadRequest(bufio.NewReaderSize(conn, 1<<10))
+			if err != nil {
 				return
 			}
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\na part")
+			<-received[r.URL.Path]
 			time.Sleep(100 * time.Millisecond)
 			_ = conn.(*net.TCPConn).SetLinger(0)
 		})
@@ -61,9 +64,13 @@
 func TestAnswerThatIsResetDuringItsRequestIsNotWhole(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
+	received := make(map[string]chan struct{}) // closed once the head of an answer has arrived, by path
+	for i := range 64 {
+		received[fmt.Sprint("/", i)] = make(chan struct{})
+	}
 	connections := pool.New()
 	var group conc.WaitGroup
-	group.Go(func() { resetWithinAnswers(listener, connections) })
+	group.Go(func() { resetWithinAnswers(listener, connections, received) })
 	defer func() {
 		listener.Close()
 		group.Wait()
@@ -74,13 +81,14 @@
 	defer client.Close()
 	body := strings.Repeat("x", 8<<20)
 	calls := pool.New().WithErrors()
-	whole := make(chan string, 64)
-	for range cap(whole) {
+	whole := make(chan string, len(received))
+	for path, headArrived := range received {
 		calls.Go(func() error {
 			resp, err := client.Send(context.Background(), relay.Call{
-				Method: http.MethodPost, URL: "http://" + listener.Addr().String() + "/", Header: http.Header{}, Body: strings.NewReader(body), BodyLength: int64(len(body)),
+				Method: http.MethodPost, URL: "http://" + listener.Addr().String() + path, Header: http.Header{}, Body: strings.NewReader(body), BodyLength: int64(len(body)),
 				CheckAnswer: func(*http.Response) error { return nil }, OwnConnection: true,
 			})
+			close(headArrived)
 			if err != nil {
 				return err
 			}
