--- a/soak/process.go
+++ b/soak/process.go
@@ -44,7 +44,7 @@
 	w.group.Go(func() {
 		err := process.Wait()
 		close(exited)
-		w.processEnded(h, err, h.logSize() > logged)
+		w.processEnded(h, process, err, h.logSize() > logged)
 	})
 	return nil
 }
@@ -64,10 +64,10 @@
 // processEnded reports a process that ended without being asked to, and starts it again as
 // the platform does. hasLogged is whether the process has logged anything. The only end
 // that isn't a violation is by a SIGHUP before that: no program can ask for the signal
-// before its runtime has started.
-func (w *World) processEnded(h *Host, err error, hasLogged bool) {
+// before its runtime has started. A process that another one has replaced was ended on purpose.
+func (w *World) processEnded(h *Host, process *exec.Cmd, err error, hasLogged bool) {
 	w.mu.Lock()
-	if h.endRequested.Load() || h.restarting || w.ctx.Err() != nil {
+	if h.process != process || h.endRequested.Load() || h.restarting || w.ctx.Err() != nil {
 		w.mu.Unlock()
 		return
 	}
