--- a/follow/versions.go
+++ b/follow/versions.go
@@ -1,4 +1,4 @@
-// This file tells when the view of the engines is complete, and asks control hosts which versions of a
+// This file determines when the view of the engines is complete, and asks control hosts which versions of a
 // service's software there are.
 
 package follow
