httphead: an answer whose status isn't one is no answer

Seen: an engine answers with status 000 (also 001, 042, 099, +20, -00). Callers lost their connection without an answer; a request that may be repeated wasn't sent again. Behind a hand-over the caller got 502, and the gateway that had handed over took the other one for broken and sent it nothing for a while. An unsolicited 101, 600 and 999 reached callers. Cause: net/http's client parses any three characters that strconv.Atoi takes, and its server panics (invalid WriteHeader code) when that number is passed on. The panic ends the handler: no answer, no line with the request's ID, the engine's ticket isn't returned. Ruled out: a fault of the hand-over itself; what the first gateway saw was a connection closed by that panic. Change: package httphead checks the head of each answer before anything reads it. relay (both front doors, hand-overs, resumed streams), probes, the operators' client and tool and the load tool read through it. 200 to 599 are the statuses of final answers (RFC 9110, section 15); nothing that a gateway sends asks for 101. An attempt whose answer is rejected may have run: 502, or another attempt where the route allows it. It counts as the engine's failure, not as a broken connection, which would suspect a crash. Conclusion: the status is checked where each answer arrives; nothing else changes.

--- a/cmd/linenscale/metrics.go
+++ b/cmd/linenscale/metrics.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/linenscale/linenscale/internal/httphead"
 )
 
 // maxResponseBytes limits the size of a response. It suffices for 14,000 client accounts
@@ -23,7 +25,7 @@
 	if addresses == "" {
 		return nil, errors.NotValidf("no gateway: name their metrics' addresses by -H, which")
 	}
-	client := &http.Client{Timeout: timeout}
+	client := &http.Client{Transport: httphead.New(http.DefaultTransport), Timeout: timeout}
 	var all []G
 	for _, address := range strings.Split(addresses, ",") {
 		items, err := fetchJSON[[]T](ctx, client, address, path)
--- a/ingress/cut_head_test.go
+++ b/ingress/cut_head_test.go
@@ -18,13 +18,15 @@
 	"github.com/linenscale/linenscale/platform/platformtest"
 )
 
-// headServer answers requests with a head that it doesn't finish, and closes the connection.
+// headServer answers requests with a head that it doesn't finish, or one that is broken, and closes the
+// connection.
 type headServer struct {
 	head     string // of a request with id "%[1]s"
-	cut      int    // bytes of the head that are sent
+	cut      int    // bytes of the head, and of what follows it, that are sent
 	whole    int    // whole answers on each connection before that
 	bytewise bool   // each byte is sent on its own
-	ended    int    // connections closed within a head
+	keeps    bool   // the connection is kept, and whole answers follow
+	ended    int    // heads sent that way
 }
 
 // serve answers the requests that arrive at listener until ctx ends.
@@ -56,7 +58,7 @@
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
 		id := r.Header.Get("X-Linenscale-Request-Id")
-		if answered < h.whole {
+		if answered < h.whole || (h.keeps && answered > h.whole) {
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Linenscale-Request-Id: %[1]s\r\nX-Linenscale-Response-Stamp: i.%[1]s\r\nContent-Length: 5\r\n\r\nwhole", id)
 			continue
 		}
@@ -69,7 +71,9 @@
 			_, _ = io.WriteString(conn, head[at:min(at+step, h.cut)])
 		}
 		h.ended++
-		return
+		if !h.keeps {
+			return
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/httphead/httphead.go
@@ -0,0 +1,62 @@
+// Package httphead rejects answers of HTTP/1 whose head isn't valid.
+//
+// net/http's client is lenient with heads. It takes any number of three characters for a status
+// code, also 000 and +20, and an unsolicited 101 for a final answer. A gateway that passes such an answer
+// on states something that its engine didn't.
+//
+// Every client outside of tests reads answers through a [Transport].
+package httphead
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// InvalidError is the error of an answer whose head isn't valid.
+type InvalidError struct{ reason string }
+
+// Error implements error.
+func (e *InvalidError) Error() string { return "invalid head of an answer: " + e.reason }
+
+// Transport is an http.RoundTripper that rejects answers whose head isn't valid. New creates one.
+type Transport struct{ base http.RoundTripper }
+
+// New returns a Transport that sends requests by base, whose connections must be of HTTP/1 and whose
+// requests must not ask for another protocol.
+func New(base http.RoundTripper) *Transport { return &Transport{base: base} }
+
+// RoundTrip implements http.RoundTripper. The error for an answer whose head isn't valid is an
+// *InvalidError. The server may have processed the request.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.base.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(resp); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections closes the idle connections of the base, if it has any.
+func (t *Transport) CloseIdleConnections() {
+	if base, ok := t.base.(interface{ CloseIdleConnections() }); ok {
+		base.CloseIdleConnections()
+	}
+}
+
+// Check returns an *InvalidError if the head of a final answer, as net/http has read it, isn't valid
+// (RFC 9110, section 15).
+func Check(resp *http.Response) error {
+	if resp.StatusCode < minFinalStatus || resp.StatusCode > maxStatus {
+		return &InvalidError{fmt.Sprintf("status %q", resp.Status)}
+	}
+	return nil
+}
+
+// The status codes of final answers.
+const (
+	minFinalStatus = 200
+	maxStatus      = 599
+)
--- a/load/load.go
+++ b/load/load.go
@@ -22,6 +22,7 @@
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/linenscale/linenscale/internal/httphead"
 	"github.com/linenscale/linenscale/request"
 )
 
@@ -70,9 +71,9 @@
 // Run sends the load to one target, which the result calls name, and waits for all
 // answers. It returns the measurements so far and an error if ctx ends.
 func Run(ctx context.Context, name string, opts Options) (Result, error) {
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: httphead.New(&http.Transport{
 		MaxIdleConnsPerHost: opts.MaxInFlight, MaxConnsPerHost: opts.MaxInFlight, DisableCompression: true,
-	}}
+	})}
 	defer client.CloseIdleConnections()
 	rec := &recorder{first: hdrhistogram.New(1, maxRecorded, 3), total: hdrhistogram.New(1, maxRecorded, 3)}
 	body := opts.requestBody()
--- a/operator/client.go
+++ b/operator/client.go
@@ -16,6 +16,7 @@
 	"github.com/linenscale/linenscale/agent"
 	"github.com/linenscale/linenscale/control"
 	"github.com/linenscale/linenscale/declare"
+	"github.com/linenscale/linenscale/internal/httphead"
 )
 
 // Client calls the operators' interface. Each call goes to the entry hosts one after the
@@ -28,7 +29,7 @@
 // NewClient returns a client of hosts, each the host:port of an operators' listener.
 // timeout bounds one HTTP request.
 func NewClient(hosts []string, timeout time.Duration) *Client {
-	return &Client{hosts: hosts, http: &http.Client{Timeout: timeout}}
+	return &Client{hosts: hosts, http: &http.Client{Transport: httphead.New(http.DefaultTransport), Timeout: timeout}}
 }
 
 // ErrNoAnswer is returned when no host answered. A change may have been accepted
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -25,6 +25,7 @@
 
 	"github.com/linenscale/linenscale/fleet"
 	"github.com/linenscale/linenscale/internal/duty"
+	"github.com/linenscale/linenscale/internal/httphead"
 	"github.com/linenscale/linenscale/relay"
 	"github.com/linenscale/linenscale/telemetry"
 )
@@ -61,7 +62,7 @@
 // host list; if it is empty, no host list is polled.
 func New(f *fleet.Fleet, transport http.RoundTripper, platformURL string, log *zap.Logger) *Prober {
 	return &Prober{
-		fleet: f, client: &http.Client{Transport: transport, Timeout: requestTimeout},
+		fleet: f, client: &http.Client{Transport: httphead.New(transport), Timeout: requestTimeout},
 		platformURL: platformURL, log: log,
 		unlistedSince: make(map[string]time.Time), draining: make(map[string]bool),
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,8 +2,9 @@
 // host, and forwards the answer. A caller gets either the complete answer or a
 // visible failure.
 //
-// Three rules make an answer safe to forward:
+// Four rules make an answer safe to forward:
 //
+//   - Its head is valid. Package httphead rejects what net/http lets pass.
 //   - It belongs to this attempt. Model engines echo the attempt's identity;
 //     connections to backend servers that don't echo it are never reused.
 //   - It is complete. HTTP framing shows this for ordinary answers, the final
@@ -24,6 +25,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/linenscale/linenscale/internal/httphead"
 )
 
 // HeaderAttempt carries the identity of an attempt to an engine, which echoes it in
@@ -110,8 +113,8 @@
 // Client sends calls over pooled connections, or over connections that serve one
 // call each. New creates one; it is safe for concurrent use.
 type Client struct {
-	pooled   *http.Transport
-	unpooled *http.Transport
+	pooled   *httphead.Transport
+	unpooled *httphead.Transport
 }
 
 // Dialer opens connections; *net.Dialer is one.
@@ -166,7 +169,7 @@
 	}
 	unpooled := pooled.Clone()
 	unpooled.DisableKeepAlives = true
-	return &Client{pooled: pooled, unpooled: unpooled}
+	return &Client{pooled: httphead.New(pooled), unpooled: httphead.New(unpooled)}
 }
 
 // Defaults of Options fields.
@@ -226,7 +229,9 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return nil, &Failure{NotRun: !connected.Load(), ConnectionBroken: connected.Load() && ctx.Err() == nil, cause: errors.Annotatef(err, "send to %s", req.URL.Host)}
+		var invalid *httphead.InvalidError
+		broken := connected.Load() && ctx.Err() == nil && !errors.As(err, &invalid)
+		return nil, &Failure{NotRun: !connected.Load(), ConnectionBroken: broken, cause: errors.Annotatef(err, "send to %s", req.URL.Host)}
 	}
 	if call.OnAnswer != nil && (!call.EchoesAttempt || call.CheckAnswer != nil || resp.Header.Get(HeaderAttempt) == call.AttemptID) {
 		call.OnAnswer(resp)
