httphead: an answer with a field name that isn't one is no answer

Seen: an engine answers with a head in which a field name holds a blank, inside it or before the colon. Callers got the answer with status 200 and without that line. With "Transfer-Encoding : chunked" the body held the sizes of the chunks; with "Content-Length : N" it ended where the connection did. The same behind hand-overs and where a stream is continued. Cause: net/http keeps such a field under a name that nobody looks up, so its own framing misses it, and its server drops it when it writes the head. Names with control bytes, tabs or delimiters and empty ones are rejected by net/http already: the tests keep that. Ruled out: the relaying of headers (the framing is wrong before a gateway reads the head) and values that continue on the next line, which stay valid. Change: httphead rejects each name that isn't a token (RFC 9110, section 5.1). Nothing of such a head counts, also not that the request wasn't executed or that the engine drains. TestByteInFieldName has every byte at three places of a name. Conclusion: one check for all paths; what net/http rejects itself is unchanged.

--- a/gateway/broken_head_test.go
+++ b/gateway/broken_head_test.go
@@ -38,11 +38,16 @@
 
 // brokenHeads are status lines, and further lines of the head, of answers with a broken head.
 var brokenHeads = map[string]struct{ status, lines string }{
-	"status 000":       {status: "HTTP/1.1 000 Trouble"},
-	"status 099":       {status: "HTTP/1.1 099 Trouble"},
-	"status with sign": {status: "HTTP/1.1 +20 Trouble"},
-	"unsolicited 101":  {status: "HTTP/1.1 101 Switching Protocols", lines: "Connection: Upgrade\r\nUpgrade: other\r\n"},
-	"status 600":       {status: "HTTP/1.1 600 Trouble"},
+	"status 000":        {status: "HTTP/1.1 000 Trouble"},
+	"status 099":        {status: "HTTP/1.1 099 Trouble"},
+	"status with sign":  {status: "HTTP/1.1 +20 Trouble"},
+	"unsolicited 101":   {status: "HTTP/1.1 101 Switching Protocols", lines: "Connection: Upgrade\r\nUpgrade: other\r\n"},
+	"status 600":        {status: "HTTP/1.1 600 Trouble"},
+	"blank in a name":   {status: "HTTP/1.1 200 OK", lines: "X Trouble: a\r\n"},
+	"blank before :":    {status: "HTTP/1.1 200 OK", lines: "X-Trouble : a\r\n"},
+	"control byte":      {status: "HTTP/1.1 200 OK", lines: "X-\x01Trouble: a\r\n"},
+	"blank and length":  {status: "HTTP/1.1 200 OK", lines: "Content-Length : 3\r\n"},
+	"blank and chunked": {status: "HTTP/1.1 200 OK", lines: "Transfer-Encoding : chunked\r\n"},
 }
 
 // brokenHeadCalls are calls of each kind, with the body of an answer to them.
--- a/ingress/broken_head_test.go
+++ b/ingress/broken_head_test.go
@@ -43,6 +43,47 @@
 	}
 }
 
+// brokenNames are lines of a head whose field name isn't one.
+var brokenNames = map[string]string{
+	"blank inside":       "X Trouble: a",
+	"blank before colon": "X-Trouble : a",
+	"blanks and a tab":   "X-Trouble \t : a",
+	"tab before colon":   "X-Trouble\t: a",
+	"NUL":                "X-\x00Trouble: a",
+	"control byte":       "X-\x01Trouble: a",
+	"escape":             "\x1bX-Trouble: a",
+	"carriage return":    "X\rTrouble: a",
+	"delete":             "X-Trouble\x7f: a",
+	"empty":              ": a",
+	"blank length":       "Content-Length : 5",
+	"short length":       "Content-Length : 3",
+	"blank chunks":       "Transfer-Encoding : chunked",
+	"blank connection":   "Connection : close",
+	"blank own ID":       "X-Linenscale-Request-Id : %[1]s",
+	"not executed":       "X-Linenscale-Not-Executed : 1",
+}
+
+// TestAnswersWithAnInvalidFieldNameAreNoAnswers guards against an answer in whose head the name of a
+// field holds a byte that no name has: the line was dropped, and its answer had a body that wasn't
+// the engine's if the line framed it. The line stands at each place of the head.
+func TestAnswersWithAnInvalidFieldNameAreNoAnswers(t *testing.T) {
+	for name, line := range brokenNames {
+		for framing, framed := range framedBodies {
+			for kind, mediaType := range mediaTypes {
+				lines := []string{"HTTP/1.1 200 OK", "X-Linenscale-Request-Id: %[1]s", "X-Linenscale-Response-Stamp: i.%[1]s", "Content-Type: " + mediaType}
+				if framed.header != "" {
+					lines = append(lines, strings.TrimSuffix(framed.header, "\r\n"))
+				}
+				for _, at := range []int{1, 2, len(lines)} {
+					head := append(append(append([]string(nil), lines[:at]...), line), lines[at:]...)
+					answer := strings.Join(head, "\r\n") + "\r\n\r\n" + framed.body
+					t.Run(fmt.Sprint(name, "/", framing, "/", kind, "/", at), func(t *testing.T) { checkBrokenAnswer(t, answer) })
+				}
+			}
+		}
+	}
+}
+
 // sendsOfBrokenAnswers is how often a request of each path is sent to servers that answer with what
 // is no answer: it may have run, so only those that may be repeated are sent again.
 var sendsOfBrokenAnswers = map[string]int{"/unsafe/1": 1, "/safe/1": 2, "/chat/1": 1, "/review/1": 2, "/home/1": 1}
@@ -87,7 +128,7 @@
 }
 
 // brokenHeadFaults are the faults of engines that answer with a head that no answer has.
-var brokenHeadFaults = []platformtest.Fault{platformtest.FaultInvalidStatus}
+var brokenHeadFaults = []platformtest.Fault{platformtest.FaultInvalidStatus, platformtest.FaultBlankInName, platformtest.FaultBlankInFraming}
 
 // TestBrokenHeadBehindAHandOverIsTheEnginesFault guards against a gateway that takes another one for
 // broken because of an answer of that one's engine: it handed no request over for a while.
@@ -145,6 +186,9 @@
 
 // leftovers are broken heads after which net/http keeps the connection, each with bytes that follow.
 var leftovers = map[string]string{
+	"nothing":        "HTTP/1.1 200 OK\r\nX Trouble: a\r\n" + ownHeaders + "Content-Length: 0\r\n\r\n",
+	"body":           "HTTP/1.1 200 OK\r\nX Trouble: a\r\n" + ownHeaders + "Content-Length: 5\r\n\r\nwhole",
+	"chunks":         "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n" + ownHeaders + "Content-Length: 0\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 	"another answer": "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n" + ownHeaders + "Content-Length: 5\r\n\r\nwrong",
 }
 
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -1,7 +1,9 @@
 // Package httphead rejects answers of HTTP/1 whose head isn't valid.
 //
 // net/http's client is lenient with heads. It takes any number of three characters for a status
-// code, also 000 and +20, and an unsolicited 101 for a final answer. A gateway that passes such an answer
+// code, also 000 and +20, and an unsolicited 101 for a final answer. It keeps a field whose name
+// holds a blank under that name, where neither its own framing nor any other reader looks for it:
+// with "Transfer-Encoding : chunked" the chunk sizes become a part of the body. A gateway that passes such an answer
 // on states something that its engine didn't.
 //
 // Every client outside of tests reads answers through a [Transport].
@@ -10,6 +12,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // InvalidError is the error of an answer whose head isn't valid.
@@ -47,11 +50,16 @@
 }
 
 // Check returns an *InvalidError if the head of a final answer, as net/http has read it, isn't valid
-// (RFC 9110, section 15).
+// (RFC 9110, sections 5.1 and 15).
 func Check(resp *http.Response) error {
 	if resp.StatusCode < minFinalStatus || resp.StatusCode > maxStatus {
 		return &InvalidError{fmt.Sprintf("status %q", resp.Status)}
 	}
+	for name := range resp.Header {
+		if !isToken(name) {
+			return &InvalidError{fmt.Sprintf("field name %q", name)}
+		}
+	}
 	return nil
 }
 
@@ -60,3 +68,22 @@
 	minFinalStatus = 200
 	maxStatus      = 599
 )
+
+// isToken reports whether s is a token (RFC 9110, section 5.6.2).
+func isToken(s string) bool {
+	for _, char := range []byte(s) {
+		if !isTokenChar(char) {
+			return false
+		}
+	}
+	return s != ""
+}
+
+func isTokenChar(char byte) bool {
+	switch {
+	case 'a' <= char && char <= 'z', 'A' <= char && char <= 'Z', '0' <= char && char <= '9':
+		return true
+	default:
+		return strings.IndexByte("!#$%&'*+-.^_`|~", char) >= 0
+	}
+}
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -63,6 +63,28 @@
 	must.True(t, isValid("HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n"), must.Sprint("no reason"))
 }
 
+// TestByteInFieldName plays each byte at the start, inside and at the end of a name.
+func TestByteInFieldName(t *testing.T) {
+	const tokenChars = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+	for char := range 256 {
+		if char == '\n' || char == ':' {
+			continue // end the line or the name
+		}
+		for _, form := range []string{"%sX-A", "X%s-A", "X-A%s"} {
+			name := fmt.Sprintf(form, string([]byte{byte(char)}))
+			valid := isValid("HTTP/1.1 200 OK\r\n" + name + ": a\r\nContent-Length: 0\r\n\r\n")
+			must.Eq(t, strings.IndexByte(tokenChars, byte(char)) >= 0, valid, must.Sprintf("%q", name))
+		}
+	}
+	must.False(t, isValid("HTTP/1.1 200 OK\r\n: a\r\n\r\n"), must.Sprint("empty name"))
+}
+
+// TestContinuedLine guards against rejecting a value that continues on the next line, which net/http
+// joins as RFC 9112, section 5.2, asks for.
+func TestContinuedLine(t *testing.T) {
+	must.True(t, isValid("HTTP/1.1 200 OK\r\nX-A: a\r\n b c: d\r\nContent-Length: 0\r\n\r\n"))
+}
+
 // bodyServer answers with status 000 and a body.
 type bodyServer struct{ io.ReadCloser }
 
--- a/operator/broken_head_test.go
+++ b/operator/broken_head_test.go
@@ -33,7 +33,8 @@
 // must ask the next host.
 func TestBrokenHeadIsNoAnswer(t *testing.T) {
 	for name, head := range map[string]string{
-		"status": "HTTP/1.1 000 Trouble\r\n",
+		"status":  "HTTP/1.1 000 Trouble\r\n",
+		"name":    "HTTP/1.1 200 OK\r\nX Trouble: a\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			broken := startTextServer(t, head+"Content-Type: application/json\r\nContent-Length: 14\r\n\r\n{\"revision\":1}")
--- a/relay/broken_head_test.go
+++ b/relay/broken_head_test.go
@@ -20,7 +20,9 @@
 
 // brokenHeads are answers, whole but for their heads, which are none of HTTP.
 var brokenHeads = map[string]string{
-	"status": "HTTP/1.1 000 Trouble\r\n" + reports + "Content-Length: 5\r\n\r\nwhole",
+	"status":  "HTTP/1.1 000 Trouble\r\n" + reports + "Content-Length: 5\r\n\r\nwhole",
+	"name":    "HTTP/1.1 200 OK\r\nX Trouble: a\r\n" + reports + "Content-Length: 5\r\n\r\nwhole",
+	"framing": "HTTP/1.1 200 OK\r\n" + reports + "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 }
 
 // reports are the headers by which an answer belongs to its attempt, and those that report something
