httphead: an answer of another major version of HTTP is no answer

Seen: an engine answers with the status line of HTTP/2.0 (3.0, 9.9) on a connection of HTTP/1. Without a length or chunks, its body up to the connection's end was stated to the caller as complete, wherever it ended; for HTTP/1.1 it isn't. Cause: net/http takes the version as the head states it, and the framing of an answer of a higher version was taken for one that shows its end (ingress/framing.go). Connections to engines and other gateways are never of HTTP/2. Change: httphead rejects a major version other than 1; minor versions stay free. The stand-in of TestEndlessReportIsCutOff stated no version; it says HTTP/1.1 now, its checks are the same.

--- a/gateway/broken_head_test.go
+++ b/gateway/broken_head_test.go
@@ -48,6 +48,7 @@
 	"control byte":      {status: "HTTP/1.1 200 OK", lines: "X-\x01Trouble: a\r\n"},
 	"blank and length":  {status: "HTTP/1.1 200 OK", lines: "Content-Length : 3\r\n"},
 	"blank and chunked": {status: "HTTP/1.1 200 OK", lines: "Transfer-Encoding : chunked\r\n"},
+	"HTTP/2.0":          {status: "HTTP/2.0 200 OK"},
 }
 
 // brokenHeadCalls are calls of each kind, with the body of an answer to them.
--- a/ingress/broken_head_test.go
+++ b/ingress/broken_head_test.go
@@ -84,6 +84,19 @@
 	}
 }
 
+// TestAnswersOfAnotherProtocolAreNoAnswers guards against an answer of a version of HTTP that a
+// connection of HTTP/1 can't have: its body, up to the connection's end, was stated as complete.
+func TestAnswersOfAnotherProtocolAreNoAnswers(t *testing.T) {
+	for _, version := range []string{"0.9", "2.0", "3.0", "9.9"} {
+		for framing, framed := range framedBodies {
+			for kind, mediaType := range mediaTypes {
+				answer := "HTTP/" + version + " 200 OK\r\n" + ownHeaders + "Content-Type: " + mediaType + "\r\n" + framed.header + "\r\n" + framed.body
+				t.Run(fmt.Sprint(version, "/", framing, "/", kind), func(t *testing.T) { checkBrokenAnswer(t, answer) })
+			}
+		}
+	}
+}
+
 // sendsOfBrokenAnswers is how often a request of each path is sent to servers that answer with what
 // is no answer: it may have run, so only those that may be repeated are sent again.
 var sendsOfBrokenAnswers = map[string]int{"/unsafe/1": 1, "/safe/1": 2, "/chat/1": 1, "/review/1": 2, "/home/1": 1}
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -3,8 +3,9 @@
 // net/http's client is lenient with heads. It takes any number of three characters for a status
 // code, also 000 and +20, and an unsolicited 101 for a final answer. It keeps a field whose name
 // holds a blank under that name, where neither its own framing nor any other reader looks for it:
-// with "Transfer-Encoding : chunked" the chunk sizes become a part of the body. A gateway that passes such an answer
-// on states something that its engine didn't.
+// with "Transfer-Encoding : chunked" the chunk sizes become a part of the body. It also takes the
+// version that the head states for that of the connection. A gateway that passes such an answer on
+// states something that its engine didn't.
 //
 // Every client outside of tests reads answers through a [Transport].
 package httphead
@@ -50,8 +51,11 @@
 }
 
 // Check returns an *InvalidError if the head of a final answer, as net/http has read it, isn't valid
-// (RFC 9110, sections 5.1 and 15).
+// (RFC 9110, sections 5.1 and 15; RFC 9112, section 2.3).
 func Check(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return &InvalidError{fmt.Sprintf("version %q on a connection of HTTP/1", resp.Proto)}
+	}
 	if resp.StatusCode < minFinalStatus || resp.StatusCode > maxStatus {
 		return &InvalidError{fmt.Sprintf("status %q", resp.Status)}
 	}
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -79,6 +79,12 @@
 	must.False(t, isValid("HTTP/1.1 200 OK\r\n: a\r\n\r\n"), must.Sprint("empty name"))
 }
 
+func TestVersion(t *testing.T) {
+	for version, valid := range map[string]bool{"1.0": true, "1.1": true, "1.2": true, "0.9": false, "2.0": false, "3.0": false, "9.9": false} {
+		must.Eq(t, valid, isValid("HTTP/"+version+" 200 OK\r\nContent-Length: 0\r\n\r\n"), must.Sprint(version))
+	}
+}
+
 // TestContinuedLine guards against rejecting a value that continues on the next line, which net/http
 // joins as RFC 9112, section 5.2, asks for.
 func TestContinuedLine(t *testing.T) {
--- a/operator/broken_head_test.go
+++ b/operator/broken_head_test.go
@@ -35,6 +35,7 @@
 	for name, head := range map[string]string{
 		"status":  "HTTP/1.1 000 Trouble\r\n",
 		"name":    "HTTP/1.1 200 OK\r\nX Trouble: a\r\n",
+		"version": "HTTP/2.0 200 OK\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			broken := startTextServer(t, head+"Content-Type: application/json\r\nContent-Length: 14\r\n\r\n{\"revision\":1}")
--- a/probe/broken_head_test.go
+++ b/probe/broken_head_test.go
@@ -47,9 +47,10 @@
 		soundHead   = "HTTP/1.1 200 OK\r\n"
 		badStatus   = "HTTP/1.1 000 Trouble\r\n"
 		badName     = "HTTP/1.1 200 OK\r\nX Trouble: a\r\n"
+		badVersion  = "HTTP/2.0 200 OK\r\n"
 		notDraining = ""
 	)
-	for _, head := range []string{badStatus, badName} {
+	for _, head := range []string{badStatus, badName, badVersion} {
 		for _, first := range []string{draining, notDraining} {
 			second := map[string]string{draining: notDraining, notDraining: draining}[first]
 			t.Run(fmt.Sprintf("%q after %q", head+second, first), func(t *testing.T) {
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -126,7 +126,7 @@
 func (s *endlessServer) RoundTrip(r *http.Request) (*http.Response, error) {
 	defer s.stop()
 	body := io.NopCloser(io.LimitReader(endlessBody{&s.read}, s.most))
-	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: body, Request: r}, nil
+	return &http.Response{Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, StatusCode: http.StatusOK, Header: http.Header{}, Body: body, Request: r}, nil
 }
 
 // TestEndlessReportIsCutOff guards against a report of an engine that never ends, and is kept in
--- a/relay/broken_head_test.go
+++ b/relay/broken_head_test.go
@@ -23,6 +23,7 @@
 	"status":  "HTTP/1.1 000 Trouble\r\n" + reports + "Content-Length: 5\r\n\r\nwhole",
 	"name":    "HTTP/1.1 200 OK\r\nX Trouble: a\r\n" + reports + "Content-Length: 5\r\n\r\nwhole",
 	"framing": "HTTP/1.1 200 OK\r\n" + reports + "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	"version": "HTTP/2.0 200 OK\r\n" + reports + "Content-Length: 5\r\n\r\nwhole",
 }
 
 // reports are the headers by which an answer belongs to its attempt, and those that report something
