httphead: an answer of HTTP/1.0 with Transfer-Encoding is no answer

Seen: an engine answers with the status line of HTTP/1.0 and "Transfer-Encoding: chunked". Callers got status 200 and a body with the chunks' sizes ("5\r\nwhole..." for "whole"); with a Content-Length as well it was the first bytes of that. The same behind hand-overs, where a stream is continued, and at both front doors. Cause: net/http removes Transfer-Encoding from an answer of HTTP/1.0 and ignores it (transfer.go, parseTransferEncoding), so no reader of the http.Response can see it. The framing of such an answer is faulty (RFC 9112, section 6.1). Ruled out: the gateways' own framing (the body is wrong before it is relayed), and a check beside the others in httphead.Check, which sees neither the field nor the chunks. Change: connections that httphead.DialWith opens scan heads as they arrive, informational ones included, and fail at this field. The relay (engines and other gateways) and probes open theirs so; a Transport states when a head is due, so that bodies aren't scanned.

--- a/daemon/dial.go
+++ b/daemon/dial.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/linenscale/linenscale/internal/httphead"
 	"github.com/linenscale/linenscale/internal/sendwindow"
 	"github.com/linenscale/linenscale/internal/steady"
 	"github.com/linenscale/linenscale/settings"
@@ -36,7 +37,7 @@
 const maxProbeHeadBytes = 64 << 10
 
 func probeTransport(dialer *net.Dialer) *http.Transport {
-	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: maxProbeHeadBytes}
+	return &http.Transport{DialContext: httphead.DialWith(dialer), MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: maxProbeHeadBytes}
 }
 
 // TCP keep-alive for idle connections. It ends a connection whose peer vanished without
--- a/gateway/broken_head_test.go
+++ b/gateway/broken_head_test.go
@@ -49,6 +49,7 @@
 	"blank and length":  {status: "HTTP/1.1 200 OK", lines: "Content-Length : 3\r\n"},
 	"blank and chunked": {status: "HTTP/1.1 200 OK", lines: "Transfer-Encoding : chunked\r\n"},
 	"HTTP/2.0":          {status: "HTTP/2.0 200 OK"},
+	"HTTP/1.0, chunked": {status: "HTTP/1.0 200 OK", lines: "Transfer-Encoding: chunked\r\n"},
 }
 
 // brokenHeadCalls are calls of each kind, with the body of an answer to them.
--- a/ingress/broken_head_test.go
+++ b/ingress/broken_head_test.go
@@ -97,6 +97,23 @@
 	}
 }
 
+// TestChunksOfHTTP10AreNoAnswers guards against an answer of HTTP/1.0 with Transfer-Encoding, whose
+// framing is faulty (RFC 9112, section 6.1): its body had the sizes of the chunks, or was cut by its
+// length.
+func TestChunksOfHTTP10AreNoAnswers(t *testing.T) {
+	const chunks = "5\r\nwhole\r\n0\r\n\r\n"
+	for _, line := range []string{"Transfer-Encoding: chunked", "transfer-encoding:chunked", "TRANSFER-ENCODING:\r\n chunked", "Transfer-Encoding: identity", "Transfer-Encoding:"} {
+		for _, length := range []string{"", "Content-Length: 5\r\n", "Content-Length: 15\r\n"} {
+			for _, informational := range []string{"", "HTTP/1.1 103 Early Hints\r\n\r\n"} {
+				for kind, mediaType := range mediaTypes {
+					answer := informational + "HTTP/1.0 200 OK\r\n" + ownHeaders + "Content-Type: " + mediaType + "\r\n" + length + line + "\r\n\r\n" + chunks
+					t.Run(fmt.Sprintf("%q/%q/%q/%s", line, length, informational, kind), func(t *testing.T) { checkBrokenAnswer(t, answer) })
+				}
+			}
+		}
+	}
+}
+
 // sendsOfBrokenAnswers is how often a request of each path is sent to servers that answer with what
 // is no answer: it may have run, so only those that may be repeated are sent again.
 var sendsOfBrokenAnswers = map[string]int{"/unsafe/1": 1, "/safe/1": 2, "/chat/1": 1, "/review/1": 2, "/home/1": 1}
@@ -141,20 +158,19 @@
 }
 
 // brokenHeadFaults are the faults of engines that answer with a head that no answer has.
-var brokenHeadFaults = []platformtest.Fault{platformtest.FaultInvalidStatus, platformtest.FaultBlankInName, platformtest.FaultBlankInFraming}
+var brokenHeadFaults = []platformtest.Fault{platformtest.FaultInvalidStatus, platformtest.FaultBlankInName, platformtest.FaultBlankInFraming, platformtest.FaultChunksInHTTP10}
 
 // TestBrokenHeadBehindAHandOverIsTheEnginesFault guards against a gateway that takes another one for
 // broken because of an answer of that one's engine: it handed no request over for a while.
 func TestBrokenHeadBehindAHandOverIsTheEnginesFault(t *testing.T) {
 	for _, fault := range brokenHeadFaults {
 		t.Run(string(fault), func(t *testing.T) {
-			lagos, kano, engines := twoRegions(t)
+			lagos, _, engines := twoRegions(t)
 			injectFault(engines, fault, 2)
 			must.Eq(t, http.StatusBadGateway, do(t, lagos, platformtest.Request{Path: "/home/1"}).Status)
 			for range 20 {
 				must.Eq(t, http.StatusOK, do(t, lagos, platformtest.Request{Path: "/home/1"}).Status)
 			}
-			_ = kano
 		})
 	}
 }
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -4,15 +4,18 @@
 // code, also 000 and +20, and an unsolicited 101 for a final answer. It keeps a field whose name
 // holds a blank under that name, where neither its own framing nor any other reader looks for it:
 // with "Transfer-Encoding : chunked" the chunk sizes become a part of the body. It also takes the
-// version that the head states for that of the connection. A gateway that passes such an answer on
-// states something that its engine didn't.
+// version that the head states for that of the connection, and reads a body in chunks as it is where
+// the version is 1.0. A gateway that passes such an answer on states something that its engine
+// didn't.
 //
-// Every client outside of tests reads answers through a [Transport].
+// Every client outside of tests reads answers through a [Transport]. Those that relay answers, or
+// probe, open their connections with [DialWith].
 package httphead
 
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 )
 
@@ -32,7 +35,8 @@
 // RoundTrip implements http.RoundTripper. The error for an answer whose head isn't valid is an
 // *InvalidError. The server may have processed the request.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.base.RoundTrip(req)
+	ctx := httptrace.WithClientTrace(req.Context(), expectHead())
+	resp, err := t.base.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
--- a/relay/broken_head_test.go
+++ b/relay/broken_head_test.go
@@ -24,6 +24,7 @@
 	"name":    "HTTP/1.1 200 OK\r\nX Trouble: a\r\n" + reports + "Content-Length: 5\r\n\r\nwhole",
 	"framing": "HTTP/1.1 200 OK\r\n" + reports + "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 	"version": "HTTP/2.0 200 OK\r\n" + reports + "Content-Length: 5\r\n\r\nwhole",
+	"chunks":  "HTTP/1.0 200 OK\r\n" + reports + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 }
 
 // reports are the headers by which an answer belongs to its attempt, and those that report something
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -156,7 +156,7 @@
 		opts.MaxIdlePerHost = defaultIdlePerHost
 	}
 	pooled := &http.Transport{
-		DialContext:           checkingDialer{dialer}.DialContext,
+		DialContext:           httphead.DialWith(checkingDialer{dialer}),
 		MaxIdleConnsPerHost:   opts.MaxIdlePerHost,
 		IdleConnTimeout:       opts.IdleTimeout,
 		ResponseHeaderTimeout: opts.AnswerTimeout,
