soak: engines send answers whose head isn't valid

Cause: no stand-in of the soak sent a head that is whole and invalid, so real processes met none. Change: the usual faults of engines have four more: status 000, a blank in a field name, one after the name of the field that frames the body, and chunks in HTTP/1.0.

--- a/soak/world.go
+++ b/soak/world.go
@@ -219,7 +219,8 @@
 func address(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 
 // usualFaults returns the faults of an engine in which no other fault is injected: some answers
-// have neither a length nor chunks, some are cut short or stop within their head, and some never end.
+// have neither a length nor chunks, some are cut short or stop within their head, some never end, and
+// some have a head that isn't valid.
 func usualFaults() *platformtest.FaultPlan {
 	return platformtest.NewFaultCycle(
 		unframedPeriod,
@@ -228,6 +229,7 @@
 		platformtest.FaultChunksCut, platformtest.FaultNoLengthReset, platformtest.FaultChunksGarbage, platformtest.FaultChunksReset,
 		platformtest.FaultEndlessHeader, platformtest.FaultEndlessInformational, platformtest.FaultEndlessGarbage,
 		platformtest.FaultHeadCut, platformtest.FaultHeadCutReset,
+		platformtest.FaultInvalidStatus, platformtest.FaultBlankInName, platformtest.FaultBlankInFraming, platformtest.FaultChunksInHTTP10,
 	)
 }
 
