httphead: check isn't exported

Cause: only RoundTrip uses it; a second way to check heads would look like a choice. Change: its name. No behaviour changes.

--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := Check(resp); err != nil {
+	if err := check(resp); err != nil {
 		resp.Body.Close()
 		return nil, err
 	}
@@ -54,9 +54,9 @@
 	}
 }
 
-// Check returns an *InvalidError if the head of a final answer, as net/http has read it, isn't valid
+// check returns an *InvalidError if the head of a final answer, as net/http has read it, isn't valid
 // (RFC 9110, sections 5.1 and 15; RFC 9112, section 2.3).
-func Check(resp *http.Response) error {
+func check(resp *http.Response) error {
 	if resp.ProtoMajor != 1 {
 		return &InvalidError{fmt.Sprintf("version %q on a connection of HTTP/1", resp.Proto)}
 	}
