ingress: the stand-in of broken heads counts them atomically

Cause: the stand-in serves each connection on a goroutine of its own, and counted after it had written. A request that is sent again on another connection was counted by a second goroutine; no product code is involved. Change: the count is atomic, and made before the head is written. The checks are the same. Evidence: the three tests with the race detector, 10 times in each of three processes at once: a race in 3 of 3 processes before, in none after.

--- a/ingress/broken_head_test.go
+++ b/ingress/broken_head_test.go
@@ -152,9 +152,9 @@
 	result, err := g.caller.Do(context.Background(), memoryCallers, platformtest.Request{Host: "h", Path: path, IsPrompt: isPrompt, Deadline: 20 * time.Second})
 	synctest.Wait()
 	if err != nil {
-		return brokenAnswerOutcome{err: err.Error(), sends: server.ended}
+		return brokenAnswerOutcome{err: err.Error(), sends: int(server.ended.Load())}
 	}
-	return brokenAnswerOutcome{status: result.Status, stamp: result.Header.Get("X-Linenscale-Response-Stamp"), body: result.Body, sends: server.ended}
+	return brokenAnswerOutcome{status: result.Status, stamp: result.Header.Get("X-Linenscale-Response-Stamp"), body: result.Body, sends: int(server.ended.Load())}
 }
 
 // brokenHeadFaults are the faults of engines that answer with a head that no answer has.
@@ -235,7 +235,7 @@
 					must.Eq(t, http.StatusOK, result.Status)
 					must.Eq(t, "whole", result.Body)
 				}
-				must.Positive(t, server.ended)
+				must.Positive(t, server.ended.Load())
 			})
 		})
 	}
--- a/ingress/cut_head_test.go
+++ b/ingress/cut_head_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,12 +22,12 @@
 // headServer answers requests with a head that it doesn't finish, or one that is broken, and closes the
 // connection.
 type headServer struct {
-	head     string // of a request with id "%[1]s"
-	cut      int    // bytes of the head, and of what follows it, that are sent
-	whole    int    // whole answers on each connection before that
-	bytewise bool   // each byte is sent on its own
-	keeps    bool   // the connection is kept, and whole answers follow
-	ended    int    // heads sent that way
+	head     string       // of a request with id "%[1]s"
+	cut      int          // bytes of the head, and of what follows it, that are sent
+	whole    int          // whole answers on each connection before that
+	bytewise bool         // each byte is sent on its own
+	keeps    bool         // the connection is kept, and whole answers follow
+	ended    atomic.Int64 // heads sent that way, on any connection
 }
 
 // serve answers the requests that arrive at listener until ctx ends.
@@ -62,6 +63,7 @@
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Linenscale-Request-Id: %[1]s\r\nX-Linenscale-Response-Stamp: i.%[1]s\r\nContent-Length: 5\r\n\r\nwhole", id)
 			continue
 		}
+		h.ended.Add(1)
 		head := strings.ReplaceAll(h.head, "%[1]s", id)
 		step := len(head)
 		if h.bytewise {
@@ -70,7 +72,6 @@
 		for at := 0; at < h.cut; at += step {
 			_, _ = io.WriteString(conn, head[at:min(at+step, h.cut)])
 		}
-		h.ended++
 		if !h.keeps {
 			return
 		}
@@ -131,7 +132,7 @@
 	server.whole = 0
 	isPrompt := path == "/chat/1" || path == "/review/1"
 	result := g.do(t, path, isPrompt)
-	must.Positive(t, server.ended)
+	must.Positive(t, server.ended.Load())
 	must.Eq(t, http.StatusBadGateway, result.Status, must.Sprint(server.cut, path))
 	must.True(t, result.Complete)
 	g.close()
