gateway: the state of a request's body is read without a race

No report of a caller is known. Cause: an answer may arrive, and fail, while net/http still reads the request's body to send it, if only its end. The handler then reads whether the body is read to its end, and how much of it, without synchronisation. Ruled out: the new checks of heads; the race needs an answer that fails, not how. Change: both fields are atomic. A body whose end isn't seen yet counts as unread, as before: the error is written and the connection closed.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -52,7 +52,7 @@
 
 // consumed reports whether part of an unbuffered body has been read, so that the request
 // can't be sent again.
-func (p *payload) consumed() bool { return p.unbuffered != nil && p.unbuffered.bytesRead > 0 }
+func (p *payload) consumed() bool { return p.unbuffered != nil && p.unbuffered.bytesRead.Load() > 0 }
 
 // minEngineTime is the minimum time that an engine needs to serve any request. A request
 // with less time left is not sent.
--- a/gateway/rejection.go
+++ b/gateway/rejection.go
@@ -10,6 +10,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/linenscale/linenscale/relay"
@@ -82,25 +83,26 @@
 
 func mayHaveBody(r *http.Request) bool { return r.Body != nil && r.Body != http.NoBody }
 
-// trackedBody records whether a request body has been read to its end.
+// trackedBody records whether a request body has been read to its end. net/http may still read it,
+// to send it to an engine, when the engine's answer has arrived.
 type trackedBody struct {
 	io.ReadCloser
-	atEnd     bool
-	bytesRead int64
+	atEnd     atomic.Bool
+	bytesRead atomic.Int64
 }
 
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	b.bytesRead += int64(n)
+	b.bytesRead.Add(int64(n))
 	if err == io.EOF {
-		b.atEnd = true
+		b.atEnd.Store(true)
 	}
 	return n, err
 }
 
 func bodyFullyRead(r *http.Request) bool {
 	b, ok := r.Body.(*trackedBody)
-	return ok && b.atEnd
+	return ok && b.atEnd.Load()
 }
 
 // lingerTime is the time for which a connection with an unread body stays open after an
